Claim ids are counted under the process's name

Claim ids were drawn at random from a seed made of the start time; two hosts started in the same millisecond drew the same ids, and both took the one winning claim for their own. Ruled out: a second dispatch (attempts are 1 on both hosts), a reused connection, the fold. Change: ids are HOST.INCARNATION.COUNT; seeds hash the host's name in.

--- a/claims/claim_guard.cc
+++ b/claims/claim_guard.cc
@@ -9,11 +9,15 @@
 
 namespace applehall {
 
-ClaimGuard::ClaimGuard(std::string host, ClaimSettings settings, uint64_t seed)
-    : host_(std::move(host)),
-      settings_(settings),
-      random_(seed),
-      fold_(settings.window) {}
+ClaimGuard::ClaimGuard(Incarnation self, ClaimSettings settings)
+    : self_(std::move(self)), settings_(settings), fold_(settings.window) {}
+
+// Two hosts whose ids met would both take one winning claim for their own, so
+// ids are counted under the process's name, never drawn at random.
+std::string ClaimGuard::NextId(char kind) {
+  return absl::StrCat(self_.host, ".", self_.number, ".",
+                      std::string(1, kind), ++id_count_);
+}
 
 ClaimGuard::Standing ClaimGuard::Begin(RequestHandle handle,
                                        const std::string& key, TimePoint now) {
@@ -32,7 +36,7 @@
   }
   Wish wish;
   wish.handle = handle;
-  wish.claim = {key, MakeUuid7(now, random_), host_, *issued};
+  wish.claim = {key, NextId('c'), self_.host, *issued};
   claim_of_[handle] = wish.claim.claim_id;
   wishes_[wish.claim.claim_id] = std::move(wish);
   if (!oldest_unwritten_) oldest_unwritten_ = now;
@@ -134,7 +138,7 @@
   if (is_more_left) oldest_unwritten_ = now;
   if (claims.empty() && ends_.empty()) return std::nullopt;
   ends_sent_ = std::exchange(ends_, {});
-  batch_id_ = absl::StrCat(host_, ".", random_.Next(), ".", ++batch_count_);
+  batch_id_ = NextId('b');
   batch_sent_at_ = now;
   return ClaimsRecord(batch_id_, claims, ends_sent_);
 }
--- a/claims/claim_guard.h
+++ b/claims/claim_guard.h
@@ -8,7 +8,7 @@
 
 #include "admission/admission_queue.h"
 #include "claims/claim_fold.h"
-#include "core/random.h"
+#include "placement/ownership_table.h"
 
 namespace applehall {
 
@@ -28,7 +28,8 @@
 // log are never trusted for that, so a lost one changes nothing.
 class ClaimGuard {
  public:
-  ClaimGuard(std::string host, ClaimSettings settings, uint64_t seed);
+  // No other process may ever have the same `self`: claim ids are made of it.
+  ClaimGuard(Incarnation self, ClaimSettings settings);
 
   enum class Standing : uint8_t {
     kPending,  // Wait for TakeGranted() or TakeRefused().
@@ -75,9 +76,11 @@
 
   void Judge(const ClaimFold::Judgement& judgement, TimePoint now);
 
-  std::string host_;
+  std::string NextId(char kind);
+
+  Incarnation self_;
   ClaimSettings settings_;
-  Random random_;
+  uint64_t id_count_ = 0;
   ClaimFold fold_;
   std::map<std::string, Wish> wishes_;  // By claim id.
   std::map<RequestHandle, std::string> claim_of_;
@@ -86,7 +89,6 @@
   std::string batch_id_;              // Empty: no append under way.
   TimePoint batch_sent_at_;
   std::optional<TimePoint> oldest_unwritten_;
-  uint64_t batch_count_ = 0;
   std::vector<RequestHandle> granted_;
   std::vector<ClaimResult> refused_;
 };
--- a/main/daemon_settings.cc
+++ b/main/daemon_settings.cc
@@ -4,6 +4,8 @@
 
 #include <chrono>
 
+#include "core/hash.h"
+
 namespace applehall {
 namespace {
 
@@ -128,7 +130,9 @@
       static_cast<int>(reader.IntegerOr("engine_groups", 1, 1, 10000));
   settings.log_level = ReadLogLevel(reader);
   settings.addresses_file = reader.TextOr("addresses_file", "");
-  settings.node.seed = settings.node.self.number;
+  // Hosts that start in the same millisecond must not draw alike.
+  settings.node.seed =
+      StableHash(settings.node.self.host, settings.node.self.number);
   const Json& platform = reader.Raw("platform");
   const Json& limits = reader.Raw("limits");
   const Json& timings = reader.Raw("timings");
--- a/node/group_keeper.cc
+++ b/node/group_keeper.cc
@@ -207,16 +207,26 @@
 }
 
 void GroupKeeper::UpdateStoreShare() {
-  // Each data centre has an equal share, known to all from the host list.
-  size_t centres = 0;
+  // Each group of each data centre has an equal share, known to all from the
+  // host list; what does not divide goes to the first ones by name.
+  int centres = 0;
+  int rank = 0;
   for (const std::string& name : context_.hosts.DataCentres()) {
-    centres += context_.hosts.EntryHosts(name, true).empty() ? 0 : 1;
+    if (context_.hosts.EntryHosts(name, true).empty()) continue;
+    if (name < context_.settings.data_centre) ++rank;
+    ++centres;
   }
-  const double parts = static_cast<double>(
-      std::max<size_t>(1, centres) * context_.settings.group_count);
-  const double held = static_cast<double>(owners_.size());
-  store_.SetShare(context_.settings.store_loads_per_second * held / parts,
-                  context_.settings.store_slots * held / parts);
+  const int groups = context_.settings.group_count;
+  const int parts = std::max(1, centres) * groups;
+  const int slots = static_cast<int>(context_.settings.store_slots);
+  int held_slots = 0;
+  for (const auto& [group, owner] : owners_) {
+    const int position = rank * groups + IndexOf(group);
+    held_slots += slots / parts + (position < slots % parts ? 1 : 0);
+  }
+  store_.SetShare(context_.settings.store_loads_per_second *
+                      static_cast<double>(owners_.size()) / parts,
+                  held_slots);
 }
 
 void GroupKeeper::RunTick() {
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -69,8 +69,7 @@
     : context_(context),
       groups_(groups),
       gossip_(gossip),
-      claims_(context.settings.self.host, context.settings.claims,
-              context.settings.seed * 131 + context.settings.self.number) {}
+      claims_(context.settings.self, context.settings.claims) {}
 
 RequestFlow::Request* RequestFlow::Find(RequestHandle handle) {
   const auto it = requests_.find(handle);
@@ -529,6 +528,8 @@
       .With("verdict", VerdictName(verdict))
       .With("backend", decision.backend)
       .With("reason", reason)
+      .With("key", request->arrival.idempotency_key)
+      .With("attempts", request->attempt)
       .With("took_ms", ToMillis(decision.took));
   context_.decisions.Add(std::move(decision));
 }
--- /dev/null
+++ b/standins/deployment.cc
@@ -0,0 +1,786 @@
+#include "standins/deployment.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace applehall {
+namespace {
+
+constexpr Duration kHostPoll = std::chrono::milliseconds(500);
+constexpr Duration kLogRetry = std::chrono::milliseconds(200);
+constexpr Duration kServiceCallTime = std::chrono::milliseconds(5);
+constexpr size_t kMostRead = 500;
+// A paused host finds at most this much waiting when it wakes; the rest was
+// lost with its connections.
+constexpr size_t kMostBacklog = 20000;
+
+}  // namespace
+
+struct Deployment::Host {
+  std::string name;
+  std::string data_centre;
+  uint64_t life = 0;  // The incarnation; events for an earlier one are lost.
+  std::unique_ptr<Node> node;
+  bool is_alive = true;
+  bool is_paused = false;
+  std::vector<Event> backlog;
+  // Orders that were decided but not put on the wire when it was paused.
+  std::vector<SendOrder> unsent_orders;
+  RequestHandle next_handle = 1;
+  std::map<RequestHandle, Origin> origins;
+  LogOffset claims_offset = 1;
+  LogOffset control_offset = 1;
+};
+
+Deployment::Deployment(DeploymentSettings settings)
+    : settings_(std::move(settings)),
+      random_(settings_.seed),
+      now_(FromUnixMillis(1'800'000'000'000)),
+      log_(settings_.log_retention),
+      store_(settings_.store_loads_per_second, settings_.store_slots,
+             settings_.store_slot_bytes_per_second) {
+  for (const CatalogueEntry& entry : settings_.catalogue) {
+    store_.AddModel(entry);
+  }
+  const size_t centres = settings_.data_centres.size();
+  for (int i = 0; i < settings_.engines; ++i) {
+    FakeEngineSettings engine;
+    engine.name = absl::StrCat("engine-", i + 1);
+    engine.data_centre = settings_.data_centres[i % centres];
+    engine.memory_bytes = settings_.engine_bytes;
+    engine.kv_bytes_per_slot = settings_.kv_bytes_per_slot;
+    engine.slots = settings_.slots;
+    engine.checks_fence = i < settings_.engines - settings_.unfenced_engines;
+    engine.memory_cache_bytes = settings_.memory_cache_bytes;
+    engine.disk_cache_bytes = settings_.disk_cache_bytes;
+    HostEntry entry;
+    entry.name = engine.name;
+    entry.kind = HostKind::kEngine;
+    entry.data_centre = engine.data_centre;
+    entry.address = engine.name;
+    entry.incarnation = 1;
+    entry.checks_fence = engine.checks_fence;
+    listed_[entry.name] = entry;
+    engines_[engine.name] = std::make_unique<FakeEngine>(engine, store_);
+  }
+  for (int i = 0; i < settings_.services; ++i) {
+    Service service;
+    service.name = absl::StrCat("service-", i + 1);
+    service.service = "doors";
+    service.data_centre = settings_.data_centres[i % centres];
+    HostEntry entry;
+    entry.name = service.name;
+    entry.kind = HostKind::kService;
+    entry.data_centre = service.data_centre;
+    entry.address = service.name;
+    entry.incarnation = 1;
+    entry.service = service.service;
+    entry.slots = 64;
+    listed_[entry.name] = entry;
+    services_[service.name] = service;
+  }
+  int number = 0;
+  for (const std::string& centre : settings_.data_centres) {
+    for (int i = 0; i < settings_.hosts_per_data_centre; ++i) {
+      StartHost(absl::StrCat("entry-", ++number), centre);
+    }
+  }
+  history_.emplace_back(TimePoint{}, listed_);
+}
+
+Deployment::~Deployment() = default;
+
+void Deployment::StartHost(const std::string& name,
+                           const std::string& data_centre) {
+  auto host = std::make_unique<Host>();
+  host->name = name;
+  host->data_centre = data_centre;
+  host->life = next_incarnation_++;
+  NodeSettings node = settings_.node;
+  node.self = {name, host->life};
+  node.data_centre = data_centre;
+  node.store_loads_per_second = settings_.store_loads_per_second;
+  node.store_slots = settings_.store_slots;
+  node.host_list_lag = settings_.host_list_lag;
+  node.seed = settings_.seed * 1000 + host->life;
+  host->node = std::make_unique<Node>(node);
+  HostEntry entry;
+  entry.name = name;
+  entry.kind = HostKind::kEntry;
+  entry.data_centre = data_centre;
+  entry.address = name;
+  entry.peer_address = name;
+  entry.incarnation = host->life;
+  listed_[name] = entry;
+  const uint64_t life = host->life;
+  hosts_[name] = std::move(host);
+  At(Duration{0}, [=, this] { FollowLog(name, life); });
+  At(Duration{0}, [=, this] { FollowHosts(name, life); });
+  At(Duration{1}, [=, this] { TickHost(name, life); });
+  At(Duration{0}, [=, this] {
+    Tell(name, life, CatalogueRead{store_.ListCatalogue()});
+  });
+}
+
+void Deployment::At(Duration delay, std::function<void()> run) {
+  queue_.push({now_ + delay, event_count_++, std::move(run)});
+}
+
+void Deployment::RunFor(Duration span) {
+  RunUntil([] { return false; }, span);
+}
+
+void Deployment::RunUntil(const std::function<bool()>& condition,
+                          Duration most) {
+  const TimePoint end = now_ + most;
+  while (!condition()) {
+    if (queue_.empty() || queue_.top().when > end) {
+      now_ = end;
+      return;
+    }
+    const std::function<void()> run = queue_.top().run;
+    now_ = std::max(now_, queue_.top().when);
+    queue_.pop();
+    run();
+  }
+}
+
+// ---- Hosts ----
+
+void Deployment::Tell(const std::string& name, uint64_t life, Event event) {
+  const auto it = hosts_.find(name);
+  if (it == hosts_.end()) return;
+  Host& host = *it->second;
+  if (!host.is_alive || host.life != life) return;
+  if (host.is_paused) {
+    if (host.backlog.size() < kMostBacklog) {
+      host.backlog.push_back(std::move(event));
+    }
+    return;
+  }
+  HandleNow(host, event);
+}
+
+void Deployment::HandleNow(Host& host, const Event& event) {
+  std::vector<Action> actions;
+  host.node->Handle(event, now_, actions);
+  for (Action& action : actions) Perform(host, std::move(action));
+  Check();
+}
+
+void Deployment::TickHost(const std::string& name, uint64_t life) {
+  const auto it = hosts_.find(name);
+  if (it == hosts_.end() || it->second->life != life || !it->second->is_alive) {
+    return;
+  }
+  if (!it->second->is_paused) HandleNow(*it->second, Tick{});
+  At(settings_.tick, [=, this] { TickHost(name, life); });
+}
+
+void Deployment::FollowLog(const std::string& name, uint64_t life) {
+  const auto it = hosts_.find(name);
+  if (it == hosts_.end() || it->second->life != life || !it->second->is_alive) {
+    return;
+  }
+  Host& host = *it->second;
+  const auto again = [=, this] { FollowLog(name, life); };
+  if (host.is_paused) {
+    At(kLogRetry, again);
+    return;
+  }
+  if (log_down_ || cut_.contains(host.data_centre)) {
+    Tell(name, life, LogFailed{});
+    At(kLogRetry, again);
+    return;
+  }
+  for (const char* stream : {kControlStream, kClaimsStream}) {
+    const bool is_control = std::string(stream) == kControlStream;
+    if (is_control && !host.node->WantsControlReads()) continue;
+    LogOffset& from = is_control ? host.control_offset : host.claims_offset;
+    if (is_control) from = std::max(from, host.node->control_offset());
+    const LogBatch batch = log_.Read(stream, from, kMostRead, now_);
+    from = std::max(from, batch.first_offset);
+    if (!batch.records.empty()) from = batch.records.back().offset + 1;
+    At(settings_.log_delay + log_extra_, [=, this] {
+      if (!log_down_) Tell(name, life, LogRead{batch});
+    });
+  }
+  At(std::max(settings_.tick, settings_.log_delay + log_extra_), again);
+}
+
+HostList Deployment::Listed() const {
+  HostList list;
+  list.as_of = now_ - settings_.host_list_lag;
+  const std::map<std::string, HostEntry>* shown = &history_.front().second;
+  for (const auto& [when, entries] : history_) {
+    if (when <= list.as_of) shown = &entries;
+  }
+  for (const auto& [name, entry] : *shown) list.hosts.push_back(entry);
+  return list;
+}
+
+void Deployment::RecordHistory() { history_.emplace_back(now_, listed_); }
+
+void Deployment::FollowHosts(const std::string& name, uint64_t life) {
+  const auto it = hosts_.find(name);
+  if (it == hosts_.end() || it->second->life != life) return;
+  if (!cut_.contains(it->second->data_centre)) {
+    Tell(name, life, HostListRead{Listed()});
+  }
+  At(kHostPoll, [=, this] { FollowHosts(name, life); });
+}
+
+std::string Deployment::CentreOf(const std::string& host) const {
+  const auto it = hosts_.find(host);
+  if (it != hosts_.end()) return it->second->data_centre;
+  const auto engine = engines_.find(host);
+  if (engine != engines_.end()) return engine->second->settings().data_centre;
+  const auto service = services_.find(host);
+  return service == services_.end() ? "" : service->second.data_centre;
+}
+
+bool Deployment::IsCut(const std::string& from, const std::string& to) const {
+  const std::string a = CentreOf(from);
+  const std::string b = CentreOf(to);
+  return a != b && (cut_.contains(a) || cut_.contains(b));
+}
+
+Duration Deployment::Delay(const std::string& from, const std::string& to) {
+  const Duration base = CentreOf(from) == CentreOf(to) ? settings_.near_delay
+                                                       : settings_.far_delay;
+  return base + FromSeconds(ToSeconds(base) * random_.Unit());
+}
+
+// ---- Actions ----
+
+void Deployment::Perform(Host& host, Action action) {
+  std::visit([&](const auto& a) { On(host, a); }, action);
+}
+
+void Deployment::On(Host& host, const SendPeer& action) {
+  if (IsCut(host.name, action.host) || !hosts_.contains(action.host)) return;
+  if (peer_loss_ > 0 && random_.Unit() < peer_loss_) return;
+  const uint64_t life = hosts_.at(action.host)->life;
+  const std::string from = host.name;
+  const std::vector<uint8_t> bytes = action.message.Encode();
+  At(Delay(host.name, action.host), [=, this, to = action.host] {
+    const std::optional<PeerMessage> message = PeerMessage::Decode(bytes);
+    if (message) Tell(to, life, PeerMessageReceived{from, *message});
+  });
+}
+
+void Deployment::On(Host& host, const AppendRecord& action) {
+  const std::string name = host.name;
+  const uint64_t life = host.life;
+  if (cut_.contains(host.data_centre)) {
+    At(kLogRetry, [=, this] {
+      Tell(name, life, LogFailed{});
+      Tell(name, life, AppendEnded{action.record_id, false});
+    });
+    return;
+  }
+  At(settings_.log_delay + log_extra_, [=, this] {
+    if (log_down_) {
+      Tell(name, life, LogFailed{});
+      Tell(name, life, AppendEnded{action.record_id, false});
+      return;
+    }
+    log_.Append(action.stream, action.payload, now_);
+    const bool is_lost = lose_append_answers_ > 0;
+    if (is_lost) --lose_append_answers_;
+    At(settings_.log_delay, [=, this] {
+      Tell(name, life, AppendEnded{action.record_id, !is_lost});
+    });
+  });
+}
+
+void Deployment::On(Host& host, const SendOrder& action) {
+  const std::string name = host.name;
+  const uint64_t life = host.life;
+  if (host.is_paused) {
+    host.unsent_orders.push_back(action);
+    return;
+  }
+  if (order_loss_ > 0 && random_.Unit() < order_loss_) return;
+  const Duration late =
+      FromSeconds(ToSeconds(order_late_) * random_.Unit());
+  At(Delay(name, action.engine) + late,
+     [=, this] { DeliverOrder(name, life, action); });
+  if (order_doubling_ > 0 && random_.Unit() < order_doubling_) {
+    const Duration later = FromSeconds(ToSeconds(order_late_) * random_.Unit());
+    At(Delay(name, action.engine) + later,
+       [=, this] { DeliverOrder(name, life, action); });
+  }
+}
+
+void Deployment::DeliverOrder(const std::string& host, uint64_t life,
+                              const SendOrder& action) {
+  const auto it = engines_.find(action.engine);
+  if (it == engines_.end() || failing_engines_.contains(action.engine)) return;
+  if (IsCut(host, action.engine)) return;
+  const TimePoint asked_at = now_;
+  const Inventory inventory = it->second->TakeOrder(action.order, now_);
+  Check();
+  // Answers are lost and late as orders are.
+  if (order_loss_ > 0 && random_.Unit() < order_loss_) return;
+  const Duration late = FromSeconds(ToSeconds(order_late_) * random_.Unit());
+  At(Delay(host, action.engine) + late, [=, this] {
+    // Over the wire ages are relative, so times shift by the delay.
+    Tell(host, life,
+         EngineAnswered{Inventory::FromJson(inventory.ToJson(asked_at), now_),
+                        asked_at});
+  });
+}
+
+void Deployment::On(Host& host, const DispatchRequest& action) {
+  ++dispatched_;
+  switch (action.kind) {
+    case BackendKind::kEngine:
+      DispatchToEngine(host, action);
+      return;
+    case BackendKind::kService:
+      DispatchToService(host, action);
+      return;
+    case BackendKind::kEntryHost:
+      Forward(host, action);
+      return;
+  }
+}
+
+void Deployment::EndAttempt(const std::string& host, uint64_t life,
+                            const DispatchRequest& action,
+                            AttemptResult result) {
+  AttemptEnded ended;
+  ended.handle = action.handle;
+  ended.attempt = action.attempt;
+  ended.result = result;
+  const auto it = hosts_.find(host);
+  if (result == AttemptResult::kCompleted && it != hosts_.end() &&
+      it->second->life == life) {
+    // The answer itself goes past the node to the caller.
+    const auto origin = it->second->origins.find(action.handle);
+    if (origin != it->second->origins.end() && it->second->is_alive) {
+      Settle(origin->second, true, {}, action.rule);
+      it->second->origins.erase(origin);
+    }
+  }
+  Tell(host, life, ended);
+}
+
+void Deployment::DispatchToEngine(Host& host, const DispatchRequest& action) {
+  const std::string name = host.name;
+  const uint64_t life = host.life;
+  const auto origin = host.origins.find(action.handle);
+  const uint64_t request =
+      origin == host.origins.end() ? 0 : origin->second.request;
+  if (IsCut(name, action.backend)) {
+    At(settings_.far_delay, [=, this] {
+      EndAttempt(name, life, action, AttemptResult::kNotSent);
+    });
+    return;
+  }
+  At(Delay(name, action.backend), [=, this] {
+    const auto it = engines_.find(action.backend);
+    const Duration back = Delay(name, action.backend);
+    const auto end = [=, this](AttemptResult result, Duration after) {
+      At(after + back,
+         [=, this] { EndAttempt(name, life, action, result); });
+    };
+    if (it == engines_.end()) return end(AttemptResult::kNotSent, {});
+    if (failing_engines_.contains(action.backend)) {
+      return end(random_.Below(2) == 0 ? AttemptResult::kNotSent
+                                       : AttemptResult::kBroken,
+                 {});
+    }
+    FakeEngine& engine = *it->second;
+    switch (engine.StartRequest(action.model, now_)) {
+      case FakeEngine::StartResult::kModelAbsent:
+        return end(AttemptResult::kModelAbsent, {});
+      case FakeEngine::StartResult::kFull:
+        return end(AttemptResult::kFull, {});
+      case FakeEngine::StartResult::kStarted:
+        break;
+    }
+    ++runs_of_request_[request];
+    const uint64_t engine_life = engine.settings().incarnation;
+    const Duration took =
+        settings_.service_time + FromSeconds(ToSeconds(settings_.service_time) *
+                                             random_.Unit());
+    At(took, [=, this] {
+      FakeEngine& running = *engines_.at(action.backend);
+      const bool is_lost = running.settings().incarnation != engine_life ||
+                           failing_engines_.contains(action.backend);
+      if (running.settings().incarnation == engine_life) {
+        running.EndRequest(action.model, now_);
+      }
+      end(is_lost ? AttemptResult::kBroken : AttemptResult::kCompleted, {});
+    });
+  });
+}
+
+void Deployment::DispatchToService(Host& host, const DispatchRequest& action) {
+  const std::string name = host.name;
+  const uint64_t life = host.life;
+  const auto origin = host.origins.find(action.handle);
+  const uint64_t request =
+      origin == host.origins.end() ? 0 : origin->second.request;
+  At(Delay(name, action.backend), [=, this] {
+    Service& service = services_.at(action.backend);
+    const std::string key =
+        request == 0 ? "" : outcomes_.at(request).key;
+    ++runs_of_request_[request];
+    if (!key.empty() && ++service.runs[key] && RunsOfKey(key) > 1) {
+      Break("a key ran twice: " + key);
+    }
+    const AttemptResult result = service.is_failing
+                                     ? AttemptResult::kBroken
+                                     : AttemptResult::kCompleted;
+    At(kServiceCallTime + Delay(name, action.backend),
+       [=, this] { EndAttempt(name, life, action, result); });
+  });
+}
+
+void Deployment::Forward(Host& host, const DispatchRequest& action) {
+  const std::string name = host.name;
+  const uint64_t life = host.life;
+  const auto target = hosts_.find(action.backend);
+  if (IsCut(name, action.backend) || target == hosts_.end() ||
+      !target->second->is_alive) {
+    At(settings_.far_delay, [=, this] {
+      EndAttempt(name, life, action, AttemptResult::kNotSent);
+    });
+    return;
+  }
+  RequestArrived event;
+  event.facts.model = action.model;
+  event.facts.caller = "forwarded";
+  event.facts.method = "POST";
+  event.facts.path = "/v1/chat/completions";
+  event.deadline = action.deadline - now_;
+  event.is_forwarded = true;
+  Origin origin;
+  origin.request = host.origins.contains(action.handle)
+                       ? host.origins.at(action.handle).request
+                       : 0;
+  origin.from_host = name;
+  origin.from_handle = action.handle;
+  origin.from_attempt = action.attempt;
+  origin.from_life = life;
+  const std::string to = action.backend;
+  At(Delay(name, to), [=, this] { Arrive(to, event, origin); });
+}
+
+void Deployment::On(Host&, const CancelAttempt&) {
+  // Engines finish what they began; the answer then finds nobody.
+}
+
+void Deployment::On(Host& host, const RefuseRequest& action) {
+  const auto origin = host.origins.find(action.handle);
+  if (origin == host.origins.end()) return;
+  const Origin from = origin->second;
+  host.origins.erase(origin);
+  Settle(from, false, action.refusal, action.rule);
+}
+
+void Deployment::On(Host& host, const Drained&) {
+  if (!host.origins.empty()) Break("a drain cut a request");
+  host.is_alive = false;
+}
+
+// ---- Requests ----
+
+void Deployment::Arrive(const std::string& name, RequestArrived event,
+                        Origin origin) {
+  const auto it = hosts_.find(name);
+  if (it == hosts_.end() || !it->second->is_alive) {
+    Settle(origin, false,
+           {Verdict::kNotRun, RefusalReason::kNoBackend, "host is down", {}},
+           "");
+    return;
+  }
+  Host& host = *it->second;
+  event.handle = host.next_handle++;
+  host.origins[event.handle] = origin;
+  Tell(name, host.life, event);
+}
+
+uint64_t Deployment::Send(const std::string& host, const std::string& model,
+                          const std::string& caller,
+                          std::optional<Duration> deadline,
+                          const std::string& key) {
+  const uint64_t id = ++request_count_;
+  RequestOutcome& outcome = outcomes_[id];
+  outcome.sent_at = now_;
+  outcome.model = model;
+  outcome.key = key;
+  outcome.limit = now_ + deadline.value_or(std::chrono::seconds(30));
+  open_.insert(id);
+  RequestArrived event;
+  event.request_id = absl::StrCat("r", id);
+  event.facts.caller = caller;
+  event.facts.method = "POST";
+  event.facts.path = "/v1/chat/completions";
+  event.facts.model = model;
+  event.deadline = deadline;
+  event.idempotency_key = key;
+  Origin origin;
+  origin.request = id;
+  Arrive(host, event, origin);
+  return id;
+}
+
+uint64_t Deployment::CallService(const std::string& host,
+                                 const std::string& service,
+                                 const std::string& key) {
+  const uint64_t id = ++request_count_;
+  RequestOutcome& outcome = outcomes_[id];
+  outcome.sent_at = now_;
+  outcome.key = key;
+  outcome.limit = now_ + std::chrono::seconds(30);
+  open_.insert(id);
+  RequestArrived event;
+  event.request_id = absl::StrCat("r", id);
+  event.facts.caller = "kiosk";
+  event.facts.method = "POST";
+  event.facts.path = "/services/" + service + "/open";
+  event.facts.service = service;
+  event.idempotency_key = key;
+  Origin origin;
+  origin.request = id;
+  Arrive(host, event, origin);
+  return id;
+}
+
+void Deployment::Leave(uint64_t request) {
+  for (auto& [name, host] : hosts_) {
+    for (auto it = host->origins.begin(); it != host->origins.end(); ++it) {
+      if (it->second.request != request || !it->second.from_host.empty()) {
+        continue;
+      }
+      const RequestHandle handle = it->first;
+      host->origins.erase(it);
+      open_.erase(request);
+      Tell(name, host->life, CallerGone{handle});
+      return;
+    }
+  }
+}
+
+void Deployment::Settle(const Origin& origin, bool answered,
+                        const Refusal& refusal, const std::string& rule) {
+  if (!origin.from_host.empty()) {
+    DispatchRequest action;
+    action.handle = origin.from_handle;
+    action.attempt = origin.from_attempt;
+    action.rule = rule;
+    const AttemptResult result =
+        answered ? AttemptResult::kCompleted
+        : refusal.verdict == Verdict::kNotRun ? AttemptResult::kRefused
+                                              : AttemptResult::kBroken;
+    const std::string host = origin.from_host;
+    const uint64_t life = origin.from_life;
+    At(settings_.far_delay,
+       [=, this] { EndAttempt(host, life, action, result); });
+    return;
+  }
+  RequestOutcome& outcome = outcomes_.at(origin.request);
+  ++outcome.answers;
+  outcome.is_answered = answered;
+  outcome.refusal = refusal;
+  outcome.rule = rule;
+  outcome.ended_at = now_;
+  open_.erase(origin.request);
+  if (outcome.answers > 1) Break("a request was answered twice");
+  if (!answered && refusal.verdict == Verdict::kNotRun &&
+      runs_of_request_[origin.request] > 0) {
+    Break(absl::StrCat("\"not run\" was not true: request ", origin.request,
+                       ", ", refusal.detail));
+  }
+}
+
+// ---- Failures ----
+
+void Deployment::KillHost(const std::string& name) {
+  Host& host = *hosts_.at(name);
+  host.is_alive = false;
+  // Its callers see their connections break: an outcome, if not a good one.
+  for (const auto& [handle, origin] : host.origins) {
+    if (origin.from_host.empty()) {
+      open_.erase(origin.request);
+      outcomes_[origin.request].answers = 1;
+      outcomes_[origin.request].refusal = {
+          Verdict::kMayHaveRun, RefusalReason::kBackendFailed, "host died", {}};
+      outcomes_[origin.request].ended_at = now_;
+    } else {
+      Settle(origin, false,
+             {Verdict::kMayHaveRun, RefusalReason::kBackendFailed, "died", {}},
+             "");
+    }
+  }
+  host.origins.clear();
+}
+
+void Deployment::ReviveHost(const std::string& name) {
+  const std::string centre = hosts_.at(name)->data_centre;
+  hosts_.erase(name);
+  StartHost(name, centre);
+  RecordHistory();
+}
+
+void Deployment::PauseHost(const std::string& name) {
+  hosts_.at(name)->is_paused = true;
+}
+
+void Deployment::ResumeHost(const std::string& name) {
+  Host& host = *hosts_.at(name);
+  host.is_paused = false;
+  for (const Event& event : std::exchange(host.backlog, {})) {
+    HandleNow(host, event);
+  }
+  for (const SendOrder& order : std::exchange(host.unsent_orders, {})) {
+    if (now_ <= order.order.send_by) On(host, order);
+  }
+}
+
+void Deployment::DrainHost(const std::string& name) {
+  Tell(name, hosts_.at(name)->life, DrainRequested{});
+}
+
+void Deployment::ListLeaving(const std::string& name) {
+  listed_[name].is_leaving = true;
+  RecordHistory();
+}
+
+void Deployment::ListGone(const std::string& name) {
+  listed_.erase(name);
+  RecordHistory();
+}
+
+void Deployment::SetReportLag(Duration lag) {
+  for (auto& [name, engine] : engines_) engine->SetReportLag(lag);
+}
+
+void Deployment::SetOrderFaults(double lost, double doubled, Duration late) {
+  order_loss_ = lost;
+  order_doubling_ = doubled;
+  order_late_ = late;
+}
+
+void Deployment::CutDataCentre(const std::string& name, bool cut) {
+  if (cut) {
+    cut_.insert(name);
+  } else {
+    cut_.erase(name);
+  }
+}
+
+void Deployment::FailEngine(const std::string& name, bool failing) {
+  if (failing) {
+    failing_engines_.insert(name);
+  } else {
+    failing_engines_.erase(name);
+  }
+}
+
+void Deployment::RestartEngine(const std::string& name) {
+  engines_.at(name)->Restart(now_);
+  listed_[name].incarnation = engines_.at(name)->settings().incarnation;
+  RecordHistory();
+}
+
+void Deployment::FailLoads(bool fail) {
+  for (auto& [name, engine] : engines_) engine->SetFailLoads(fail);
+}
+
+std::string Deployment::Publish(const Json& document, LogOffset base) {
+  const std::string id = absl::StrCat("publish-", ++publish_count_);
+  log_.Append(kControlStream,
+              PublishRecord(id, base, Json{{"document", document}}).dump(),
+              now_);
+  return id;
+}
+
+// ---- Queries ----
+
+std::vector<std::string> Deployment::HostNames() const {
+  std::vector<std::string> names;
+  for (const auto& [name, host] : hosts_) names.push_back(name);
+  return names;
+}
+
+const Node& Deployment::node(const std::string& host) const {
+  return *hosts_.at(host)->node;
+}
+
+bool Deployment::IsAlive(const std::string& host) const {
+  return hosts_.at(host)->is_alive;
+}
+
+int Deployment::RunsOfKey(const std::string& key) const {
+  int runs = 0;
+  for (const auto& [name, service] : services_) {
+    const auto it = service.runs.find(key);
+    if (it != service.runs.end()) runs += it->second;
+  }
+  return runs;
+}
+
+uint64_t Deployment::loads_decided() const {
+  uint64_t loads = 0;
+  for (const auto& [name, engine] : engines_) loads += engine->loads_begun();
+  return loads;
+}
+
+Duration Deployment::idle_time() const {
+  Duration total{0};
+  for (const auto& [name, engine] : engines_) total += engine->idle_time();
+  return total;
+}
+
+Duration Deployment::held_time() const {
+  Duration total{0};
+  for (const auto& [name, engine] : engines_) total += engine->held_time();
+  return total;
+}
+
+// The promises, against what really is.
+void Deployment::Check() {
+  std::map<std::string, int> replicas;
+  for (const auto& [name, engine] : engines_) {
+    if (engine->was_overcommitted()) Break("overcommitted: " + name);
+    for (const std::string& model : engine->Resident()) {
+      ++replicas[absl::StrCat(engine->settings().data_centre, "/", model)];
+    }
+  }
+  for (const auto& [name, host] : hosts_) {
+    const auto rules = host->node->context().control.rules().current();
+    const LogOffset version = rules ? rules->version : 0;
+    LogOffset& seen = versions_seen_[absl::StrCat(name, "@", host->life)];
+    if (version < seen) Break("a rule set went back on " + name);
+    seen = std::max(seen, version);
+    if (version > truth_version_) {
+      truth_version_ = version;
+      truth_bounds_ = ReplicaBoundsTable(rules->set.rules);
+    }
+  }
+  for (const auto& [name, count] : replicas) {
+    const std::string model = name.substr(name.find('/') + 1);
+    int most = truth_bounds_.For(model).most;
+    for (const CatalogueEntry& entry : settings_.catalogue) {
+      if (entry.base == model) {
+        most = std::max(most, truth_bounds_.For(entry.name).most);
+      }
+    }
+    if (count > most) {
+      Break(absl::StrCat("too many replicas: ", count, " of ", name));
+    }
+  }
+  for (const uint64_t id : open_) {
+    if (outcomes_.at(id).limit + std::chrono::minutes(1) < now_) {
+      Break(absl::StrCat("request ", id, " has no outcome in time"));
+    }
+  }
+}
+
+}  // namespace applehall
--- a/trial/trial_load.cc
+++ b/trial/trial_load.cc
@@ -93,7 +93,11 @@
     for (const Json& item : (*list)["data"]) {
       models_.push_back(item["id"].get<std::string>());
     }
+    // Which models are called often is drawn by the seed.
     std::sort(models_.begin(), models_.end());
+    for (size_t i = models_.size(); i > 1; --i) {
+      std::swap(models_[i - 1], models_[random_.Below(i)]);
+    }
     const Json hosts =
         CallJson(deployment_.platform(), "GET", "/hosts").value_or(Json());
     for (const Json& host : hosts["hosts"]) {
@@ -306,7 +310,10 @@
       runs[key] += count.get<int>();
     }
   }
-  for (const auto& [key, count] : runs) most_runs = std::max(most_runs, count);
+  for (const auto& [key, count] : runs) {
+    most_runs = std::max(most_runs, count);
+    if (count > 1) std::cout << "ran " << count << " times: " << key << "\n";
+  }
   for (const std::string& key : result.keys_not_run) {
     false_not_run += runs.contains(key);
   }
