--- a/admission/admission_queue.cc
+++ b/admission/admission_queue.cc
@@ -16,9 +16,9 @@
 TimePoint OrderTime(const WaitingRequest& request, size_t caller_waiting) {
   const TimePoint latest_start = request.deadline - request.service_estimate;
   const double worth = std::max(0.001, request.worth);
-  const Duration spacing = FromSeconds(ToSeconds(kCallerSpacing) *
-                                       static_cast<double>(caller_waiting) /
-                                       std::max(1.0, worth));
+  const Duration spacing =
+      FromSeconds(ToSeconds(kCallerSpacing) *
+                  static_cast<double>(caller_waiting) / std::max(1.0, worth));
   const Duration bonus =
       FromSeconds(ToSeconds(kWorthStep) * std::log2(1.0 + worth));
   return latest_start + spacing - bonus;
--- a/claims/claim_fold.cc
+++ b/claims/claim_fold.cc
@@ -28,9 +28,8 @@
                                 {"t", ToUnixMillis(claim.issued_at)}});
   }
   for (const ClaimEnd& end : ends) {
-    record["ends"].push_back({{"k", end.key},
-                              {"c", end.claim_id},
-                              {"v", VerdictName(end.verdict)}});
+    record["ends"].push_back(
+        {{"k", end.key}, {"c", end.claim_id}, {"v", VerdictName(end.verdict)}});
   }
   return record;
 }
@@ -91,8 +90,7 @@
   const std::string key = FieldOr<std::string>(item, "k", "");
   const std::string claim_id = FieldOr<std::string>(item, "c", "");
   const auto it = keys_.find(key);
-  const bool is_holder =
-      it != keys_.end() && it->second.claim_id == claim_id;
+  const bool is_holder = it != keys_.end() && it->second.claim_id == claim_id;
   const Verdict verdict = VerdictFromName(FieldOr<std::string>(item, "v", ""));
   if (verdict == Verdict::kNotRun) {
     ended_[claim_id] = time;
@@ -100,8 +98,8 @@
     return;
   }
   if (!is_holder) return;
-  it->second.status = verdict == Verdict::kRan ? KeyStatus::kRan
-                                               : KeyStatus::kMayHaveRun;
+  it->second.status =
+      verdict == Verdict::kRan ? KeyStatus::kRan : KeyStatus::kMayHaveRun;
 }
 
 TimePoint ClaimFold::Floor(TimePoint now) const {
@@ -130,9 +128,8 @@
     }
     by_issue_.erase(oldest);
   }
-  std::erase_if(ended_, [limit](const auto& entry) {
-    return entry.second < limit;
-  });
+  std::erase_if(ended_,
+                [limit](const auto& entry) { return entry.second < limit; });
 }
 
 }  // namespace applehall
--- a/claims/claim_guard.cc
+++ b/claims/claim_guard.cc
@@ -15,8 +15,8 @@
 // Two hosts whose ids met would both take one winning claim for their own, so
 // ids are counted under the process's name, never drawn at random.
 std::string ClaimGuard::NextId(char kind) {
-  return absl::StrCat(self_.host, ".", self_.number, ".",
-                      std::string(1, kind), ++id_count_);
+  return absl::StrCat(self_.host, ".", self_.number, ".", std::string(1, kind),
+                      ++id_count_);
 }
 
 ClaimGuard::Standing ClaimGuard::Begin(RequestHandle handle,
--- a/claims/claim_guard.h
+++ b/claims/claim_guard.h
@@ -84,9 +84,9 @@
   ClaimFold fold_;
   std::map<std::string, Wish> wishes_;  // By claim id.
   std::map<RequestHandle, std::string> claim_of_;
-  std::vector<ClaimEnd> ends_;        // To be appended.
-  std::vector<ClaimEnd> ends_sent_;   // In the batch under way.
-  std::string batch_id_;              // Empty: no append under way.
+  std::vector<ClaimEnd> ends_;       // To be appended.
+  std::vector<ClaimEnd> ends_sent_;  // In the batch under way.
+  std::string batch_id_;             // Empty: no append under way.
   TimePoint batch_sent_at_;
   std::optional<TimePoint> oldest_unwritten_;
   std::vector<RequestHandle> granted_;
--- a/core/event_log.cc
+++ b/core/event_log.cc
@@ -1,14 +1,14 @@
 #include "core/event_log.h"
 
 #include <atomic>
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
-#include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/logger.hpp>
-#include <boost/core/null_deleter.hpp>
+#include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <chrono>
 #include <cstdio>
@@ -27,7 +27,7 @@
 
 std::atomic<bool> g_started{false};
 std::atomic<int> g_least_level{0};
-std::string g_host;                   // Set once, before other threads start.
+std::string g_host;                  // Set once, before other threads start.
 boost::shared_ptr<LineSink> g_sink;  // Likewise.
 
 constexpr std::string_view LevelName(LogLevel level) {
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -30,8 +30,8 @@
   // Requires: nothing. Each object belongs to one thread.
   LogEvent& With(std::string_view key, std::string_view value);
   template <typename T>
-    requires std::is_arithmetic_v<T>
-  LogEvent& With(std::string_view key, T value) {
+  requires std::is_arithmetic_v<T> LogEvent& With(std::string_view key,
+                                                  T value) {
     return With(key, std::string_view(std::to_string(value)));
   }
 
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -31,13 +31,12 @@
 
  private:
   using Quantile = boost::accumulators::accumulator_set<
-      double, boost::accumulators::stats<
-                  boost::accumulators::tag::p_square_quantile>>;
-  using Totals = boost::accumulators::accumulator_set<
       double,
-      boost::accumulators::stats<boost::accumulators::tag::count,
-                                 boost::accumulators::tag::sum,
-                                 boost::accumulators::tag::max>>;
+      boost::accumulators::stats<boost::accumulators::tag::p_square_quantile>>;
+  using Totals = boost::accumulators::accumulator_set<
+      double, boost::accumulators::stats<boost::accumulators::tag::count,
+                                         boost::accumulators::tag::sum,
+                                         boost::accumulators::tag::max>>;
   Totals totals_;
   Quantile p50_;
   Quantile p95_;
@@ -49,7 +48,9 @@
  public:
   // Names follow Prometheus; labels are part of the name: `x{reason="y"}`.
   // The caller keeps the set of names bounded. Not thread-safe.
-  void Count(const std::string& name, uint64_t by = 1) { counters_[name] += by; }
+  void Count(const std::string& name, uint64_t by = 1) {
+    counters_[name] += by;
+  }
   void Observe(const std::string& name, Duration value) {
     summaries_[name].Add(value);
   }
--- a/core/settings_reader.cc
+++ b/core/settings_reader.cc
@@ -37,8 +37,8 @@
 
 void SettingsReader::Fail(const std::string& key, const std::string& expected) {
   if (!status_.ok()) return;
-  status_ = absl::InvalidArgumentError(absl::StrCat(
-      file_, ": key \"", prefix_, key, "\": expected ", expected));
+  status_ = absl::InvalidArgumentError(
+      absl::StrCat(file_, ": key \"", prefix_, key, "\": expected ", expected));
 }
 
 const Json* SettingsReader::Find(const std::string& key, bool required,
@@ -101,8 +101,8 @@
 
 Duration SettingsReader::MillisOr(const std::string& key, Duration fallback,
                                   Duration least, Duration most) {
-  return std::chrono::milliseconds(IntegerOr(
-      key, ToMillis(fallback), ToMillis(least), ToMillis(most)));
+  return std::chrono::milliseconds(
+      IntegerOr(key, ToMillis(fallback), ToMillis(least), ToMillis(most)));
 }
 
 bool SettingsReader::FlagOr(const std::string& key, bool fallback) {
--- a/drivers/backend_client.cc
+++ b/drivers/backend_client.cc
@@ -70,8 +70,8 @@
   HMAC(EVP_sha256(), shared_key.data(), static_cast<int>(shared_key.size()),
        reinterpret_cast<const unsigned char*>(request_id.data()),
        request_id.size(), digest, &size);
-  return absl::BytesToHexString(absl::string_view(
-      reinterpret_cast<const char*>(digest), size));
+  return absl::BytesToHexString(
+      absl::string_view(reinterpret_cast<const char*>(digest), size));
 }
 
 BackendClient::BackendClient(std::string data_centre, std::string shared_key,
@@ -175,8 +175,7 @@
 }
 
 asio::awaitable<AttemptEnded> BackendClient::PassWhole(
-    const DispatchRequest& action, HttpStream& stream,
-    CallerSession& session) {
+    const DispatchRequest& action, HttpStream& stream, CallerSession& session) {
   HttpResponse response = stream.head();
   while (!stream.is_whole()) {
     const std::string piece = co_await stream.ReadSome(kStreamSilence);
@@ -201,8 +200,7 @@
 }
 
 asio::awaitable<AttemptEnded> BackendClient::PassStream(
-    const DispatchRequest& action, HttpStream& stream,
-    CallerSession& session) {
+    const DispatchRequest& action, HttpStream& stream, CallerSession& session) {
   if (!session.has_begun) {
     session.has_begun = true;
     ReplyPart begin;
@@ -239,8 +237,7 @@
       session.Push(std::move(chunk));
     }
     if (stream.is_whole() || stream.error().empty()) continue;
-    AttemptEnded broken =
-        EndOf(action, AttemptResult::kBroken, stream.error());
+    AttemptEnded broken = EndOf(action, AttemptResult::kBroken, stream.error());
     broken.has_delivered = true;
     broken.can_resume = stream.head().headers.contains("applehall-can-resume");
     co_return broken;
--- a/drivers/backend_client.h
+++ b/drivers/backend_client.h
@@ -33,14 +33,14 @@
 
   Task RunAttempt(DispatchRequest action,
                   std::shared_ptr<CallerSession> session);
-  boost::asio::awaitable<AttemptEnded> Attempt(
-      const DispatchRequest& action, CallerSession& session);
-  boost::asio::awaitable<AttemptEnded> PassWhole(
-      const DispatchRequest& action, HttpStream& stream,
-      CallerSession& session);
-  boost::asio::awaitable<AttemptEnded> PassStream(
-      const DispatchRequest& action, HttpStream& stream,
-      CallerSession& session);
+  boost::asio::awaitable<AttemptEnded> Attempt(const DispatchRequest& action,
+                                               CallerSession& session);
+  boost::asio::awaitable<AttemptEnded> PassWhole(const DispatchRequest& action,
+                                                 HttpStream& stream,
+                                                 CallerSession& session);
+  boost::asio::awaitable<AttemptEnded> PassStream(const DispatchRequest& action,
+                                                  HttpStream& stream,
+                                                  CallerSession& session);
   Task RunOrder(SendOrder action);
   Task Deliver(const Event& event);
   HttpCall MakeCall(const DispatchRequest& action,
--- a/drivers/caller_session.cc
+++ b/drivers/caller_session.cc
@@ -13,10 +13,11 @@
 
 void CallerSession::PushAlways(ReplyPart part) {
   bytes_waiting_ += part.data.size();
-  asio::post(io_, [self = shared_from_this(), part = std::move(part)]() mutable {
-    self->parts_.push_back(std::move(part));
-    self->wake_.cancel();
-  });
+  asio::post(io_,
+             [self = shared_from_this(), part = std::move(part)]() mutable {
+               self->parts_.push_back(std::move(part));
+               self->wake_.cancel();
+             });
 }
 
 asio::awaitable<ReplyPart> CallerSession::Next() {
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -76,8 +76,8 @@
     std::string piece = std::exchange(parser_.get().body(), {});
     while (piece.empty() && !parser_.is_done()) {
       stream_->expires_after(timeout);
-      const auto [error, size] = co_await http::async_read_some(
-          *stream_, buffer_, parser_, kToken);
+      const auto [error, size] =
+          co_await http::async_read_some(*stream_, buffer_, parser_, kToken);
       piece = std::exchange(parser_.get().body(), {});
       if (!error || error == http::error::need_buffer) continue;
       if (parser_.is_done()) break;
@@ -150,9 +150,8 @@
     state_ = SendState::kAnswered;
     head_.status = static_cast<int>(parser_.get().result_int());
     for (const auto& field : parser_.get()) {
-      head_.headers[absl::AsciiStrToLower(
-          absl::string_view(field.name_string().data(),
-                            field.name_string().size()))] =
+      head_.headers[absl::AsciiStrToLower(absl::string_view(
+          field.name_string().data(), field.name_string().size()))] =
           std::string(field.value());
     }
   }
@@ -218,9 +217,7 @@
   HttpResult result;
   asio::co_spawn(
       io,
-      [&]() -> asio::awaitable<void> {
-        result = co_await client.Fetch(call);
-      },
+      [&]() -> asio::awaitable<void> { result = co_await client.Fetch(call); },
       asio::detached);
   io.run();
   return result;
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -67,7 +67,8 @@
 
   // Sends and reads the head; the result is never null. Thread: the one that
   // runs `io`.
-  boost::asio::awaitable<std::shared_ptr<HttpStream>> Open(const HttpCall& call);
+  boost::asio::awaitable<std::shared_ptr<HttpStream>> Open(
+      const HttpCall& call);
   // Sends and reads everything. Thread: the one that runs `io`.
   boost::asio::awaitable<HttpResult> Fetch(const HttpCall& call);
 
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -34,9 +34,8 @@
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   for (const auto& field : message) {
-    request.headers[absl::AsciiStrToLower(
-        absl::string_view(field.name_string().data(),
-                          field.name_string().size()))] =
+    request.headers[absl::AsciiStrToLower(absl::string_view(
+        field.name_string().data(), field.name_string().size()))] =
         std::string(field.value());
   }
   request.body = std::move(message.body());
@@ -77,8 +76,8 @@
 
 class BeastExchange : public HttpExchange {
  public:
-  BeastExchange(beast::tcp_stream& stream, HttpRequest request,
-                bool keep_alive, const HttpServerLimits& limits)
+  BeastExchange(beast::tcp_stream& stream, HttpRequest request, bool keep_alive,
+                const HttpServerLimits& limits)
       : stream_(stream),
         request_(std::move(request)),
         keep_alive_(keep_alive),
@@ -137,8 +136,8 @@
   asio::awaitable<bool> EndStream() override {
     if (!is_ok_) co_return false;
     stream_.expires_after(limits_.write_timeout);
-    const auto [error, size] = co_await asio::async_write(
-        stream_, http::make_chunk_last(), kToken);
+    const auto [error, size] =
+        co_await asio::async_write(stream_, http::make_chunk_last(), kToken);
     is_ok_ = !error;
     is_complete_ = is_ok_;
     co_return is_ok_;
@@ -161,8 +160,8 @@
 
 HttpResponse LimitRefusal(int status, const std::string& reason) {
   return HttpResponse::JsonText(
-      status, "{\"error\":{\"verdict\":\"not_run\",\"reason\":\"" + reason +
-                  "\"}}");
+      status,
+      "{\"error\":{\"verdict\":\"not_run\",\"reason\":\"" + reason + "\"}}");
 }
 
 }  // namespace
@@ -266,9 +265,8 @@
       answer = LimitRefusal(413, "body_too_large");
     } else if (error == http::error::end_of_stream ||
                error == beast::error::timeout ||
-               error.category() != http::make_error_code(
-                                       http::error::bad_version)
-                                       .category()) {
+               error.category() !=
+                   http::make_error_code(http::error::bad_version).category()) {
       co_return;  // Nobody is there to read an answer.
     } else {
       answer = LimitRefusal(400, "malformed_http");
--- a/drivers/platform_client.cc
+++ b/drivers/platform_client.cc
@@ -109,9 +109,8 @@
       // Peers may have told more than this host read itself.
       from = std::max(from, decisions_.control_offset());
     }
-    const std::string target =
-        absl::StrCat("/log/", stream, "/read?from=", from,
-                     "&wait_ms=", ToMillis(kReadWait));
+    const std::string target = absl::StrCat(
+        "/log/", stream, "/read?from=", from, "&wait_ms=", ToMillis(kReadWait));
     const HttpCall call =
         MakeCall(addresses_.log, "GET", target, "", kReadTimeout);
     const HttpResult result = co_await client_.Fetch(call);
@@ -164,13 +163,14 @@
     asio::co_spawn(thread_.io(), RunAppend(action), asio::detached);
   });
   // The channel may be full as well; the writer's own timeout covers that.
-  if (!is_posted) (void)decisions_.TryPush(AppendEnded{action.record_id, false});
+  if (!is_posted)
+    (void)decisions_.TryPush(AppendEnded{action.record_id, false});
 }
 
 asio::awaitable<void> PlatformClient::RunAppend(AppendRecord action) {
   const std::string target = absl::StrCat("/log/", action.stream, "/append");
-  const HttpCall call = MakeCall(addresses_.log, "POST", target,
-                                 action.payload, kAppendTimeout);
+  const HttpCall call =
+      MakeCall(addresses_.log, "POST", target, action.payload, kAppendTimeout);
   const HttpResult result = co_await client_.Fetch(call);
   if (!result.is_ok()) {
     const Event failed = LogFailed{};
--- a/drivers/websocket_link.cc
+++ b/drivers/websocket_link.cc
@@ -104,18 +104,19 @@
       return;
     }
     ++queued_;
-    boost::asio::post(
-        io_, [this, host, address, data = std::move(bytes)]() mutable {
-          --queued_;
-          SendOnThread(host, address, std::move(data));
-        });
+    boost::asio::post(io_,
+                      [this, host, address, data = std::move(bytes)]() mutable {
+                        --queued_;
+                        SendOnThread(host, address, std::move(data));
+                      });
   }
 
   std::map<std::string, uint64_t> Counters() const {
-    return {{"messages_sent", sent_},       {"bytes_sent", bytes_sent_},
-            {"messages_received", received_}, {"bytes_received", bytes_received_},
-            {"messages_dropped", dropped_}, {"links_rejected", rejected_},
-            {"malformed", malformed_}};
+    return {
+        {"messages_sent", sent_},         {"bytes_sent", bytes_sent_},
+        {"messages_received", received_}, {"bytes_received", bytes_received_},
+        {"messages_dropped", dropped_},   {"links_rejected", rejected_},
+        {"malformed", malformed_}};
   }
 
  private:
@@ -228,8 +229,7 @@
       Reject(link, "unexpected text");
     } else if (text.compare(0, hello.size(), hello) == 0) {
       const auto space = text.find(' ', hello.size());
-      const std::string name =
-          text.substr(hello.size(), space - hello.size());
+      const std::string name = text.substr(hello.size(), space - hello.size());
       const bool is_expected = !link->is_outgoing || name == link->host;
       if (space == std::string::npos || name.empty() ||
           name == settings_.self || !is_expected) {
--- a/drivers/websocket_link.h
+++ b/drivers/websocket_link.h
@@ -34,9 +34,9 @@
   // True if the message was well-formed; else the link is closed.
   using OnMessage = std::function<bool(const std::string& host,
                                        const std::vector<uint8_t>& bytes)>;
-  using OnEvent = std::function<void(const std::string& event,
-                                     const std::string& host,
-                                     const std::string& detail)>;
+  using OnEvent =
+      std::function<void(const std::string& event, const std::string& host,
+                         const std::string& detail)>;
 
   // Binds at once; throws std::exception if it cannot. The callbacks run on
   // the link's thread.
--- a/main/applehall.cc
+++ b/main/applehall.cc
@@ -42,9 +42,8 @@
 
   CLI::App* explain = rules->add_subcommand("explain", "Say it in English");
   explain->add_option("FILE", file, "The rule set")->required();
-  explain->callback([&] {
-    run = [&] { return applehall::ExplainRulesFile(file, format); };
-  });
+  explain->callback(
+      [&] { run = [&] { return applehall::ExplainRulesFile(file, format); }; });
 
   CLI::App* diff = rules->add_subcommand("diff", "What differs, in English");
   diff->add_option("BEFORE", file, "The older rule set")->required();
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -107,10 +107,10 @@
 std::string ModelListText(const Node& node) {
   Json list{{"object", "list"}, {"data", Json::array()}};
   for (const auto& [name, entry] : node.context().catalogue) {
-    list["data"].push_back({{"id", name},
-                            {"object", "model"},
-                            {"ready_replicas",
-                             node.context().view.ReadyReplicas(name)}});
+    list["data"].push_back(
+        {{"id", name},
+         {"object", "model"},
+         {"ready_replicas", node.context().view.ReadyReplicas(name)}});
   }
   return list.dump();
 }
@@ -171,9 +171,9 @@
       },
       [](const std::string& event, const std::string& host,
          const std::string& detail) {
-        LogEvent(event == "peer_rejected" ? LogLevel::kWarning
-                                          : LogLevel::kInfo,
-                 event)
+        LogEvent(
+            event == "peer_rejected" ? LogLevel::kWarning : LogLevel::kInfo,
+            event)
             .With("peer", host)
             .With("detail", detail);
       });
--- a/main/daemon_settings.cc
+++ b/main/daemon_settings.cc
@@ -28,9 +28,8 @@
       60.0;
   settings.node.store_slots =
       static_cast<double>(reader.IntegerOr("store_slots", 4, 1, 100000));
-  settings.node.host_list_lag =
-      reader.MillisOr("host_list_lag_ms", seconds(5), milliseconds(0),
-                      minutes(10));
+  settings.node.host_list_lag = reader.MillisOr("host_list_lag_ms", seconds(5),
+                                                milliseconds(0), minutes(10));
   return reader.Finish();
 }
 
@@ -53,8 +52,8 @@
       static_cast<size_t>(reader.IntegerOr("requests", 20000, 1, 1000000));
   node.most_in_flight_per_caller = static_cast<size_t>(
       reader.IntegerOr("requests_per_caller", 2000, 1, 1000000));
-  node.decisions_kept = static_cast<size_t>(
-      reader.IntegerOr("decisions_kept", 2000, 1, 1000000));
+  node.decisions_kept =
+      static_cast<size_t>(reader.IntegerOr("decisions_kept", 2000, 1, 1000000));
   return reader.Finish();
 }
 
@@ -74,12 +73,12 @@
       "gossip_interval_ms", milliseconds(500), milliseconds(10), minutes(1));
   node.claims.linger = reader.MillisOr("claim_linger_ms", milliseconds(5),
                                        milliseconds(0), seconds(10));
-  node.claims.window.kept = reader.MillisOr("key_window_ms", minutes(30),
-                                            seconds(1), hours(24));
-  node.claims.window.clock_skew = reader.MillisOr(
-      "clock_skew_ms", seconds(5), milliseconds(0), minutes(10));
-  node.carry_after = reader.MillisOr("carry_after_ms", minutes(10), seconds(1),
-                                     hours(240));
+  node.claims.window.kept =
+      reader.MillisOr("key_window_ms", minutes(30), seconds(1), hours(24));
+  node.claims.window.clock_skew = reader.MillisOr("clock_skew_ms", seconds(5),
+                                                  milliseconds(0), minutes(10));
+  node.carry_after =
+      reader.MillisOr("carry_after_ms", minutes(10), seconds(1), hours(240));
   node.drain_bound = reader.MillisOr("drain_bound_ms", seconds(60),
                                      milliseconds(100), hours(2));
   node.log_down_after = reader.MillisOr("log_down_after_ms", seconds(2),
@@ -137,7 +136,8 @@
   const Json& limits = reader.Raw("limits");
   const Json& timings = reader.Raw("timings");
   absl::Status status = reader.Finish();
-  if (status.ok()) status = ReadPlatform(path, ObjectOrEmpty(platform), settings);
+  if (status.ok())
+    status = ReadPlatform(path, ObjectOrEmpty(platform), settings);
   if (status.ok()) status = ReadLimits(path, ObjectOrEmpty(limits), settings);
   if (status.ok()) status = ReadTimings(path, ObjectOrEmpty(timings), settings);
   if (!status.ok()) return status;
--- a/main/operator_commands.cc
+++ b/main/operator_commands.cc
@@ -177,9 +177,9 @@
   if (!address.ok()) return address.status();
   const HttpResult result = Call(*address, "GET", target);
   if (!result.is_ok()) {
-    return absl::UnavailableError(absl::StrCat(
-        host, " does not answer", result.error.empty() ? "" : ": ",
-        result.error));
+    return absl::UnavailableError(absl::StrCat(host, " does not answer",
+                                               result.error.empty() ? "" : ": ",
+                                               result.error));
   }
   return ParseJson(result.response.body);
 }
@@ -378,13 +378,13 @@
   }
   for (const Json& item : *list) {
     std::cout << FieldOr<std::string>(item, "request", "-") << " "
-              << FieldOr<std::string>(item, "action", "") << " rule="
-              << FieldOr<std::string>(item, "rule", "") << " target="
-              << FieldOr<std::string>(item, "target", "") << " backend="
-              << FieldOr<std::string>(item, "backend", "") << " verdict="
-              << FieldOr<std::string>(item, "verdict", "") << " waited_ms="
-              << FieldOr<int64_t>(item, "waited_ms", 0) << " took_ms="
-              << FieldOr<int64_t>(item, "took_ms", 0) << " "
+              << FieldOr<std::string>(item, "action", "")
+              << " rule=" << FieldOr<std::string>(item, "rule", "")
+              << " target=" << FieldOr<std::string>(item, "target", "")
+              << " backend=" << FieldOr<std::string>(item, "backend", "")
+              << " verdict=" << FieldOr<std::string>(item, "verdict", "")
+              << " waited_ms=" << FieldOr<int64_t>(item, "waited_ms", 0)
+              << " took_ms=" << FieldOr<int64_t>(item, "took_ms", 0) << " "
               << FieldOr<std::string>(item, "reason", "") << "\n";
   }
   return CommandExit::kOk;
@@ -400,8 +400,8 @@
   }
   for (const auto& [name, engine] : engines.items()) {
     std::cout << name << " running=" << FieldOr<int>(engine, "running", 0)
-              << "/" << FieldOr<int>(engine, "slots", 0) << " ready="
-              << engine["ready"].dump() << "\n";
+              << "/" << FieldOr<int>(engine, "slots", 0)
+              << " ready=" << engine["ready"].dump() << "\n";
   }
   return CommandExit::kOk;
 }
--- a/membership/host_list.cc
+++ b/membership/host_list.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::array<const char*, 3> kKindNames = {"entry", "engine",
-                                                        "service"};
+                                                   "service"};
 
 HostKind KindFromName(const std::string& name) {
   for (size_t i = 0; i < kKindNames.size(); ++i) {
--- a/node/control_fold.cc
+++ b/node/control_fold.cc
@@ -27,17 +27,18 @@
 
 Json ClaimGroupRecord(const std::string& id, const std::string& group,
                       const Incarnation& owner, FencingToken previous) {
-  return Json{{"type", kClaimGroup},        {"id", id},
-              {"group", group},             {"host", owner.host},
-              {"incarnation", owner.number}, {"previous", previous}};
+  return Json{{"type", kClaimGroup},
+              {"id", id},
+              {"group", group},
+              {"host", owner.host},
+              {"incarnation", owner.number},
+              {"previous", previous}};
 }
 
 Json ReleaseGroupRecord(const std::string& id, const std::string& group,
                         FencingToken token) {
-  return Json{{"type", kReleaseGroup},
-              {"id", id},
-              {"group", group},
-              {"token", token}};
+  return Json{
+      {"type", kReleaseGroup}, {"id", id}, {"group", group}, {"token", token}};
 }
 
 void ControlFold::Apply(const LogBatch& batch) {
--- a/node/gossip.cc
+++ b/node/gossip.cc
@@ -134,8 +134,7 @@
     int64_t& sent = state.summaries_sent[name];
     if (summary.version <= sent) continue;
     sent = summary.version;
-    list.push_back(
-        {{"d", name}, {"v", summary.version}, {"m", summary.ready}});
+    list.push_back({{"d", name}, {"v", summary.version}, {"m", summary.ready}});
   }
   return list;
 }
@@ -148,8 +147,7 @@
             {"c", ToMillis(context_.now - context_.log_answered_at)}};
   Json summaries = NewSummaries(state);
   if (!summaries.empty()) body["s"] = std::move(summaries);
-  if (entry != nullptr &&
-      entry->data_centre == context_.settings.data_centre) {
+  if (entry != nullptr && entry->data_centre == context_.settings.data_centre) {
     Json digests = NewDigests(state);
     if (!digests.empty()) body["d"] = std::move(digests);
     Json beats = Json::array();
--- a/node/group_keeper.cc
+++ b/node/group_keeper.cc
@@ -111,9 +111,8 @@
       heard != beats_.end() && heard->second.token == ownership.token;
   TimePoint last = is_heard ? heard->second.advanced_at : TimePoint{};
   // Silence is counted from when this host began to listen.
-  const auto [since, is_new] =
-      unowned_since_.try_emplace(absl::StrCat(group, "@", ownership.token),
-                                 context_.now);
+  const auto [since, is_new] = unowned_since_.try_emplace(
+      absl::StrCat(group, "@", ownership.token), context_.now);
   last = std::max(last, since->second);
   return context_.now - last > context_.settings.owner_lease;
 }
@@ -147,8 +146,7 @@
     unowned_since_.erase(group);
     return;
   }
-  const auto [since, is_new] =
-      unowned_since_.try_emplace(group, context_.now);
+  const auto [since, is_new] = unowned_since_.try_emplace(group, context_.now);
   if (!IsMyTurn(group, ownership, since->second)) return;
   if (context_.IsLogDown()) return;
   LogEvent(LogLevel::kInfo, "group_claim")
@@ -167,8 +165,8 @@
         if (earlier.owner == context_.settings.self) return false;
         // The list must be newer than the takeover by its own lag, and the
         // last order of the departed must have had time to arrive.
-        const TimePoint since = earlier.superseded_at +
-                                context_.settings.host_list_lag + horizon;
+        const TimePoint since =
+            earlier.superseded_at + context_.settings.host_list_lag + horizon;
         return !context_.hosts.HasDeparted(earlier.owner, since);
       });
 }
@@ -177,8 +175,8 @@
   for (int i = 0; i < context_.settings.group_count; ++i) {
     const std::string group = GroupName(i);
     const GroupOwnership* ownership = context_.control.ownership().Find(group);
-    const bool is_mine = ownership != nullptr &&
-                         ownership->owner == context_.settings.self;
+    const bool is_mine =
+        ownership != nullptr && ownership->owner == context_.settings.self;
     const auto held = owners_.find(group);
     if (held != owners_.end() &&
         (!is_mine || held->second->token() != ownership->token)) {
@@ -247,8 +245,8 @@
 
 void GroupKeeper::DriveOwner(const std::string& group, EngineOwner& owner) {
   const GroupOwnership* ownership = context_.control.ownership().Find(group);
-  owner.SetEngines(context_.hosts.Engines(IndexOf(group),
-                                          context_.settings.group_count));
+  owner.SetEngines(
+      context_.hosts.Engines(IndexOf(group), context_.settings.group_count));
   owner.SetUnfencedBlocked(ownership == nullptr ||
                            HasUnreleasedPredecessor(*ownership));
   if (context_.is_draining) owner.Stop();
@@ -350,9 +348,8 @@
     LogEvent(LogLevel::kInfo, "group_release")
         .With("group", owner.group())
         .With("token", owner.token());
-    writer_.Append(
-        absl::StrCat("release ", owner.group(), " ", owner.token()),
-        ReleaseGroupRecord("", owner.group(), owner.token()));
+    writer_.Append(absl::StrCat("release ", owner.group(), " ", owner.token()),
+                   ReleaseGroupRecord("", owner.group(), owner.token()));
   };
   std::erase_if(retiring_, [&](const std::unique_ptr<EngineOwner>& owner) {
     const GroupOwnership* ownership =
@@ -371,8 +368,7 @@
         Policy(), store_, [](const std::string&, int) { return 0; },
         context_.now, inspections);
     for (OrderToSend& order : inspections) {
-      context_.Emit(SendOrder{std::move(order.engine),
-                              std::move(order.address),
+      context_.Emit(SendOrder{std::move(order.engine), std::move(order.address),
                               std::move(order.order)});
     }
     if (owner->IsQuiet(context_.now) && !context_.IsLogDown()) release(*owner);
--- a/node/messages.h
+++ b/node/messages.h
@@ -27,7 +27,7 @@
   RequestFacts facts;
   std::optional<Duration> deadline;  // The caller's; may only shorten.
   std::string idempotency_key;
-  uint64_t prefix_hash = 0;  // Of the prompt's start; zero for none.
+  uint64_t prefix_hash = 0;   // Of the prompt's start; zero for none.
   bool is_forwarded = false;  // By another data centre's entry host.
 };
 
@@ -42,12 +42,12 @@
 };
 
 enum class AttemptResult : uint8_t {
-  kCompleted,     // The whole answer is with the caller.
-  kNotSent,       // Nothing reached the backend server.
-  kModelAbsent,   // It says that it does not hold the model; not run.
-  kFull,          // It says that it is full; not run.
-  kRefused,       // It says that it did not run it, for another reason.
-  kBroken,        // It failed after the request was sent.
+  kCompleted,    // The whole answer is with the caller.
+  kNotSent,      // Nothing reached the backend server.
+  kModelAbsent,  // It says that it does not hold the model; not run.
+  kFull,         // It says that it is full; not run.
+  kRefused,      // It says that it did not run it, for another reason.
+  kBroken,       // It failed after the request was sent.
 };
 
 // One attempt at a backend server ended.
@@ -116,7 +116,7 @@
   std::string model;  // What the engine is asked for; empty for services.
   std::string rule;   // "VERSION/NAME", for the answer's header.
   bool is_background = false;
-  bool resume = false;  // Go on with the stream of the last attempt.
+  bool resume = false;      // Go on with the stream of the last attempt.
   bool is_claimed = false;  // The receiver must not claim the key again.
   TimePoint deadline;
 };
--- a/node/node.cc
+++ b/node/node.cc
@@ -227,9 +227,9 @@
   // Hosts start their clocks apart, so that mostly one of them writes.
   const Duration stagger =
       after / 10 * (StableHash(context_.settings.self.host) % 8) / 8;
-  const TimePoint last = std::max(
-      {context_.control.last_snapshot_at(), context_.control.first_record_at(),
-       carried_at_});
+  const TimePoint last =
+      std::max({context_.control.last_snapshot_at(),
+                context_.control.first_record_at(), carried_at_});
   if (context_.now - last < after + stagger) return;
   carried_at_ = context_.now;
   writer_.Append("snapshot", context_.control.Snapshot());
@@ -260,12 +260,11 @@
                        {"name", rules ? rules->set.name : ""},
                        {"author", rules ? rules->set.author : ""},
                        {"count", rules ? rules->set.rules.size() : 0}};
-  json["log"] =
-      Json{{"down", context_.IsLogDown()},
-           {"control_offset", context_.control.next_offset()},
-           {"control_based", context_.control.is_based()},
-           {"confirmed_ms_ago",
-            ToMillis(context_.now - context_.log_answered_at)}};
+  json["log"] = Json{
+      {"down", context_.IsLogDown()},
+      {"control_offset", context_.control.next_offset()},
+      {"control_based", context_.control.is_based()},
+      {"confirmed_ms_ago", ToMillis(context_.now - context_.log_answered_at)}};
   json["ownership"] = context_.control.ownership().ToJson();
   json["groups"] = groups_.ToJson();
   json["requests"] = flow_.ToJson();
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -174,8 +174,8 @@
     return NotRun(RefusalReason::kBadRequest,
                   absl::StrCat("there is no model \"", request.target, "\""));
   }
-  request.was_cold = !IsService(request) &&
-                     context_.view.ReadyReplicas(request.target) == 0;
+  request.was_cold =
+      !IsService(request) && context_.view.ReadyReplicas(request.target) == 0;
   return std::nullopt;
 }
 
@@ -255,10 +255,10 @@
   const std::optional<RequestHandle> displaced =
       state.queue.Add(waiting, static_cast<size_t>(then.queue_limit));
   if (displaced) {
-    Refuse(*displaced, NotRun(RefusalReason::kQueueFull,
-                              absl::StrCat("the queue for ", target,
-                                           " is full"),
-                              kRetrySoon));
+    Refuse(
+        *displaced,
+        NotRun(RefusalReason::kQueueFull,
+               absl::StrCat("the queue for ", target, " is full"), kRetrySoon));
   }
   PumpTarget(target);
 }
@@ -266,8 +266,8 @@
 // ---- Dispatch ----
 
 bool RequestFlow::HasIdleCapacity(const EngineDigest& engine) const {
-  const int busy =
-      std::max(engine.running + engine.queued, context_.view.InFlight(engine.engine));
+  const int busy = std::max(engine.running + engine.queued,
+                            context_.view.InFlight(engine.engine));
   return busy < engine.slots * kBackgroundShare;
 }
 
@@ -279,8 +279,8 @@
   const std::optional<RequestHandle> urgent = queue.Best(context_.now, false);
   if (!best) return false;
   Request* request = Find(*best);
-  const EngineDigest* engine = context_.view.Choose(
-      target, request->arrival.prefix_hash, context_.now);
+  const EngineDigest* engine =
+      context_.view.Choose(target, request->arrival.prefix_hash, context_.now);
   if (engine == nullptr) return false;
   if (best != urgent && !HasIdleCapacity(*engine)) return false;
   queue.Remove(*best);
@@ -360,8 +360,8 @@
   if (IsService(request)) return false;
   const std::vector<std::string>& allowed = request.rule().then.data_centres;
   std::string centre = gossip_.DataCentreWith(request.target, allowed);
-  if (centre.empty() && !request.rule().then.AllowsDataCentre(
-                            context_.settings.data_centre)) {
+  if (centre.empty() &&
+      !request.rule().then.AllowsDataCentre(context_.settings.data_centre)) {
     centre = allowed[context_.random.Below(allowed.size())];
   }
   if (centre.empty()) return false;
@@ -406,8 +406,9 @@
     state.service_time =
         state.service_time == Duration{0}
             ? took
-            : state.service_time + FromSeconds(kServiceTimeSmoothing *
-                                               ToSeconds(took - state.service_time));
+            : state.service_time +
+                  FromSeconds(kServiceTimeSmoothing *
+                              ToSeconds(took - state.service_time));
     backend_retries_[backend].RecordFirstAttempt();
     Settle(event.handle, "answered", Verdict::kRan, "");
   } else {
@@ -444,8 +445,7 @@
     Refuse(handle, failed);
     return;
   }
-  const bool costs_budget =
-      may_have_run || result == AttemptResult::kNotSent;
+  const bool costs_budget = may_have_run || result == AttemptResult::kNotSent;
   if (costs_budget) {
     if (request.retries >= then.retries) {
       Refuse(handle, failed);
@@ -470,7 +470,8 @@
 void RequestFlow::Backoff(Request& request) {
   request.phase = Phase::kBackoff;
   const int doublings = std::min(request.attempt - 1, 7);
-  const Duration most = std::min(kMostBackoff, kFirstBackoff * (1 << doublings));
+  const Duration most =
+      std::min(kMostBackoff, kFirstBackoff * (1 << doublings));
   // Full jitter: requests that failed together do not return together.
   const Duration wait = FromSeconds(ToSeconds(most) * context_.random.Unit());
   request.resume_at = context_.now + wait;
@@ -561,9 +562,9 @@
       absl::StrCat(RefusalReasonName(refusal.reason), ": ", refusal.detail);
   decision.verdict = refusal.verdict;
   decision.arrived_at = context_.now;
-  context_.metrics.Count(
-      absl::StrCat("refused_on_arrival_total{reason=\"",
-                   RefusalReasonName(refusal.reason), "\"}"));
+  context_.metrics.Count(absl::StrCat("refused_on_arrival_total{reason=\"",
+                                      RefusalReasonName(refusal.reason),
+                                      "\"}"));
   LogEvent(LogLevel::kInfo, "request_end")
       .With("request", event.request_id)
       .With("caller", event.facts.caller)
@@ -642,8 +643,8 @@
         lost.status == ClaimFold::KeyStatus::kRan
             ? "a request with this Idempotency-Key has run"
             : "a request with this Idempotency-Key was accepted before";
-    Refuse(lost.handle, {Verdict::kMayHaveRun,
-                         RefusalReason::kDuplicateRequest, known, Duration{0}});
+    Refuse(lost.handle, {Verdict::kMayHaveRun, RefusalReason::kDuplicateRequest,
+                         known, Duration{0}});
   }
   if (const std::optional<Json> record = claims_.NextRecord(context_.now)) {
     context_.metrics.Count("claim_appends_total");
@@ -772,17 +773,15 @@
                                     Duration(std::chrono::seconds(10)))) {
       continue;
     }
-    const RefusalReason reason = status == DemandStatus::kFailed
-                                     ? RefusalReason::kLoadFailed
-                                 : status == DemandStatus::kNoPlace
-                                     ? RefusalReason::kNoBackend
-                                     : RefusalReason::kCannotMeetDeadline;
-    Refuse(handle,
-           NotRun(reason,
-                  absl::StrCat(target, " is ",
-                               DemandStatusName(status), ", expected in ",
-                               ToMillis(state.answer.expected), " ms"),
-                  std::max(state.answer.expected, kRetrySoon)));
+    const RefusalReason reason =
+        status == DemandStatus::kFailed    ? RefusalReason::kLoadFailed
+        : status == DemandStatus::kNoPlace ? RefusalReason::kNoBackend
+                                           : RefusalReason::kCannotMeetDeadline;
+    Refuse(handle, NotRun(reason,
+                          absl::StrCat(target, " is ", DemandStatusName(status),
+                                       ", expected in ",
+                                       ToMillis(state.answer.expected), " ms"),
+                          std::max(state.answer.expected, kRetrySoon)));
   }
 }
 
@@ -830,8 +829,8 @@
     json["queues"][target] = std::move(item);
   }
   for (const auto& [caller, state] : callers_) {
-    json["callers"][caller] = Json{{"open", state.open},
-                                   {"retries_saved", state.retries.saved()}};
+    json["callers"][caller] =
+        Json{{"open", state.open}, {"retries_saved", state.retries.saved()}};
   }
   return json;
 }
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -63,7 +63,7 @@
     int retries = 0;
     bool was_cold = false;
     bool is_granted = false;
-    bool has_started = false;  // The caller has part of the answer.
+    bool has_started = false;   // The caller has part of the answer.
     bool may_have_run = false;  // By an earlier attempt.
     bool may_resume = false;
     bool was_forwarded = false;  // Tried in another data centre already.
@@ -111,8 +111,8 @@
   void Backoff(Request& request);
   void RefuseEarly(const std::string& target, TargetState& state);
   bool TryNextModel(Request& request);
-  void Settle(RequestHandle handle, const std::string& action,
-              Verdict verdict, const std::string& reason);
+  void Settle(RequestHandle handle, const std::string& action, Verdict verdict,
+              const std::string& reason);
   void Refuse(RequestHandle handle, Refusal refusal);
   void RefuseNow(const RequestArrived& event, const std::string& rule,
                  const Refusal& refusal);
--- a/placement/demand.h
+++ b/placement/demand.h
@@ -13,7 +13,7 @@
   std::string target;  // Model or adapter.
   std::string host;    // Who asks.
   int waiting = 0;
-  double worth = 0;  // Of all that wait.
+  double worth = 0;   // Of all that wait.
   Duration slack{0};  // Until the earliest of them must be answered.
   bool is_background = false;
 };
--- a/placement/engine_owner.cc
+++ b/placement/engine_owner.cc
@@ -231,9 +231,8 @@
 void EngineOwner::AddStanding(const PlacementPolicy& policy, TimePoint now,
                               std::vector<TargetDemand>& demand) const {
   const auto is_there = [&demand](const std::string& target) {
-    return std::any_of(demand.begin(), demand.end(), [&](const auto& item) {
-      return item.target == target;
-    });
+    return std::any_of(demand.begin(), demand.end(),
+                       [&](const auto& item) { return item.target == target; });
   };
   for (const std::string& target : policy.bounds->KeptWarm()) {
     if (is_there(target)) continue;
@@ -248,8 +247,8 @@
     if (settings_.keep_policy == KeepPolicy::kLearnt) {
       const TimePoint last = idle_policy_.LastUse(target);
       if (last == TimePoint{}) continue;
-      const IdlePlan plan = idle_policy_.PlanFor(target, PredictLoad(entry),
-                                                 policy.weights);
+      const IdlePlan plan =
+          idle_policy_.PlanFor(target, PredictLoad(entry), policy.weights);
       if (plan.prewarm_at == Duration::zero()) continue;
       const Duration idle = now - last;
       const Duration lead = PredictLoad(entry);
@@ -340,8 +339,7 @@
     const uint64_t soon = engine.ledger.free_bytes() + LeavingBytes(engine);
     const bool must_evict = soon < entry.bytes;
     if (must_evict && demand.is_prewarm) continue;
-    if (must_evict &&
-        soon + EvictableBytes(engine, entry.base) < entry.bytes) {
+    if (must_evict && soon + EvictableBytes(engine, entry.base) < entry.bytes) {
       continue;
     }
     const Inventory& inventory = engine.ledger.inventory();
@@ -349,8 +347,8 @@
         ToSeconds(predictor_.Predict(entry.bytes, TierOn(engine, entry.name)));
     if (must_evict) cost += kEvictionPenaltySeconds;
     if (HasLoading(engine.ledger)) cost += kEvictionPenaltySeconds;
-    cost += static_cast<double>(inventory.running) /
-            std::max(1, inventory.slots);
+    cost +=
+        static_cast<double>(inventory.running) / std::max(1, inventory.slots);
     if (best != nullptr && cost >= best_cost) continue;
     best = &engine;
     best_cost = cost;
@@ -492,13 +490,12 @@
   if (settings_.keep_policy == KeepPolicy::kFixedTimeToLive) {
     return idle >= settings_.default_keep;
   }
-  const Duration load =
-      predictor_.Predict(holding.bytes, TierOn(engine, name));
+  const Duration load = predictor_.Predict(holding.bytes, TierOn(engine, name));
   const IdlePlan plan = idle_policy_.PlanFor(name, load, policy.weights);
   const TimePoint used = idle_policy_.LastUse(name);
   const Duration since_use = used == TimePoint{} ? idle : now - used;
-  const bool is_prewarm_time = since_use >= plan.prewarm_at - load &&
-                               since_use < plan.prewarm_until;
+  const bool is_prewarm_time =
+      since_use >= plan.prewarm_at - load && since_use < plan.prewarm_until;
   return since_use >= plan.keep_for && !is_prewarm_time;
 }
 
@@ -585,8 +582,8 @@
     for (const auto& [name, engine] : engines_) {
       const Holding* holding = engine.ledger.Find(target);
       if (holding == nullptr || !IsLoad(*holding)) continue;
-      answer.expected = std::max(
-          Duration{0}, answer.expected - (now - holding->ordered_at));
+      answer.expected =
+          std::max(Duration{0}, answer.expected - (now - holding->ordered_at));
     }
     return answer;
   }
@@ -629,8 +626,7 @@
 void EngineOwner::Note(std::string event, const std::string& engine,
                        const std::string& target, std::string reason,
                        Duration took) {
-  notes_.push_back(
-      {std::move(event), engine, target, std::move(reason), took});
+  notes_.push_back({std::move(event), engine, target, std::move(reason), took});
 }
 
 Json EngineOwner::ToJson(TimePoint now) const {
--- a/placement/engine_owner.h
+++ b/placement/engine_owner.h
@@ -111,9 +111,7 @@
     TimePoint next_inspect;
     TimePoint last_answer;
   };
-  const std::map<std::string, EngineState>& engines() const {
-    return engines_;
-  }
+  const std::map<std::string, EngineState>& engines() const { return engines_; }
   // The state dump. Not thread-safe.
   Json ToJson(TimePoint now) const;
 
@@ -135,7 +133,7 @@
     int loading = 0;  // Ordered or loading.
     int ready = 0;
     int unknown = 0;
-    int slots = 0;    // Of engines where it is ready.
+    int slots = 0;  // Of engines where it is ready.
     int running = 0;
   };
 
--- a/placement/engine_types.cc
+++ b/placement/engine_types.cc
@@ -7,8 +7,7 @@
 
 constexpr std::array<const char*, kCheckpointTiers> kTierNames = {
     "memory", "disk", "remote"};
-constexpr std::array<const char*, 3> kKindNames = {"load", "unload",
-                                                        "inspect"};
+constexpr std::array<const char*, 3> kKindNames = {"load", "unload", "inspect"};
 constexpr std::array<const char*, 9> kResultNames = {
     "accepted", "done",    "stale_fence",   "wrong_incarnation", "no_memory",
     "busy",     "no_base", "unknown_model", "load_failed"};
--- a/placement/engine_types.h
+++ b/placement/engine_types.h
@@ -86,7 +86,7 @@
   int running = 0;
   int queued = 0;
   std::vector<Replica> replicas;
-  std::map<std::string, OrderResult> results;  // Recent orders by id.
+  std::map<std::string, OrderResult> results;   // Recent orders by id.
   std::map<std::string, CheckpointTier> tiers;  // Absent: remote.
 
   Json ToJson(TimePoint now) const;
--- a/placement/idle_policy.cc
+++ b/placement/idle_policy.cc
@@ -92,8 +92,7 @@
     held += history.gaps[i] * ToSeconds(BucketMiddle(i));
     ended += history.gaps[i];
     const float open = history.total - ended;
-    const double cost =
-        held + open * (ToSeconds(BucketEnd(i)) + cold_cost);
+    const double cost = held + open * (ToSeconds(BucketEnd(i)) + cold_cost);
     if (cost < best_cost) {
       best_cost = cost;
       plan.keep_for = BucketEnd(i);
@@ -109,13 +108,11 @@
     double held_ahead = 0.0;
     float met = 0.0F;
     for (int to = from; to < kBuckets; ++to) {
-      held_ahead +=
-          history.gaps[to] * ToSeconds(BucketMiddle(to) - start);
+      held_ahead += history.gaps[to] * ToSeconds(BucketMiddle(to) - start);
       met += history.gaps[to];
       const float late = history.total - early - met;
-      const double cost =
-          held_ahead + early * cold_cost +
-          late * (ToSeconds(BucketEnd(to) - start) + cold_cost);
+      const double cost = held_ahead + early * cold_cost +
+                          late * (ToSeconds(BucketEnd(to) - start) + cold_cost);
       if (cost >= best_cost) continue;
       best_cost = cost;
       plan = {Duration{0}, start, BucketEnd(to)};
--- a/placement/load_predictor.cc
+++ b/placement/load_predictor.cc
@@ -22,8 +22,8 @@
   if (bytes == 0 || took <= Duration::zero()) return;
   const size_t index = static_cast<size_t>(tier);
   const double assumed = static_cast<double>(bytes) / kAssumedRates[index];
-  const double seen = std::clamp(ToSeconds(took) / assumed, kLeastCorrection,
-                                 kMostCorrection);
+  const double seen =
+      std::clamp(ToSeconds(took) / assumed, kLeastCorrection, kMostCorrection);
   correction_[index] += kSmoothing * (seen - correction_[index]);
 }
 
--- a/placement/memory_ledger.cc
+++ b/placement/memory_ledger.cc
@@ -113,8 +113,8 @@
     LedgerChange change;
     const bool was_load = it->second.state == HoldingState::kOrdered ||
                           it->second.state == HoldingState::kLoading;
-    change.kind = was_load ? LedgerChange::Kind::kLoadFailed
-                           : LedgerChange::Kind::kGone;
+    change.kind =
+        was_load ? LedgerChange::Kind::kLoadFailed : LedgerChange::Kind::kGone;
     change.name = it->first;
     const auto result = inventory.results.find(it->second.order_id);
     if (result != inventory.results.end()) {
--- a/placement/ownership_table.cc
+++ b/placement/ownership_table.cc
@@ -22,8 +22,7 @@
   // the log wins; the second names a token that is no longer the group's.
   if (ownership.token != previous) return false;
   if (ownership.is_owned()) {
-    ownership.predecessors.push_back(
-        {ownership.owner, ownership.token, time});
+    ownership.predecessors.push_back({ownership.owner, ownership.token, time});
   }
   ownership.owner = owner;
   ownership.token = offset;
--- a/routing/concurrency_limit.h
+++ b/routing/concurrency_limit.h
@@ -16,7 +16,8 @@
   }
   bool Allows(int in_flight) const { return in_flight + 1 <= limit_; }
   void RecordAccepted() {
-    limit_ = std::min<double>(slots_, limit_ + kIncrease / std::max(1.0, limit_));
+    limit_ =
+        std::min<double>(slots_, limit_ + kIncrease / std::max(1.0, limit_));
   }
   void RecordFull() { limit_ = std::max(1.0, limit_ * kDecrease); }
   double limit() const { return limit_; }
--- a/routing/engine_digest.cc
+++ b/routing/engine_digest.cc
@@ -12,7 +12,7 @@
 
 // Keys are single letters: digests are most of what a host sends.
 Json EngineDigest::ToJson() const {
-  Json json{{"e", engine},  {"a", address}, {"i", incarnation}, {"t", token},
+  Json json{{"e", engine},   {"a", address}, {"i", incarnation}, {"t", token},
             {"s", sequence}, {"n", slots},   {"r", running},     {"m", ready}};
   if (queued != 0) json["q"] = queued;
   if (is_leaving) json["l"] = true;
--- a/routing/engine_view.cc
+++ b/routing/engine_view.cc
@@ -41,9 +41,8 @@
 void EngineView::Drop(const std::string& target, const std::string& engine) {
   const auto it = by_target_.find(target);
   if (it == by_target_.end()) return;
-  std::erase_if(it->second, [&](const RingPoint& point) {
-    return point.engine == engine;
-  });
+  std::erase_if(it->second,
+                [&](const RingPoint& point) { return point.engine == engine; });
   if (it->second.empty()) by_target_.erase(it);
 }
 
--- a/rules/rule.cc
+++ b/rules/rule.cc
@@ -97,8 +97,8 @@
 }
 
 bool RuleCondition::Covers(const RuleCondition& other) const {
-  if (replicas_above && (!other.replicas_above ||
-                         *other.replicas_above < *replicas_above)) {
+  if (replicas_above &&
+      (!other.replicas_above || *other.replicas_above < *replicas_above)) {
     return false;
   }
   return ListCovers(callers, other.callers) &&
--- a/rules/rule_checker.cc
+++ b/rules/rule_checker.cc
@@ -58,10 +58,10 @@
     for (size_t later = 0; later < set_.rules.size(); ++later) {
       for (size_t earlier = 0; earlier < later; ++earlier) {
         if (!set_.rules[earlier].when.Covers(set_.rules[later].when)) continue;
-        Error(set_.rules[later].name,
-              absl::StrCat("can never decide: rule \"",
-                           set_.rules[earlier].name,
-                           "\" before it matches all it would"));
+        Error(
+            set_.rules[later].name,
+            absl::StrCat("can never decide: rule \"", set_.rules[earlier].name,
+                         "\" before it matches all it would"));
         break;
       }
     }
@@ -84,10 +84,10 @@
       const auto it = catalogue_.find(name);
       if (it == catalogue_.end()) continue;
       if (it->second->bytes > facts_.largest_engine_bytes) {
-        Error(rule.name, absl::StrCat("\"", name, "\" needs ",
-                                      it->second->bytes,
-                                      " bytes, the largest engine has ",
-                                      facts_.largest_engine_bytes));
+        Error(rule.name,
+              absl::StrCat("\"", name, "\" needs ", it->second->bytes,
+                           " bytes, the largest engine has ",
+                           facts_.largest_engine_bytes));
       }
     }
   }
--- a/rules/rule_explainer.cc
+++ b/rules/rule_explainer.cc
@@ -18,9 +18,7 @@
 
 std::string ClockTime(std::chrono::minutes time) {
   const int64_t total = time.count();
-  const auto two = [](int64_t n) {
-    return absl::StrCat(n < 10 ? "0" : "", n);
-  };
+  const auto two = [](int64_t n) { return absl::StrCat(n < 10 ? "0" : "", n); };
   return absl::StrCat(two(total / 60), ":", two(total % 60));
 }
 
@@ -62,8 +60,8 @@
     parts.push_back(*when.log_is_down ? "the log is down" : "the log is up");
   }
   if (when.replicas_above) {
-    parts.push_back(
-        absl::StrCat("more than ", *when.replicas_above, " replicas are ready"));
+    parts.push_back(absl::StrCat("more than ", *when.replicas_above,
+                                 " replicas are ready"));
   }
   if (parts.empty()) return "In every other case";
   return absl::StrCat("When ", absl::StrJoin(parts, " and "));
@@ -71,10 +69,10 @@
 
 std::string ExplainOutcome(const RuleOutcome& then) {
   if (then.refuse) return absl::StrCat("refuse: \"", *then.refuse, "\"");
-  std::string text = then.models.empty()
-                         ? "send it to what it asks for"
-                         : absl::StrCat("answer with ",
-                                        absl::StrJoin(then.models, ", else "));
+  std::string text =
+      then.models.empty()
+          ? "send it to what it asks for"
+          : absl::StrCat("answer with ", absl::StrJoin(then.models, ", else "));
   if (!then.adapter.empty()) absl::StrAppend(&text, " and ", then.adapter);
   if (!then.version.empty()) absl::StrAppend(&text, ", version ", then.version);
   absl::StrAppend(&text, " within ", Span(then.deadline), ", worth ",
@@ -94,7 +92,8 @@
     absl::StrAppend(&text, ", warm for ", Span(then.keep_warm));
   }
   if (!then.data_centres.empty()) {
-    absl::StrAppend(&text, ", only in ", absl::StrJoin(then.data_centres, ", "));
+    absl::StrAppend(&text, ", only in ",
+                    absl::StrJoin(then.data_centres, ", "));
   }
   return text;
 }
@@ -107,11 +106,11 @@
 }
 
 std::string ExplainRuleSet(const RuleSet& set) {
-  std::string text = absl::StrCat(
-      "Rule set \"", set.name, "\" by ", set.author, ": ", set.reason, "\n",
-      "Cold starts weigh ", set.cold_start_weight,
-      " against idle accelerators (0 to 1).\n",
-      "The first rule that matches decides.\n");
+  std::string text = absl::StrCat("Rule set \"", set.name, "\" by ", set.author,
+                                  ": ", set.reason, "\n", "Cold starts weigh ",
+                                  set.cold_start_weight,
+                                  " against idle accelerators (0 to 1).\n",
+                                  "The first rule that matches decides.\n");
   int number = 1;
   for (const Rule& rule : set.rules) {
     absl::StrAppend(&text, number++, ". ", ExplainRule(rule), "\n");
--- a/rules/rule_set_parser.cc
+++ b/rules/rule_set_parser.cc
@@ -228,9 +228,9 @@
   then.while_log_down = ParseWhileLogDown(reader);
   reader.RejectUnknown();
   if (then.least_replicas > then.most_replicas) {
-    reader.Fault("least_replicas",
-                 absl::StrCat("at most most_replicas, which is ",
-                              then.most_replicas));
+    reader.Fault(
+        "least_replicas",
+        absl::StrCat("at most most_replicas, which is ", then.most_replicas));
   }
   return then;
 }
@@ -261,8 +261,7 @@
 }  // namespace
 
 std::string Finding::ToString() const {
-  std::string text =
-      severity == Severity::kError ? "error" : "warning";
+  std::string text = severity == Severity::kError ? "error" : "warning";
   if (line > 0) absl::StrAppend(&text, ": line ", line);
   if (!rule.empty()) absl::StrAppend(&text, ": rule \"", rule, "\"");
   return absl::StrCat(text, ": ", message);
--- a/standins/faults.h
+++ b/standins/faults.h
@@ -11,13 +11,13 @@
 
 // What is wrong with one stand-in at the moment. Set by POST /fault.
 struct Faults {
-  Duration slow{0};          // Each answer is this much later.
-  bool is_down = false;      // Answers nothing; connections are closed.
-  bool is_frozen = false;    // Takes requests and never answers them.
-  int lose_answers = 0;      // The next answers are lost after the effect.
-  int duplicate = 0;         // The next requests take effect twice.
-  int break_streams = 0;     // The next streams break midway.
-  int reorder = 0;           // The next answers wait for the one after them.
+  Duration slow{0};        // Each answer is this much later.
+  bool is_down = false;    // Answers nothing; connections are closed.
+  bool is_frozen = false;  // Takes requests and never answers them.
+  int lose_answers = 0;    // The next answers are lost after the effect.
+  int duplicate = 0;       // The next requests take effect twice.
+  int break_streams = 0;   // The next streams break midway.
+  int reorder = 0;         // The next answers wait for the one after them.
   std::set<std::string> cut_from;  // Data centres that cannot reach it.
 };
 
--- /dev/null
+++ b/tests/node/node_failure_test.cc
@@ -0,0 +1,524 @@
+// Failures of whole deployments: several nodes and the fakes, with a paused
+// clock. Each test ends with the promises checked against the fakes' truth.
+
+#include <gtest/gtest.h>
+
+#include "core/uuid.h"
+#include "standins/deployment.h"
+#include "tests/node/test_rules.h"
+
+namespace applehall {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+class NodeFailureTest : public testing::Test {
+ protected:
+  static DeploymentSettings Defaults() {
+    DeploymentSettings settings;
+    settings.catalogue = TestCatalogue(12);
+    settings.node.owner.default_keep = minutes(10);
+    return settings;
+  }
+
+  void Start(DeploymentSettings settings, const Json& rules = TestRules()) {
+    deployment_ = std::make_unique<Deployment>(std::move(settings));
+    deployment_->Publish(rules, 0);
+    AwaitReady();
+  }
+
+  void AwaitReady() {
+    deployment_->RunUntil(
+        [this] {
+          for (const std::string& host : deployment_->HostNames()) {
+            if (deployment_->IsAlive(host) &&
+                !deployment_->node(host).IsReady()) {
+              return false;
+            }
+          }
+          return OwnerOf("north/0") != "" && OwnerOf("south/0") != "";
+        },
+        seconds(30));
+    deployment_->RunFor(seconds(2));
+  }
+
+  std::string OwnerOf(const std::string& group) {
+    for (const std::string& host : deployment_->HostNames()) {
+      if (!deployment_->IsAlive(host)) continue;
+      const GroupOwnership* ownership =
+          deployment_->node(host).context().control.ownership().Find(group);
+      if (ownership != nullptr && ownership->is_owned()) {
+        return ownership->owner.host;
+      }
+    }
+    return "";
+  }
+
+  std::string OtherHost(const std::string& owner) {
+    return owner == "entry-1" ? "entry-2" : "entry-1";
+  }
+
+  bool IsAnswered(uint64_t id) {
+    return deployment_->outcome(id).answers == 1 &&
+           deployment_->outcome(id).is_answered;
+  }
+
+  std::string Reason(uint64_t id) {
+    const RequestOutcome& outcome = deployment_->outcome(id);
+    if (outcome.answers == 0) return "no outcome";
+    if (outcome.is_answered) return "answered";
+    return std::string(RefusalReasonName(outcome.refusal.reason)) + ": " +
+           outcome.refusal.detail;
+  }
+
+  int EnginesWith(const std::string& model, const std::string& data_centre) {
+    int count = 0;
+    for (const auto& [name, engine] : deployment_->engines()) {
+      if (engine->settings().data_centre != data_centre) continue;
+      for (const std::string& resident : engine->Resident()) {
+        count += resident == model;
+      }
+    }
+    return count;
+  }
+
+  std::string NewKey() { return MakeUuid7(deployment_->now(), random_); }
+
+  void TearDown() override {
+    if (!deployment_) return;
+    EXPECT_TRUE(deployment_->broken_promises().empty())
+        << *deployment_->broken_promises().begin();
+  }
+
+  Random random_{5};
+  std::unique_ptr<Deployment> deployment_;
+};
+
+// A kiosk in each hall asks for the same cold model in the same second, many
+// times, at every host. One load each data centre must serve them all; a load
+// for each host would fill the engines with copies.
+TEST_F(NodeFailureTest, BurstAtAllHostsLoadsOnce) {
+  Start(Defaults());
+  std::vector<uint64_t> requests;
+  for (int i = 0; i < 40; ++i) {
+    for (const std::string& host : deployment_->HostNames()) {
+      requests.push_back(deployment_->Send(host, "model-3"));
+    }
+  }
+  deployment_->RunFor(seconds(20));
+  for (const uint64_t id : requests) EXPECT_TRUE(IsAnswered(id)) << Reason(id);
+  EXPECT_EQ(deployment_->loads_decided(), 2u) << "one for each data centre";
+}
+
+// An adapter is asked for while neither it nor its base model is loaded.
+TEST_F(NodeFailureTest, AdapterBringsItsBase) {
+  Start(Defaults());
+  const uint64_t id = deployment_->Send("entry-1", "adapter-1");
+  deployment_->RunFor(seconds(15));
+  EXPECT_TRUE(IsAnswered(id)) << Reason(id);
+  EXPECT_EQ(EnginesWith("model-1", "north"), 1);
+}
+
+// The owner dies while a load it ordered runs. Its successor must find the
+// load in the engine's inventory and wait for it, not order a second one.
+TEST_F(NodeFailureTest, OwnerKilledInLoadIsAdopted) {
+  Start(Defaults());
+  const std::string owner = OwnerOf("north/0");
+  const std::string other = OtherHost(owner);
+  const uint64_t id = deployment_->Send(other, "model-4");
+  deployment_->RunUntil([&] { return EnginesWith("model-4", "north") == 1; },
+                        seconds(5));
+  deployment_->KillHost(owner);
+  deployment_->ListGone(owner);
+  deployment_->RunFor(seconds(25));
+  EXPECT_EQ(OwnerOf("north/0"), other);
+  EXPECT_TRUE(IsAnswered(id)) << Reason(id);
+  EXPECT_EQ(deployment_->loads_decided(), 1u);
+}
+
+// The owner stops for half a minute, as a machine under a snapshot does, and
+// another host takes over. Both saw the same free memory. The old owner wakes
+// with orders in hand and believes that it still owns the engines.
+TEST_F(NodeFailureTest, PausedOwnerWakesAndCannotOrder) {
+  DeploymentSettings settings = Defaults();
+  settings.engines = 2;
+  settings.engine_bytes = 1'500'000'000;
+  Start(settings);
+  const std::string owner = OwnerOf("north/0");
+  const std::string other = OtherHost(owner);
+  deployment_->Send(owner, "model-1");
+  deployment_->RunFor(milliseconds(30));
+  deployment_->PauseHost(owner);
+  std::vector<uint64_t> requests;
+  for (const char* model : {"model-2", "model-3", "model-5"}) {
+    requests.push_back(deployment_->Send(other, model));
+  }
+  deployment_->RunFor(seconds(20));
+  EXPECT_EQ(OwnerOf("north/0"), other);
+  for (int i = 6; i < 10; ++i) {
+    deployment_->Send(owner, "model-" + std::to_string(i));
+  }
+  deployment_->ResumeHost(owner);
+  deployment_->RunFor(seconds(30));
+  for (const uint64_t id : requests) {
+    EXPECT_EQ(deployment_->outcome(id).answers, 1);
+  }
+}
+
+// The same, but the engines obey whoever orders. The new owner must leave
+// them alone until the old one has said that it stopped: otherwise both fill
+// the same memory.
+TEST_F(NodeFailureTest, UnfencedEnginesWaitForTheFormerOwner) {
+  DeploymentSettings settings = Defaults();
+  settings.engines = 2;
+  settings.unfenced_engines = 2;
+  Start(settings);
+  const std::string owner = OwnerOf("north/0");
+  const std::string other = OtherHost(owner);
+  deployment_->PauseHost(owner);
+  deployment_->RunFor(seconds(10));
+  ASSERT_EQ(OwnerOf("north/0"), other);
+  const uint64_t blocked =
+      deployment_->Send(other, "model-7", "web", seconds(8));
+  deployment_->RunFor(seconds(10));
+  EXPECT_EQ(EnginesWith("model-7", "north"), 0) << "two owners at once";
+  EXPECT_EQ(deployment_->outcome(blocked).answers, 1);
+  deployment_->ResumeHost(owner);
+  deployment_->RunFor(seconds(10));
+  const uint64_t free = deployment_->Send(other, "model-7");
+  deployment_->RunFor(seconds(10));
+  EXPECT_TRUE(IsAnswered(free)) << Reason(free);
+}
+
+// The former owner of engines that obey anybody is gone for good. The host
+// list confirms it, and after the longest time an order can take the new
+// owner may load.
+TEST_F(NodeFailureTest, UnfencedEnginesAreTakenAfterConfirmedDeparture) {
+  DeploymentSettings settings = Defaults();
+  settings.engines = 2;
+  settings.unfenced_engines = 2;
+  Start(settings);
+  const std::string owner = OwnerOf("north/0");
+  const std::string other = OtherHost(owner);
+  deployment_->KillHost(owner);
+  deployment_->ListGone(owner);
+  deployment_->RunFor(seconds(30));
+  const uint64_t id = deployment_->Send(other, "model-7");
+  deployment_->RunFor(seconds(10));
+  EXPECT_TRUE(IsAnswered(id)) << Reason(id);
+}
+
+// The log service is out for ten minutes. Warm and cold models must be served
+// all the same by the owners there are; only what the log guards is refused,
+// at once and truthfully.
+TEST_F(NodeFailureTest, LogDownServesModelsAndRefusesDoors) {
+  Start(Defaults());
+  deployment_->SetLogDown(true);
+  deployment_->RunFor(seconds(5));
+  const uint64_t cold = deployment_->Send("entry-1", "model-5");
+  const uint64_t door = deployment_->CallService("entry-2", "doors", NewKey());
+  deployment_->RunFor(seconds(1));
+  EXPECT_EQ(Reason(door),
+            "log_unavailable: the log that guards this request is down");
+  deployment_->RunFor(minutes(10));
+  EXPECT_TRUE(IsAnswered(cold)) << Reason(cold);
+  deployment_->SetLogDown(false);
+  deployment_->RunFor(seconds(3));
+  const uint64_t again = deployment_->CallService("entry-2", "doors", NewKey());
+  deployment_->RunFor(seconds(3));
+  EXPECT_TRUE(IsAnswered(again)) << Reason(again);
+}
+
+// The log takes the claim of a door-open, its answer is lost, and the log
+// goes down before the host can read. The caller is told "not run"; the door
+// must not open when the log returns, and the key may be tried again.
+TEST_F(NodeFailureTest, ClaimLostInOutageIsNotRunLater) {
+  Start(Defaults());
+  const std::string key = NewKey();
+  const uint64_t door = deployment_->CallService("entry-1", "doors", key);
+  deployment_->RunFor(milliseconds(9));
+  deployment_->SetLogDown(true);
+  deployment_->RunFor(seconds(20));
+  EXPECT_FALSE(IsAnswered(door));
+  deployment_->SetLogDown(false);
+  deployment_->RunFor(seconds(5));
+  EXPECT_EQ(deployment_->RunsOfKey(key), 0);
+  const uint64_t again = deployment_->CallService("entry-3", "doors", key);
+  deployment_->RunFor(seconds(5));
+  EXPECT_TRUE(IsAnswered(again)) << Reason(again);
+  EXPECT_EQ(deployment_->RunsOfKey(key), 1);
+}
+
+// A kiosk sends the same door-open to all four hosts at once.
+TEST_F(NodeFailureTest, SameKeyAtAllHostsRunsOnce) {
+  Start(Defaults());
+  const std::string key = NewKey();
+  std::vector<uint64_t> calls;
+  for (const std::string& host : deployment_->HostNames()) {
+    calls.push_back(deployment_->CallService(host, "doors", key));
+  }
+  deployment_->RunFor(seconds(5));
+  EXPECT_EQ(deployment_->RunsOfKey(key), 1);
+  int answered = 0;
+  for (const uint64_t id : calls) answered += IsAnswered(id);
+  EXPECT_EQ(answered, 1);
+}
+
+// A data centre is cut off from the others and from the platform for a
+// minute. It must go on with its own engines and the rules it has, and follow
+// the set that was published meanwhile once it is back.
+TEST_F(NodeFailureTest, CutDataCentreServesAndCatchesUp) {
+  Start(Defaults());
+  deployment_->CutDataCentre("south", true);
+  deployment_->RunFor(seconds(5));
+  deployment_->Publish(
+      TestRules("second"),
+      deployment_->node("entry-1").context().control.rules().version());
+  const uint64_t cold = deployment_->Send("entry-3", "model-6");
+  deployment_->RunFor(seconds(60));
+  EXPECT_TRUE(IsAnswered(cold)) << Reason(cold);
+  EXPECT_EQ(deployment_->node("entry-1")
+                .context()
+                .control.rules()
+                .current()
+                ->set.name,
+            "second");
+  EXPECT_EQ(deployment_->node("entry-3")
+                .context()
+                .control.rules()
+                .current()
+                ->set.name,
+            "test");
+  deployment_->CutDataCentre("south", false);
+  deployment_->RunFor(seconds(6));
+  EXPECT_EQ(deployment_->node("entry-3")
+                .context()
+                .control.rules()
+                .current()
+                ->set.name,
+            "second");
+}
+
+// Two operators publish on the same base in the same moment. Every host must
+// end with the same one of the two.
+TEST_F(NodeFailureTest, RacingPublishersOneWins) {
+  Start(Defaults());
+  const LogOffset base =
+      deployment_->node("entry-1").context().control.rules().version();
+  const std::string first = deployment_->Publish(TestRules("first"), base);
+  const std::string second = deployment_->Publish(TestRules("second"), base);
+  deployment_->RunFor(seconds(6));
+  for (const std::string& host : deployment_->HostNames()) {
+    EXPECT_EQ(
+        deployment_->node(host).context().control.rules().current()->set.name,
+        "first");
+  }
+  const auto& outcomes =
+      deployment_->node("entry-1").context().control.outcomes();
+  if (outcomes.contains(second)) {
+    EXPECT_EQ(outcomes.at(second).result, RuleBook::Result::kStaleBase);
+  }
+}
+
+// A host is replaced while the log is down. The new one has no disk; it must
+// get the rules in force from its peers and become ready.
+TEST_F(NodeFailureTest, NewHostGetsRulesFromPeersWhileLogIsDown) {
+  Start(Defaults());
+  deployment_->SetLogDown(true);
+  deployment_->KillHost("entry-2");
+  deployment_->ReviveHost("entry-2");
+  deployment_->RunFor(seconds(10));
+  EXPECT_TRUE(deployment_->node("entry-2").IsReady());
+  EXPECT_EQ(deployment_->node("entry-2").context().control.rules().version(),
+            deployment_->node("entry-1").context().control.rules().version());
+}
+
+// Days pass without a publication while the log keeps records for an hour. A
+// host that starts then must still find the set in force on the log.
+TEST_F(NodeFailureTest, RulesOutliveTheLogsRetention) {
+  DeploymentSettings settings = Defaults();
+  settings.data_centres = {"north", "south"};
+  settings.hosts_per_data_centre = 1;
+  settings.log_retention = minutes(60);
+  settings.tick = milliseconds(200);
+  Start(settings);
+  const LogOffset version =
+      deployment_->node("entry-1").context().control.rules().version();
+  deployment_->RunFor(hours(3));
+  for (const char* host : {"entry-1", "entry-2"}) {
+    deployment_->KillHost(host);
+  }
+  deployment_->ReviveHost("entry-1");
+  deployment_->RunFor(seconds(30));
+  EXPECT_EQ(deployment_->node("entry-1").context().control.rules().version(),
+            version);
+}
+
+// Half of the engines break every request. If each failure brought a retry
+// and each retry a failure, the healthy half would drown; retries must stay a
+// small share of what callers sent.
+TEST_F(NodeFailureTest, HalfTheEnginesFailWithoutARetryStorm) {
+  DeploymentSettings settings = Defaults();
+  settings.engines = 8;
+  Start(settings, TestRules("test", 4));
+  for (int i = 0; i < 4; ++i) {
+    deployment_->Send("entry-1", "model-" + std::to_string(i));
+    deployment_->Send("entry-3", "model-" + std::to_string(i));
+  }
+  deployment_->RunFor(seconds(20));
+  for (const char* engine : {"engine-1", "engine-2", "engine-3", "engine-4"}) {
+    deployment_->FailEngine(engine, true);
+  }
+  const uint64_t before = deployment_->dispatched();
+  uint64_t sent = 0;
+  for (int i = 0; i < 400; ++i) {
+    deployment_->Send(i % 2 == 0 ? "entry-1" : "entry-3",
+                      "model-" + std::to_string(i % 4), "web", seconds(5));
+    ++sent;
+    deployment_->RunFor(milliseconds(20));
+  }
+  deployment_->RunFor(seconds(10));
+  const uint64_t dispatched = deployment_->dispatched() - before;
+  EXPECT_LE(dispatched, sent + sent / 4);
+}
+
+// A host is drained while it has requests open, cold ones among them. None
+// may be cut, new ones are refused as not run, and its engines get a new
+// owner.
+TEST_F(NodeFailureTest, DrainCutsNothingAndHandsOver) {
+  Start(Defaults());
+  const std::string owner = OwnerOf("north/0");
+  std::vector<uint64_t> requests;
+  for (int i = 0; i < 30; ++i) {
+    requests.push_back(
+        deployment_->Send(owner, "model-" + std::to_string(i % 5)));
+  }
+  deployment_->RunFor(milliseconds(100));
+  deployment_->DrainHost(owner);
+  deployment_->RunFor(milliseconds(100));
+  const uint64_t late = deployment_->Send(owner, "model-1");
+  deployment_->RunFor(seconds(40));
+  EXPECT_FALSE(deployment_->IsAlive(owner)) << "the drain does not end";
+  for (const uint64_t id : requests) {
+    EXPECT_EQ(deployment_->outcome(id).answers, 1) << Reason(id);
+    EXPECT_TRUE(IsAnswered(id)) << Reason(id);
+  }
+  EXPECT_EQ(deployment_->outcome(late).refusal.reason,
+            RefusalReason::kDraining);
+  EXPECT_EQ(OwnerOf("north/0"), OtherHost(owner));
+}
+
+// The platform is about to take an engine away. Two seconds after the host
+// list shows it, no new request may go there.
+TEST_F(NodeFailureTest, LeavingEngineGetsNoNewWork) {
+  Start(Defaults());
+  const uint64_t warm = deployment_->Send("entry-1", "model-1");
+  deployment_->RunFor(seconds(10));
+  ASSERT_TRUE(IsAnswered(warm));
+  std::string holder;
+  for (const auto& [name, engine] : deployment_->engines()) {
+    if (engine->settings().data_centre == "north" &&
+        engine->IsReady("model-1")) {
+      holder = name;
+    }
+  }
+  deployment_->ListLeaving(holder);
+  deployment_->RunFor(seconds(3));
+  std::vector<uint64_t> requests;
+  for (int i = 0; i < 20; ++i) {
+    requests.push_back(deployment_->Send("entry-1", "model-1"));
+    deployment_->RunFor(milliseconds(50));
+    EXPECT_EQ(deployment_->engine(holder).running(), 0);
+  }
+}
+
+// A third of all orders and answers to engines is lost, a third doubled, and
+// all of them up to three seconds late. Requests must still be served and no
+// engine filled beyond its memory.
+TEST_F(NodeFailureTest, OrdersLostDoubledAndLate) {
+  DeploymentSettings settings = Defaults();
+  settings.engine_bytes = 1'500'000'000;
+  Start(settings);
+  deployment_->SetOrderFaults(0.33, 0.33, seconds(3));
+  std::vector<uint64_t> requests;
+  for (int i = 0; i < 60; ++i) {
+    requests.push_back(deployment_->Send(
+        i % 2 == 0 ? "entry-1" : "entry-4",
+        "model-" + std::to_string(random_.Below(10)), "web", seconds(25)));
+    deployment_->RunFor(milliseconds(700));
+  }
+  deployment_->RunFor(seconds(60));
+  int answered = 0;
+  for (const uint64_t id : requests) {
+    EXPECT_EQ(deployment_->outcome(id).answers, 1);
+    answered += IsAnswered(id);
+  }
+  EXPECT_GT(answered, 30);
+}
+
+// The same where engines obey any order, however old.
+TEST_F(NodeFailureTest, OrdersLostDoubledAndLateOnUnfencedEngines) {
+  DeploymentSettings settings = Defaults();
+  settings.engine_bytes = 1'500'000'000;
+  settings.unfenced_engines = 4;
+  Start(settings);
+  deployment_->SetOrderFaults(0.33, 0.33, seconds(3));
+  for (int i = 0; i < 60; ++i) {
+    deployment_->Send(i % 2 == 0 ? "entry-1" : "entry-4",
+                      "model-" + std::to_string(random_.Below(10)), "web",
+                      seconds(25));
+    deployment_->RunFor(milliseconds(700));
+  }
+  deployment_->RunFor(seconds(60));
+}
+
+// An engine crashes with models loaded and comes back empty under the same
+// address. What it held is gone; the owner must notice and load anew.
+TEST_F(NodeFailureTest, RestartedEngineIsAnotherIncarnation) {
+  Start(Defaults());
+  const uint64_t first = deployment_->Send("entry-1", "model-2");
+  deployment_->RunFor(seconds(10));
+  ASSERT_TRUE(IsAnswered(first));
+  for (const auto& [name, engine] : deployment_->engines()) {
+    if (engine->settings().data_centre == "north") {
+      deployment_->RestartEngine(name);
+    }
+  }
+  deployment_->RunFor(seconds(3));
+  const uint64_t second = deployment_->Send("entry-1", "model-2");
+  deployment_->RunFor(seconds(10));
+  EXPECT_TRUE(IsAnswered(second)) << Reason(second);
+}
+
+// Every load fails. Those who wait are told so, with a time to come back, and
+// are not kept until their deadline.
+TEST_F(NodeFailureTest, FailedLoadsAreToldEarly) {
+  Start(Defaults());
+  deployment_->FailLoads(true);
+  const uint64_t id =
+      deployment_->Send("entry-1", "model-2", "web", seconds(9));
+  deployment_->RunFor(seconds(8));
+  EXPECT_EQ(deployment_->outcome(id).answers, 1);
+  EXPECT_EQ(deployment_->outcome(id).refusal.verdict, Verdict::kNotRun);
+  EXPECT_GT(deployment_->outcome(id).refusal.retry_after, Duration::zero());
+}
+
+// Three out of ten messages between hosts are lost. Demands, digests and
+// rules must come through all the same.
+TEST_F(NodeFailureTest, LossBetweenHostsDelaysOnly) {
+  Start(Defaults());
+  deployment_->SetPeerLoss(0.3);
+  std::vector<uint64_t> requests;
+  for (int i = 0; i < 8; ++i) {
+    requests.push_back(deployment_->Send(i % 2 == 0 ? "entry-1" : "entry-2",
+                                         "model-" + std::to_string(i)));
+  }
+  deployment_->RunFor(seconds(30));
+  for (const uint64_t id : requests) EXPECT_TRUE(IsAnswered(id)) << Reason(id);
+}
+
+}  // namespace
+}  // namespace applehall
--- a/trial/trial_deployment.cc
+++ b/trial/trial_deployment.cc
@@ -44,16 +44,15 @@
 
 }  // namespace
 
-absl::StatusOr<Json> CallJson(const Address& address,
-                              const std::string& method,
+absl::StatusOr<Json> CallJson(const Address& address, const std::string& method,
                               const std::string& target,
                               const std::string& body) {
   const HttpResult result =
       FetchBlocking(MakeCall(address, method, target, body));
   if (!result.is_ok()) {
-    return absl::UnavailableError(absl::StrCat(
-        address.ToString(), target, ": status ", result.response.status, " ",
-        result.error));
+    return absl::UnavailableError(
+        absl::StrCat(address.ToString(), target, ": status ",
+                     result.response.status, " ", result.error));
   }
   return ParseJson(result.response.body);
 }
--- a/trial/trial_load.h
+++ b/trial/trial_load.h
@@ -20,10 +20,10 @@
 struct TrialResult {
   uint64_t sent = 0;
   uint64_t answered = 0;
-  uint64_t wrong_answers = 0;   // Not whole, or somebody else's.
-  uint64_t without_outcome = 0;  // No HTTP answer at all.
-  std::map<std::string, uint64_t> refused;   // By reason.
-  std::map<std::string, uint64_t> by_rule;   // Answers and refusals.
+  uint64_t wrong_answers = 0;               // Not whole, or somebody else's.
+  uint64_t without_outcome = 0;             // No HTTP answer at all.
+  std::map<std::string, uint64_t> refused;  // By reason.
+  std::map<std::string, uint64_t> by_rule;  // Answers and refusals.
   DurationSummary latency;
   DurationSummary first_byte;
   // Keys whose every use was refused as not run.
