--- a/claims/claim_fold.cc
+++ b/claims/claim_fold.cc
@@ -83,7 +83,13 @@
     it->second = {claim_id, issued, KeyStatus::kRunning};
     by_issue_.emplace(issued, key);
   }
-  out.push_back({claim_id, key, it->second.claim_id == claim_id});
+  // A host that was paused past the log's retention has not read what came
+  // before: another claim of this key may be among it, and have won. Only a
+  // key issued after the gap can be judged here.
+  const bool can_judge = issued >= unread_before_ + window_.clock_skew ||
+                         unread_before_ == TimePoint{};
+  out.push_back(
+      {claim_id, key, can_judge && it->second.claim_id == claim_id});
 }
 
 void ClaimFold::ApplyEnd(const Json& item, TimePoint time) {
--- a/tests/claims/claim_guard_test.cc
+++ b/tests/claims/claim_guard_test.cc
@@ -169,6 +169,26 @@
             ClaimGuard::Standing::kPending);
 }
 
+// A host has its claim on the log and is paused before it reads it back. While
+// it sleeps, the log forgets: an earlier claim of the same key, which another
+// host has run, is among what is lost. When it wakes its own claim looks like
+// the first. Found by the model of the claims (guard GAP).
+TEST_F(ClaimGuardTest, PausedPastTheRetentionIsNotTheWinner) {
+  log_.SetRetention(minutes(1));
+  const std::string key = NewKey();
+  first_.Begin(1, key, clock_.Now());
+  second_.Begin(2, key, clock_.Now());
+  Linger();
+  AppendNext(first_);
+  Read(first_);
+  ASSERT_EQ(first_.TakeGranted().size(), 1u);
+  clock_.Advance(seconds(50));
+  AppendNext(second_);
+  clock_.Advance(seconds(20));
+  Read(second_);
+  EXPECT_TRUE(second_.TakeGranted().empty()) << "the key would run twice";
+}
+
 // More claims wait than one record takes; the rest must follow by itself.
 TEST_F(ClaimGuardTest, ClaimsBeyondOneBatchFollow) {
   ClaimSettings settings;
