--- /dev/null
+++ b/tests/routing/engine_view_test.cc
@@ -0,0 +1,106 @@
+#include "routing/engine_view.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "core/hash.h"
+#include "routing/retry_budget.h"
+
+namespace applehall {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr TimePoint kNow{std::chrono::hours(500000)};
+
+EngineDigest Digest(int number, int running, uint64_t sequence = 1) {
+  EngineDigest digest;
+  digest.engine = "engine-" + std::to_string(number);
+  digest.token = 3;
+  digest.sequence = sequence;
+  digest.slots = 16;
+  digest.running = running;
+  digest.ready = {"m"};
+  return digest;
+}
+
+// Twenty routers hold the same reports, and one engine looked idle in them.
+// Sent there by all of them at once, it would drown until the next report.
+TEST(EngineViewTest, NoHerdOnTheEngineThatLastLookedIdle) {
+  std::map<std::string, int> sent;
+  for (uint64_t router = 0; router < 20; ++router) {
+    EngineView view(router + 1);
+    for (int i = 0; i < 10; ++i) view.Merge(Digest(i, i == 0 ? 0 : 8), kNow);
+    for (int i = 0; i < 5; ++i) {
+      const EngineDigest* chosen = view.Choose("m", 0, kNow);
+      ASSERT_NE(chosen, nullptr);
+      view.BeginRequest(chosen->engine);
+      ++sent[chosen->engine];
+    }
+  }
+  EXPECT_LT(sent["engine-0"], 40) << "of 100, with a fair share of 10";
+}
+
+TEST(EngineViewTest, SamePrefixGoesToTheSameEngineUntilItIsBusy) {
+  EngineView view(1);
+  for (int i = 0; i < 6; ++i) view.Merge(Digest(i, 0), kNow);
+  const uint64_t prefix = StableHash("You are a helpful stable hand.");
+  const std::string first = view.Choose("m", prefix, kNow)->engine;
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_EQ(view.Choose("m", prefix, kNow)->engine, first);
+    view.BeginRequest(first);
+  }
+  for (int i = 0; i < 8; ++i) view.BeginRequest(first);
+  EXPECT_NE(view.Choose("m", prefix, kNow)->engine, first);
+}
+
+// Digests of the former owner arrive after the new one's.
+TEST(EngineViewTest, LaterOwnersDigestWins) {
+  EngineView view(1);
+  EngineDigest later = Digest(0, 2, 1);
+  later.token = 9;
+  later.ready.clear();
+  EXPECT_TRUE(view.Merge(later, kNow));
+  EXPECT_FALSE(view.Merge(Digest(0, 0, 500), kNow));
+  EXPECT_EQ(view.Choose("m", 0, kNow), nullptr);
+}
+
+TEST(EngineViewTest, FailingEngineIsLeftAloneAndTriedAgain) {
+  EngineView view(1);
+  view.Merge(Digest(0, 0), kNow);
+  for (int i = 0; i < 3; ++i) {
+    ASSERT_NE(view.Choose("m", 0, kNow), nullptr);
+    view.BeginRequest("engine-0");
+    view.EndRequest("engine-0", "m", EngineView::RequestEnd::kFailed, kNow);
+  }
+  EXPECT_EQ(view.Choose("m", 0, kNow), nullptr);
+  const TimePoint later = kNow + seconds(1);
+  ASSERT_NE(view.Choose("m", 0, later), nullptr);
+  view.BeginRequest("engine-0");
+  EXPECT_EQ(view.Choose("m", 0, later), nullptr) << "one trial at a time";
+  view.EndRequest("engine-0", "m", EngineView::RequestEnd::kOk, later);
+  EXPECT_NE(view.Choose("m", 0, later), nullptr);
+}
+
+TEST(EngineViewTest, LeavingEngineIsNotChosen) {
+  EngineView view(1);
+  view.Merge(Digest(0, 0), kNow);
+  view.SetLeaving("engine-0", true);
+  EXPECT_EQ(view.Choose("m", 0, kNow), nullptr);
+  EXPECT_EQ(view.ReadyReplicas("m"), 0);
+}
+
+TEST(RetryBudgetTest, RetriesStayAShareOfFirstAttempts) {
+  RetryBudget budget;
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.RecordFirstAttempt();
+    while (budget.TrySpend()) ++retries;
+  }
+  EXPECT_LE(retries, 111);
+  EXPECT_GE(retries, 100);
+}
+
+}  // namespace
+}  // namespace applehall
