--- a/claims/claim_fold.cc
+++ b/claims/claim_fold.cc
@@ -88,8 +88,7 @@
   // key issued after the gap can be judged here.
   const bool can_judge = issued >= unread_before_ + window_.clock_skew ||
                          unread_before_ == TimePoint{};
-  out.push_back(
-      {claim_id, key, can_judge && it->second.claim_id == claim_id});
+  out.push_back({claim_id, key, can_judge && it->second.claim_id == claim_id});
 }
 
 void ClaimFold::ApplyEnd(const Json& item, TimePoint time) {
--- a/node/gossip.cc
+++ b/node/gossip.cc
@@ -52,16 +52,21 @@
 bool Gossip::IsControlReader() const {
   if (!context_.hosts.is_known()) return true;
   if (context_.now - context_.log_answered_at > kConfirmedWithin) return true;
+  if (chosen_as_of_ == context_.hosts.as_of()) return is_chosen_reader_;
+  chosen_as_of_ = context_.hosts.as_of();
   std::vector<std::pair<uint64_t, std::string>> ranked;
   for (const HostEntry* host :
        context_.hosts.EntryHosts(context_.settings.data_centre, false)) {
     ranked.emplace_back(StableHash(host->name, 17), host->name);
   }
   std::sort(ranked.begin(), ranked.end());
+  is_chosen_reader_ = false;
   for (size_t i = 0; i < std::min(kControlReaders, ranked.size()); ++i) {
-    if (ranked[i].second == context_.settings.self.host) return true;
+    if (ranked[i].second == context_.settings.self.host) {
+      is_chosen_reader_ = true;
+    }
   }
-  return false;
+  return is_chosen_reader_;
 }
 
 void Gossip::MakeOwnSummary() {
@@ -81,7 +86,7 @@
 // round: callers wait for it.
 bool Gossip::HasUrgentNews() const {
   return offset_sent_ != context_.control.next_offset() ||
-         ready_sent_ != context_.view.ReadyTargets();
+         ready_version_sent_ != context_.view.ready_version();
 }
 
 void Gossip::RunTick() {
@@ -109,7 +114,7 @@
   }
   if (is_urgent && has_sent_all) {
     offset_sent_ = context_.control.next_offset();
-    ready_sent_ = context_.view.ReadyTargets();
+    ready_version_sent_ = context_.view.ready_version();
   }
 }
 
--- a/node/gossip.h
+++ b/node/gossip.h
@@ -71,9 +71,11 @@
   std::map<std::string, PeerState> states_;
   std::map<std::string, DataCentreSummary> summaries_;
   TimePoint summary_made_at_;
-  uint64_t urgent_view_version_ = 0;
   LogOffset offset_sent_ = 0;
-  std::vector<std::string> ready_sent_;
+  uint64_t ready_version_sent_ = 0;
+  // Whether this host is among the readers, by the last host list.
+  mutable bool is_chosen_reader_ = false;
+  mutable TimePoint chosen_as_of_;
 };
 
 // Control records for a peer, and back.
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -1,8 +1,7 @@
 #ifndef APPLEHALL_NODE_NODE_CONTEXT_H_
 #define APPLEHALL_NODE_NODE_CONTEXT_H_
 
-#include <absl/container/flat_hash_map.h>
-
+#include <map>
 #include <string>
 #include <vector>
 
@@ -32,7 +31,7 @@
   ControlFold control;
   HostTable hosts;
   EngineView view;
-  absl::flat_hash_map<std::string, CatalogueEntry> catalogue;
+  std::map<std::string, CatalogueEntry> catalogue;
   ReplicaBoundsTable bounds;  // Of the rule set in force.
   Metrics metrics;
   Random random;
--- a/placement/engine_owner.cc
+++ b/placement/engine_owner.cc
@@ -18,8 +18,17 @@
 constexpr Duration kLeastResidency = std::chrono::seconds(3);
 constexpr Duration kEvictionHorizon = std::chrono::minutes(2);
 constexpr double kEvictionPenaltySeconds = 1.0;
+// The oracle keeps what returns within this many load times.
+constexpr int kOracleKeepLoads = 20;
 constexpr int kLoadingInspectSpeedup = 5;
 
+bool HasAdapters(const EngineOwner::EngineState& engine,
+                 const std::string& name) {
+  return std::any_of(
+      engine.ledger.holdings().begin(), engine.ledger.holdings().end(),
+      [&](const auto& entry) { return entry.second.base == name; });
+}
+
 std::string LoadKey(const std::string& engine, const std::string& target) {
   return absl::StrCat(engine, "/", target);
 }
@@ -123,7 +132,11 @@
       return;
     case LedgerChange::Kind::kLoadFailed:
       EndStoreLoad(name, change.name, tier);
-      failed_until_[change.name] = now + kFailedLoadBackoff;
+      // An order that was refused, or never arrived, says nothing about the
+      // model; it is decided anew at once.
+      if (change.detail == OrderResultName(OrderResult::kLoadFailed)) {
+        failed_until_[change.name] = now + kFailedLoadBackoff;
+      }
       Note("load_failed", name, change.name, change.detail);
       return;
     case LedgerChange::Kind::kGone:
@@ -242,22 +255,26 @@
     demand.push_back(standing);
   }
   if (settings_.keep_policy == KeepPolicy::kFixedTimeToLive) return;
-  for (const auto& [target, entry] : *policy.catalogue) {
-    if (is_there(target)) continue;
-    if (settings_.keep_policy == KeepPolicy::kLearnt) {
-      const TimePoint last = idle_policy_.LastUse(target);
-      if (last == TimePoint{}) continue;
-      const IdlePlan plan =
-          idle_policy_.PlanFor(target, PredictLoad(entry), policy.weights);
-      if (plan.prewarm_at == Duration::zero()) continue;
-      const Duration idle = now - last;
-      const Duration lead = PredictLoad(entry);
-      if (idle < plan.prewarm_at - lead || idle >= plan.prewarm_until) continue;
-    }
+  const auto add_ahead = [&](const std::string& target) {
+    if (is_there(target)) return;
     TargetDemand ahead;
     ahead.target = target;
     ahead.is_prewarm = true;
     demand.push_back(ahead);
+  };
+  if (settings_.keep_policy == KeepPolicy::kAlwaysWarm) {
+    for (const auto& [target, entry] : *policy.catalogue) add_ahead(target);
+    return;
+  }
+  for (const std::string& target : idle_policy_.KnownModels()) {
+    const auto entry = policy.catalogue->find(target);
+    if (entry == policy.catalogue->end()) continue;
+    const Duration lead = PredictLoad(entry->second);
+    const IdlePlan plan = PlanFor(target, lead, policy, now);
+    if (plan.prewarm_at == Duration::zero()) continue;
+    const Duration idle = now - idle_policy_.LastUse(target);
+    if (idle < plan.prewarm_at - lead || idle >= plan.prewarm_until) continue;
+    add_ahead(target);
   }
 }
 
@@ -391,7 +408,7 @@
   return true;
 }
 
-uint64_t EngineOwner::LeavingBytes(const EngineState& engine) const {
+uint64_t EngineOwner::LeavingBytes(const EngineState& engine) {
   uint64_t bytes = 0;
   for (const auto& [name, holding] : engine.ledger.holdings()) {
     if (holding.state == HoldingState::kUnloading) bytes += holding.bytes;
@@ -403,21 +420,31 @@
   return wanted_until_.contains(target);
 }
 
-bool EngineOwner::IsEvictable(const EngineState& engine,
-                              const std::string& name,
-                              const Holding& holding) const {
+bool EngineOwner::IsEvictableAlone(const std::string& name,
+                                   const Holding& holding,
+                                   TimePoint seen_at) const {
   if (holding.state != HoldingState::kReady || holding.running > 0) {
     return false;
   }
   if (IsWanted(name)) return false;
-  // A base model stays while one of its adapters is there.
-  for (const auto& [other, other_holding] : engine.ledger.holdings()) {
-    if (other_holding.base == name) return false;
-  }
-  return engine.last_answer - std::max(holding.settled_at, holding.last_used) >=
+  return seen_at - std::max(holding.settled_at, holding.last_used) >=
          kLeastResidency;
 }
 
+// A base model may go if its adapters may; they go first.
+bool EngineOwner::IsEvictable(const EngineState& engine,
+                              const std::string& name,
+                              const Holding& holding) const {
+  if (!IsEvictableAlone(name, holding, engine.last_answer)) return false;
+  for (const auto& [other, adapter] : engine.ledger.holdings()) {
+    if (adapter.base != name || adapter.state == HoldingState::kUnloading) {
+      continue;
+    }
+    if (!IsEvictableAlone(other, adapter, engine.last_answer)) return false;
+  }
+  return true;
+}
+
 uint64_t EngineOwner::EvictableBytes(const EngineState& engine,
                                      const std::string& keep_base) const {
   uint64_t bytes = 0;
@@ -432,12 +459,13 @@
 void EngineOwner::Evict(EngineState& engine, const CatalogueEntry& entry,
                         const PlacementPolicy& policy, TimePoint now,
                         std::vector<OrderToSend>& orders) {
-  uint64_t before = 0;
-  uint64_t soon = engine.ledger.free_bytes() + LeavingBytes(engine);
-  while (soon < entry.bytes && soon != before) {
-    before = soon;
+  const auto soon = [&engine] {
+    return engine.ledger.free_bytes() + LeavingBytes(engine);
+  };
+  while (soon() < entry.bytes) {
+    const uint64_t before = soon();
     EvictOne(engine, entry, policy, now, orders);
-    soon = engine.ledger.free_bytes() + LeavingBytes(engine);
+    if (soon() == before) return;
   }
 }
 
@@ -462,7 +490,19 @@
     least = cost;
   }
   if (victim.empty()) return;
-  Unload(engine, victim, absl::StrCat("room for ", entry.name), now, orders);
+  const std::string reason = absl::StrCat("room for ", entry.name);
+  bool has_adapters = false;
+  std::vector<std::string> adapters;
+  for (const auto& [name, holding] : engine.ledger.holdings()) {
+    if (holding.base != victim) continue;
+    has_adapters = true;
+    if (holding.state == HoldingState::kReady) adapters.push_back(name);
+  }
+  for (const std::string& name : adapters) {
+    Unload(engine, name, reason, now, orders);
+  }
+  // The engine refuses to drop a base model under its adapters.
+  if (!has_adapters) Unload(engine, victim, reason, now, orders);
 }
 
 void EngineOwner::Unload(EngineState& engine, const std::string& name,
@@ -491,7 +531,7 @@
     return idle >= settings_.default_keep;
   }
   const Duration load = predictor_.Predict(holding.bytes, TierOn(engine, name));
-  const IdlePlan plan = idle_policy_.PlanFor(name, load, policy.weights);
+  const IdlePlan plan = PlanFor(name, load, policy, now);
   const TimePoint used = idle_policy_.LastUse(name);
   const Duration since_use = used == TimePoint{} ? idle : now - used;
   const bool is_prewarm_time =
@@ -505,7 +545,9 @@
     if (!MayOrder(engine)) continue;
     std::vector<std::string> leaving;
     for (const auto& [name, holding] : engine.ledger.holdings()) {
-      if (!IsEvictable(engine, name, holding)) continue;
+      if (!IsEvictable(engine, name, holding) || HasAdapters(engine, name)) {
+        continue;
+      }
       if (Count(name).ready <= policy.bounds->For(name).least) continue;
       if (IsKeepOver(engine, name, holding, policy, now)) {
         leaving.push_back(name);
@@ -548,6 +590,27 @@
   return order;
 }
 
+IdlePlan EngineOwner::PlanFor(const std::string& target, Duration load_time,
+                              const PlacementPolicy& policy,
+                              TimePoint now) const {
+  if (settings_.keep_policy != KeepPolicy::kOracle) {
+    return idle_policy_.PlanFor(target, load_time, policy.weights);
+  }
+  // The oracle drops a model at once and has it back just in time.
+  IdlePlan plan;
+  const TimePoint last = idle_policy_.LastUse(target);
+  const TimePoint next = settings_.next_use(target, now);
+  if (next == TimePoint::max()) return plan;
+  if (next - last < load_time * kOracleKeepLoads) {
+    plan.keep_for = next - last + std::chrono::seconds(2);
+    return plan;
+  }
+  const Duration lead = load_time * 2 + std::chrono::seconds(2);
+  plan.prewarm_at = std::max(Duration{1}, next - lead - last);
+  plan.prewarm_until = next - last + std::chrono::seconds(2);
+  return plan;
+}
+
 CheckpointTier EngineOwner::TierOn(const EngineState& engine,
                                    const std::string& name) {
   const auto& tiers = engine.ledger.inventory().tiers;
--- a/placement/engine_owner.h
+++ b/placement/engine_owner.h
@@ -1,8 +1,6 @@
 #ifndef APPLEHALL_PLACEMENT_ENGINE_OWNER_H_
 #define APPLEHALL_PLACEMENT_ENGINE_OWNER_H_
 
-#include <absl/container/flat_hash_map.h>
-
 #include <functional>
 #include <map>
 #include <string>
@@ -22,7 +20,12 @@
 
 // How idle models leave. The learnt policy is the product; the others are
 // baselines it is measured against.
-enum class KeepPolicy : uint8_t { kLearnt, kFixedTimeToLive, kAlwaysWarm };
+enum class KeepPolicy : uint8_t {
+  kLearnt,
+  kFixedTimeToLive,
+  kAlwaysWarm,
+  kOracle,
+};
 
 struct OwnerSettings {
   Duration inspect_interval = std::chrono::milliseconds(500);
@@ -31,12 +34,14 @@
   Duration default_keep = std::chrono::minutes(5);
   int loads_per_engine = 2;
   KeepPolicy keep_policy = KeepPolicy::kLearnt;
+  // For kOracle only: when a model will be called next, after a given time.
+  std::function<TimePoint(const std::string& model, TimePoint after)> next_use;
 };
 
 // What the owner needs to know of the rules and the weight store.
 struct PlacementPolicy {
   const ReplicaBoundsTable* bounds = nullptr;
-  const absl::flat_hash_map<std::string, CatalogueEntry>* catalogue = nullptr;
+  const std::map<std::string, CatalogueEntry>* catalogue = nullptr;
   IdleWeights weights;
 };
 
@@ -158,11 +163,14 @@
                                   const CatalogueEntry& entry) const;
   bool CanHost(const EngineState& engine, const CatalogueEntry& entry) const;
   bool MayOrder(const EngineState& engine) const;
-  uint64_t LeavingBytes(const EngineState& engine) const;
+  static uint64_t LeavingBytes(const EngineState& engine);
   uint64_t EvictableBytes(const EngineState& engine,
                           const std::string& keep_base) const;
   bool IsEvictable(const EngineState& engine, const std::string& name,
                    const Holding& holding) const;
+  // The same, but for adapters of a base model, which go before it.
+  bool IsEvictableAlone(const std::string& name, const Holding& holding,
+                        TimePoint seen_at) const;
   bool IsWanted(const std::string& target) const;
   void Evict(EngineState& engine, const CatalogueEntry& entry,
              const PlacementPolicy& policy, TimePoint now,
@@ -181,6 +189,10 @@
   void Unload(EngineState& engine, const std::string& name,
               const std::string& reason, TimePoint now,
               std::vector<OrderToSend>& orders);
+  // When a replica of an idle model is worth its memory, by the plan or the
+  // oracle: how long after its last use it may go, and when it should return.
+  IdlePlan PlanFor(const std::string& target, Duration load_time,
+                   const PlacementPolicy& policy, TimePoint now) const;
   static CheckpointTier TierOn(const EngineState& engine,
                                const std::string& name);
   void TakeChange(EngineState& engine, const LedgerChange& change,
--- a/placement/idle_policy.cc
+++ b/placement/idle_policy.cc
@@ -45,6 +45,7 @@
   for (float& weight : history.gaps) weight *= kFade;
   history.total = history.total * kFade + 1.0F;
   history.gaps[BucketOf(gap)] += 1.0F;
+  history.has_plan = false;
 }
 
 TimePoint IdlePolicy::LastUse(const std::string& model) const {
@@ -71,14 +72,32 @@
 
 IdlePlan IdlePolicy::PlanFor(const std::string& model, Duration load_time,
                              IdleWeights weights) const {
-  IdlePlan plan;
-  plan.keep_for = default_keep_;
   const auto it = histories_.find(model);
   if (it == histories_.end() || it->second.total < kLeastWeightToTrust) {
-    return plan;
+    return {default_keep_, Duration{0}, Duration{0}};
   }
-  const History& history = it->second;
+  History& history = it->second;
   const double weight = std::clamp(weights.cold_start_weight, 0.01, 0.99);
+  if (!history.has_plan || history.plan_load != load_time ||
+      history.plan_weight != weight) {
+    history.plan = MakePlan(history, load_time, weight);
+    history.plan_load = load_time;
+    history.plan_weight = weight;
+    history.has_plan = true;
+  }
+  return history.plan;
+}
+
+std::vector<std::string> IdlePolicy::KnownModels() const {
+  std::vector<std::string> names;
+  names.reserve(histories_.size());
+  for (const auto& [name, history] : histories_) names.push_back(name);
+  return names;
+}
+
+IdlePlan IdlePolicy::MakePlan(const History& history, Duration load_time,
+                              double weight) const {
+  IdlePlan plan;
   const double cold_cost =
       ToSeconds(load_time) * kBalance * weight / (1.0 - weight);
 
--- a/placement/idle_policy.h
+++ b/placement/idle_policy.h
@@ -1,10 +1,10 @@
 #ifndef APPLEHALL_PLACEMENT_IDLE_POLICY_H_
 #define APPLEHALL_PLACEMENT_IDLE_POLICY_H_
 
-#include <absl/container/flat_hash_map.h>
-
 #include <array>
+#include <map>
 #include <string>
+#include <vector>
 
 #include "core/clock.h"
 
@@ -49,6 +49,8 @@
   // `idle`. Not thread-safe.
   double ChanceOfUse(const std::string& model, Duration idle,
                      Duration span) const;
+  // Every model with a use so far, by name. Not thread-safe.
+  std::vector<std::string> KnownModels() const;
   size_t model_count() const { return histories_.size(); }
 
  private:
@@ -57,14 +59,22 @@
     TimePoint last_use;
     std::array<float, kBuckets> gaps{};
     float total = 0;
+    // The last plan and what it was made for; a gap that is learnt ends it.
+    bool has_plan = false;
+    Duration plan_load{0};
+    double plan_weight = 0;
+    IdlePlan plan;
   };
 
+  IdlePlan MakePlan(const History& history, Duration load_time,
+                    double weight) const;
+
   static int BucketOf(Duration gap);
   static Duration BucketEnd(int bucket);
   static Duration BucketMiddle(int bucket);
 
   Duration default_keep_;
-  absl::flat_hash_map<std::string, History> histories_;
+  mutable std::map<std::string, History> histories_;
 };
 
 }  // namespace applehall
--- a/routing/engine_view.cc
+++ b/routing/engine_view.cc
@@ -28,6 +28,7 @@
 void EngineView::IndexTargets(const EngineDigest& before,
                               const EngineDigest& after) {
   if (before.ready == after.ready) return;
+  ++ready_version_;
   for (const std::string& target : before.ready) {
     Drop(target, before.engine);
   }
@@ -41,6 +42,7 @@
 void EngineView::Drop(const std::string& target, const std::string& engine) {
   const auto it = by_target_.find(target);
   if (it == by_target_.end()) return;
+  ++ready_version_;
   std::erase_if(it->second,
                 [&](const RingPoint& point) { return point.engine == engine; });
   if (it->second.empty()) by_target_.erase(it);
--- a/routing/engine_view.h
+++ b/routing/engine_view.h
@@ -3,6 +3,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -49,6 +50,8 @@
   int InFlight(const std::string& engine) const;
   std::vector<const EngineDigest*> All() const;
   std::vector<std::string> ReadyTargets() const;
+  // Grows whenever what is ready somewhere changes.
+  uint64_t ready_version() const { return ready_version_; }
   Json ToJson(TimePoint now) const;
 
  private:
@@ -74,8 +77,10 @@
   static double Load(const EngineEntry& entry);
   void Drop(const std::string& target, const std::string& engine);
 
-  absl::flat_hash_map<std::string, EngineEntry> engines_;
+  // Ordered, so that every run of the same events is the same.
+  std::map<std::string, EngineEntry> engines_;
   absl::flat_hash_map<std::string, Ring> by_target_;
+  uint64_t ready_version_ = 0;
   Random random_;
 };
 
--- a/standins/deployment.cc
+++ b/standins/deployment.cc
@@ -732,6 +732,23 @@
   return total;
 }
 
+double Deployment::idle_engine_seconds() const {
+  double total = 0;
+  for (const auto& [name, engine] : engines_) {
+    total += engine->idle_engine_seconds();
+  }
+  return total;
+}
+
+bool Deployment::IsWarm(const std::string& host,
+                        const std::string& model) const {
+  const std::string centre = hosts_.at(host)->data_centre;
+  return std::any_of(engines_.begin(), engines_.end(), [&](const auto& entry) {
+    return entry.second->settings().data_centre == centre &&
+           entry.second->IsReady(model);
+  });
+}
+
 Duration Deployment::held_time() const {
   Duration total{0};
   for (const auto& [name, engine] : engines_) total += engine->held_time();
--- a/standins/deployment.h
+++ b/standins/deployment.h
@@ -128,6 +128,9 @@
   // against the fakes, not against the nodes' own tables.
   const std::set<std::string>& broken_promises() const { return broken_; }
   Duration idle_time() const;
+  double idle_engine_seconds() const;
+  // A replica of `model` is ready in the data centre of `host`.
+  bool IsWarm(const std::string& host, const std::string& model) const;
   Duration held_time() const;
 
  private:
--- a/standins/fake_engine.cc
+++ b/standins/fake_engine.cc
@@ -58,7 +58,12 @@
   if (now <= slot.accounted_to) return;
   const Duration span = now - slot.accounted_to;
   held_time_ += span;
-  if (slot.replica.running == 0) idle_time_ += span;
+  if (slot.replica.running == 0) {
+    idle_time_ += span;
+    idle_engine_seconds_ += ToSeconds(span) *
+                            static_cast<double>(slot.replica.bytes) /
+                            static_cast<double>(settings_.memory_bytes);
+  }
   slot.accounted_to = now;
 }
 
--- a/standins/fake_engine.h
+++ b/standins/fake_engine.h
@@ -61,6 +61,8 @@
   uint64_t unloads_done() const { return unloads_done_; }
   // Time replicas were held with no request running, summed over replicas.
   Duration idle_time() const { return idle_time_; }
+  // The same, each replica weighed by its share of the engine's memory.
+  double idle_engine_seconds() const { return idle_engine_seconds_; }
   Duration held_time() const { return held_time_; }
 
  private:
@@ -99,6 +101,7 @@
   uint64_t loads_begun_ = 0;
   uint64_t unloads_done_ = 0;
   Duration idle_time_{0};
+  double idle_engine_seconds_ = 0;
   Duration held_time_{0};
 };
 
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -36,9 +36,10 @@
   EXPECT_EQ(ErrorOf(Settings(",\"limits\":{\"requests\":\"many\"}")),
             "node.json: key \"limits.requests\": expected a whole number from "
             "1 to 1000000");
-  EXPECT_EQ(ErrorOf(R"({"host":"a","data_centre":"b","callers":"somewhere:1"})"),
-            "node.json: key \"callers\": expected an address IP:PORT by IP "
-            "number, found \"somewhere:1\"");
+  EXPECT_EQ(
+      ErrorOf(R"({"host":"a","data_centre":"b","callers":"somewhere:1"})"),
+      "node.json: key \"callers\": expected an address IP:PORT by IP "
+      "number, found \"somewhere:1\"");
   EXPECT_NE(ErrorOf("{").find("node.json: "), std::string::npos);
 }
 
--- a/tests/node/chaos_test.cc
+++ b/tests/node/chaos_test.cc
@@ -2,7 +2,6 @@
 // are checked after each step against what really is, in the fakes.
 
 #include <gtest/gtest.h>
-
 #include <rapidcheck/gtest.h>
 
 #include "core/uuid.h"
--- a/tests/node/differential_test.cc
+++ b/tests/node/differential_test.cc
@@ -3,7 +3,6 @@
 // failure prints what to set to see it again.
 
 #include <gtest/gtest.h>
-
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
@@ -201,9 +200,9 @@
         const LogOffset base = random.Below(3) == 0
                                    ? random.Below(naive.version + 2)
                                    : naive.version;
-        append(PublishRecord("p" + std::to_string(step), base,
-                             Json{{"document",
-                                   TestRules("s" + std::to_string(step))}}));
+        append(PublishRecord(
+            "p" + std::to_string(step), base,
+            Json{{"document", TestRules("s" + std::to_string(step))}}));
         break;
       }
       case 2: {
@@ -310,8 +309,8 @@
         checks_fence ? random.Below(owners.size()) : owners.size() - 1;
     Owner& owner = owners[index];
     EngineOrder order;
-    order.id = std::to_string(owner.token) + "." +
-               std::to_string(owner.sequence + 1);
+    order.id =
+        std::to_string(owner.token) + "." + std::to_string(owner.sequence + 1);
     order.fence = {owner.token, owner.sequence + 1};
     order.engine_incarnation = owner.ledger.incarnation();
     switch (random.Below(8)) {
--- a/tests/node/node_failure_test.cc
+++ b/tests/node/node_failure_test.cc
@@ -122,6 +122,39 @@
   EXPECT_EQ(EnginesWith("model-1", "north"), 1);
 }
 
+// The engines are full to the last byte with models that nobody calls now. A
+// request for another model waited until its deadline, because an engine with
+// nothing free at all was never emptied.
+TEST_F(NodeFailureTest, FullEnginesMakeRoom) {
+  DeploymentSettings settings = Defaults();
+  settings.engines = 2;
+  settings.engine_bytes = 1'400'000'000;  // Two models and the KV cache.
+  Start(settings);
+  deployment_->Send("entry-1", "model-1");
+  deployment_->Send("entry-1", "model-2");
+  deployment_->RunFor(seconds(15));
+  ASSERT_EQ(EnginesWith("model-1", "north") + EnginesWith("model-2", "north"),
+            2);
+  const uint64_t id = deployment_->Send("entry-1", "model-3");
+  deployment_->RunFor(seconds(10));
+  EXPECT_TRUE(IsAnswered(id)) << Reason(id);
+}
+
+// The engine is full with a base model and its adapters. A base model alone
+// cannot go, so they must go together.
+TEST_F(NodeFailureTest, BaseGoesWithItsAdapters) {
+  DeploymentSettings settings = Defaults();
+  settings.engines = 2;
+  settings.engine_bytes = 950'000'000;
+  Start(settings);
+  deployment_->Send("entry-1", "adapter-0");
+  deployment_->RunFor(seconds(15));
+  ASSERT_EQ(EnginesWith("adapter-0", "north"), 1);
+  const uint64_t id = deployment_->Send("entry-1", "model-3");
+  deployment_->RunFor(seconds(10));
+  EXPECT_TRUE(IsAnswered(id)) << Reason(id);
+}
+
 // The owner dies while a load it ordered runs. Its successor must find the
 // load in the engine's inventory and wait for it, not order a second one.
 TEST_F(NodeFailureTest, OwnerKilledInLoadIsAdopted) {
--- a/tests/rules/rule_set_test.cc
+++ b/tests/rules/rule_set_test.cc
@@ -50,9 +50,9 @@
                     {"least_replicas", 3},
                     {"most_replicas", 1}}}};
   const std::string text = FindingsOf(Document({rule, kLast}));
-  for (const char* key : {"when.model", "when.caller", "then.deadline_ms",
-                          "then.worth", "then.while_log_down",
-                          "then.least_replicas"}) {
+  for (const char* key :
+       {"when.model", "when.caller", "then.deadline_ms", "then.worth",
+        "then.while_log_down", "then.least_replicas"}) {
     EXPECT_NE(text.find(key), std::string::npos) << key;
   }
 }
@@ -71,9 +71,8 @@
 }
 
 TEST(RuleCheckerTest, LastRuleMustMatchEverything) {
-  const Json only{{"name", "only"},
-                  {"when", {{"model", "x"}}},
-                  {"then", Json::object()}};
+  const Json only{
+      {"name", "only"}, {"when", {{"model", "x"}}}, {"then", Json::object()}};
   EXPECT_NE(FindingsOf(Document({only})).find("must match every request"),
             std::string::npos);
 }
@@ -85,9 +84,10 @@
   facts.all_engine_bytes = 15;
   const Json rule{{"name", "x"},
                   {"when", {{"caller", "web"}}},
-                  {"then", {{"models", {"big", "gone", "small"}},
-                            {"least_replicas", 2},
-                            {"most_replicas", 2}}}};
+                  {"then",
+                   {{"models", {"big", "gone", "small"}},
+                    {"least_replicas", 2},
+                    {"most_replicas", 2}}}};
   const std::string text = FindingsOf(Document({rule, kLast}), facts);
   EXPECT_NE(text.find("no engine serves \"gone\""), std::string::npos);
   EXPECT_NE(text.find("the largest engine has 5000"), std::string::npos);
@@ -154,8 +154,8 @@
   EXPECT_EQ(book.Publish(1, Json{{"base", 0}, {"document", {{"name", "n"}}}}),
             RuleBook::Result::kInvalid);
   EXPECT_EQ(book.Publish(2, Json{{"base", 0}}), RuleBook::Result::kInvalid);
-  EXPECT_EQ(book.Publish(3, Json{{"base", 0},
-                                 {"document", Document({kLast, kLast})}}),
+  EXPECT_EQ(book.Publish(
+                3, Json{{"base", 0}, {"document", Document({kLast, kLast})}}),
             RuleBook::Result::kInvalid);
   EXPECT_EQ(book.current(), nullptr);
 }
