--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -229,16 +229,7 @@
   std::function<void(const boost::system::error_code&, int)> on_signal =
       [&](const boost::system::error_code& error, int) {
         if (error) return;
-        // The first starts the drain; more change nothing.
-        asio::co_spawn(
-            main_io_,
-            [this]() -> Task {
-              while (!decisions_.TryPush(DrainRequested{})) {
-                asio::steady_timer timer(main_io_, kFullChannelWait);
-                co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-              }
-            },
-            asio::detached);
+        Drain();
         signals.async_wait(on_signal);
       };
   signals.async_wait(on_signal);
@@ -255,6 +246,18 @@
   LogEvent(LogLevel::kInfo, "stopped");
 }
 
+void Daemon::Drain() {
+  asio::co_spawn(
+      main_io_,
+      [this]() -> Task {
+        while (!decisions_.TryPush(DrainRequested{})) {
+          asio::steady_timer timer(main_io_, kFullChannelWait);
+          co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+      },
+      asio::detached);
+}
+
 std::shared_ptr<CallerSession> Daemon::FindSession(RequestHandle handle) {
   const std::lock_guard<std::mutex> lock(sessions_mutex_);
   const auto it = sessions_.find(handle);
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -28,6 +28,12 @@
 
   // Runs until a drain is done. Thread: the main one.
   void Run();
+  // Begins a drain, as SIGTERM does; once more changes nothing. Thread-safe.
+  void Drain();
+  // The bound ports. Thread-safe.
+  uint16_t callers_port() const { return caller_server_->port(); }
+  uint16_t operators_port() const { return operator_server_->port(); }
+  uint16_t peers_port() const { return peers_->port(); }
 
  private:
   using Task = boost::asio::awaitable<void>;
--- a/membership/host_list.cc
+++ b/membership/host_list.cc
@@ -132,6 +132,13 @@
   return {names.begin(), names.end()};
 }
 
+bool HostTable::OffersService(const std::string& service) const {
+  return std::any_of(hosts_.begin(), hosts_.end(), [&](const auto& entry) {
+    return entry.second.kind == HostKind::kService &&
+           entry.second.service == service;
+  });
+}
+
 bool HostTable::HasDeparted(const Incarnation& host, TimePoint since) const {
   if (as_of_ < since) return false;
   const HostEntry* entry = Find(host.host);
--- a/membership/host_list.h
+++ b/membership/host_list.h
@@ -63,6 +63,8 @@
   // Engines of this data centre in `group` of `group_count`.
   std::vector<EngineFacts> Engines(int group, int group_count) const;
   std::vector<std::string> DataCentres() const;
+  // Some backend server, leaving or not, offers the plain service.
+  bool OffersService(const std::string& service) const;
 
   // True if the list shows that this incarnation is gone for good: a list
   // made at `since` or later without it, or with a later incarnation. A host
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -165,6 +165,12 @@
     return NotRun(RefusalReason::kRefusedByRule, *then.refuse);
   }
   request.target = ChooseTarget(request);
+  if (IsService(request) && !context_.hosts.OffersService(facts.service)) {
+    return NotRun(RefusalReason::kNoBackend,
+                  absl::StrCat("no backend server offers \"", facts.service,
+                               "\""),
+                  kRetrySoon);
+  }
   if (!IsService(request) && !context_.catalogue.contains(request.target)) {
     if (context_.catalogue.empty()) {
       return NotRun(RefusalReason::kNoBackend,
--- a/standins/deployment.cc
+++ b/standins/deployment.cc
@@ -386,8 +386,10 @@
     };
     if (it == engines_.end()) return end(AttemptResult::kNotSent, {});
     if (failing_engines_.contains(action.backend)) {
-      return end(random_.Below(2) == 0 ? AttemptResult::kNotSent
-                                       : AttemptResult::kBroken,
+      // Whether a broken request has run is not known; it counts as one.
+      const bool is_broken = random_.Below(2) == 0;
+      if (is_broken) ++runs_of_request_[request];
+      return end(is_broken ? AttemptResult::kBroken : AttemptResult::kNotSent,
                  {});
     }
     FakeEngine& engine = *it->second;
@@ -407,6 +409,7 @@
     At(took, [=, this] {
       FakeEngine& running = *engines_.at(action.backend);
       const bool is_lost = running.settings().incarnation != engine_life ||
+                           (flakiness_ > 0 && random_.Unit() < flakiness_) ||
                            failing_engines_.contains(action.backend);
       if (running.settings().incarnation == engine_life) {
         running.EndRequest(action.model, now_);
@@ -677,6 +680,10 @@
   }
 }
 
+void Deployment::FailServices(bool failing) {
+  for (auto& [name, service] : services_) service.is_failing = failing;
+}
+
 void Deployment::RestartEngine(const std::string& name) {
   engines_.at(name)->Restart(now_);
   listed_[name].incarnation = engines_.at(name)->settings().incarnation;
--- a/standins/deployment.h
+++ b/standins/deployment.h
@@ -100,6 +100,10 @@
   void SetOrderFaults(double lost, double doubled, Duration late);
   void CutDataCentre(const std::string& name, bool cut);
   void FailEngine(const std::string& name, bool failing);
+  // Engines break this share of the requests they begin.
+  void SetEngineFlakiness(double share) { flakiness_ = share; }
+  // Services take calls, and break before they answer.
+  void FailServices(bool failing);
   void RestartEngine(const std::string& name);
   void FailLoads(bool fail);
   // Before each peer message; false drops it.
@@ -222,6 +226,7 @@
   double order_doubling_ = 0;
   Duration order_late_{0};
   double peer_loss_ = 0;
+  double flakiness_ = 0;
   std::set<std::string> cut_;
   std::set<std::string> broken_;
   std::map<std::string, LogOffset> versions_seen_;
--- a/tests/node/node_failure_test.cc
+++ b/tests/node/node_failure_test.cc
@@ -358,6 +358,24 @@
   EXPECT_EQ(answered, 1);
 }
 
+// The locker takes the door-open and breaks before it answers. Whether the
+// door opened is not known: the call must not be sent again, and the caller
+// must not be told "not run".
+TEST_F(NodeFailureTest, BrokenCallThatMayNotRepeatIsNotRetried) {
+  Start(Defaults());
+  deployment_->FailServices(true);
+  const std::string key = NewKey();
+  const uint64_t id = deployment_->CallService("entry-1", "doors", key);
+  deployment_->RunFor(seconds(5));
+  EXPECT_EQ(deployment_->RunsOfKey(key), 1);
+  EXPECT_EQ(deployment_->outcome(id).refusal.verdict, Verdict::kMayHaveRun);
+  deployment_->FailServices(false);
+  const uint64_t again = deployment_->CallService("entry-2", "doors", key);
+  deployment_->RunFor(seconds(5));
+  EXPECT_EQ(deployment_->outcome(again).refusal.reason,
+            RefusalReason::kDuplicateRequest);
+}
+
 // A data centre is cut off from the others and from the platform for a
 // minute. It must go on with its own engines and the rules it has, and follow
 // the set that was published meanwhile once it is back.
@@ -476,6 +494,26 @@
   EXPECT_LE(dispatched, sent + sent / 4);
 }
 
+// The engines break every second request. None of them fails often enough in
+// a row to be left alone, so only the budget keeps retries from doubling what
+// is sent.
+TEST_F(NodeFailureTest, FlakyEnginesDoNotDoubleTheLoad) {
+  Start(Defaults());
+  for (const char* host : {"entry-1", "entry-3"}) {
+    deployment_->Send(host, "model-1");
+  }
+  deployment_->RunFor(seconds(10));
+  deployment_->SetEngineFlakiness(0.5);
+  const uint64_t before = deployment_->dispatched();
+  for (int i = 0; i < 300; ++i) {
+    deployment_->Send(i % 2 == 0 ? "entry-1" : "entry-3", "model-1", "web",
+                      seconds(10));
+    deployment_->RunFor(milliseconds(200));
+  }
+  deployment_->RunFor(seconds(15));
+  EXPECT_LE(deployment_->dispatched() - before, 300u * 5 / 4);
+}
+
 // A host is drained while it has requests open, cold ones among them. None
 // may be cut, new ones are refused as not run, and its engines get a new
 // owner.
