--- a/benchmarks/decision_benchmark.cc
+++ b/benchmarks/decision_benchmark.cc
@@ -31,16 +31,19 @@
 }
 
 Json RuleJson(int64_t i) {
-  return Json{{"name", Name("rule-", i)},
-              {"when", {{"model", Name("model-", i % 4060)}, {"caller", "web"}}},
-              {"then", {{"deadline_ms", 20000}, {"worth", 5 + i % 50}}}};
+  return Json{
+      {"name", Name("rule-", i)},
+      {"when", {{"model", Name("model-", i % 4060)}, {"caller", "web"}}},
+      {"then", {{"deadline_ms", 20000}, {"worth", 5 + i % 50}}}};
 }
 
 Json RulesDocument(int64_t count) {
   Json rules = Json::array();
   for (int64_t i = 0; i + 1 < count; ++i) rules.push_back(RuleJson(i));
   rules.push_back({{"name", "last"}, {"then", Json::object()}});
-  return Json{{"name", "n"}, {"author", "a"}, {"reason", "r"},
+  return Json{{"name", "n"},
+              {"author", "a"},
+              {"reason", "r"},
               {"rules", std::move(rules)}};
 }
 
@@ -63,7 +66,8 @@
 void MatchRule(benchmark::State& state) {
   RuleBook book;
   const size_t before = HeapBytes();
-  book.Publish(1, Json{{"base", 0}, {"document", RulesDocument(state.range(0))}});
+  book.Publish(1,
+               Json{{"base", 0}, {"document", RulesDocument(state.range(0))}});
   malloc_trim(0);
   state.counters["bytes"] = static_cast<double>(HeapBytes() - before);
   const auto rules = book.current();
@@ -87,9 +91,11 @@
   changed["rules"][state.range(0) / 2]["then"]["worth"] = 99;
   const Json there = RuleSetDelta::Between(document, changed).ToJson();
   const Json back = RuleSetDelta::Between(changed, document).ToJson();
-  state.counters["bytes"] = static_cast<double>(
-      PublishRecord("0190a1b2-c3d4-7e5f-8a6b-7c8d9e0f1a2b", 1,
-                    Json{{"delta", there}}).dump().size());
+  state.counters["bytes"] =
+      static_cast<double>(PublishRecord("0190a1b2-c3d4-7e5f-8a6b-7c8d9e0f1a2b",
+                                        1, Json{{"delta", there}})
+                              .dump()
+                              .size());
   RuleBook book;
   book.Publish(1, Json{{"base", 0}, {"document", document}});
   LogOffset version = 1;
@@ -126,6 +132,8 @@
   }
   state.counters["bytes"] =
       static_cast<double>(Json::to_cbor(Digest(123, 99999).ToJson()).size());
+  state.counters["load_bytes"] = static_cast<double>(
+      Json::to_cbor(Digest(123, 99999).LoadToJson()).size());
   int64_t i = 0;
   for (auto _ : state) {
     if (++i % state.range(0) == 0) ++sequence;
@@ -298,8 +306,7 @@
   for (auto _ : state) {
     const std::string name = Name("model-", ++i % state.range(0));
     policy.RecordUse(name, kNow + std::chrono::seconds(4000 + 30 * i));
-    benchmark::DoNotOptimize(
-        policy.PlanFor(name, std::chrono::seconds(3), {}));
+    benchmark::DoNotOptimize(policy.PlanFor(name, std::chrono::seconds(3), {}));
   }
 }
 BENCHMARK(PlanIdle)->Arg(50)->Arg(150)->Arg(500)->Arg(1500);
--- a/drivers/platform_client.cc
+++ b/drivers/platform_client.cc
@@ -142,8 +142,7 @@
   const std::string target = "/hosts?near=" + data_centre_;
   std::string tag;
   while (true) {
-    HttpCall call =
-        MakeCall(addresses_.hosts, "GET", target, "", kReadTimeout);
+    HttpCall call = MakeCall(addresses_.hosts, "GET", target, "", kReadTimeout);
     // Unchanged lists are not sent again: at thousands of hosts they would be
     // most of what a host receives.
     if (!tag.empty()) call.request.headers["if-none-match"] = tag;
--- a/node/gossip.cc
+++ b/node/gossip.cc
@@ -127,8 +127,10 @@
                                                     digest->sequence};
     if (version <= sent) continue;
     if (digests.size() >= kMostDigestsInMessage) break;
+    const bool has_base =
+        sent.first == digest->token && sent.second >= digest->base_sequence;
     sent = version;
-    digests.push_back(digest->ToJson());
+    digests.push_back(has_base ? digest->LoadToJson() : digest->ToJson());
   }
   return digests;
 }
@@ -175,7 +177,11 @@
       if (digest.engine.empty()) continue;
       auto& sent = state.sent[digest.engine];
       sent = std::max(sent, {digest.token, digest.sequence});
-      context_.view.Merge(digest, context_.now);
+      if (EngineDigest::IsLoadOnly(item)) {
+        context_.view.MergeLoad(digest, context_.now);
+      } else {
+        context_.view.Merge(digest, context_.now);
+      }
     }
   }
   if (const auto beats = body.find("b");
--- a/node/group_keeper.cc
+++ b/node/group_keeper.cc
@@ -16,7 +16,10 @@
 constexpr Duration kClaimStagger = std::chrono::seconds(1);
 constexpr Duration kBorrowInterval = std::chrono::seconds(1);
 // An unchanged digest is sent again this often, for hosts that dropped it.
-constexpr Duration kDigestRefresh = std::chrono::seconds(10);
+constexpr Duration kDigestRefresh = std::chrono::seconds(20);
+// Small changes of load wait this long; large ones are this share of slots.
+constexpr Duration kLoadInterval = std::chrono::seconds(2);
+constexpr int kLargeLoadShare = 8;
 
 }  // namespace
 
@@ -307,16 +310,36 @@
     for (const auto& [target, holding] : engine.ledger.holdings()) {
       if (holding.state == HoldingState::kReady) digest.ready.push_back(target);
     }
-    const EngineDigest* known = context_.view.Find(name);
-    TimePoint& sent_at = digest_sent_at_[name];
-    if (known != nullptr && digest.SaysTheSame(*known) &&
-        context_.now - sent_at < kDigestRefresh) {
-      continue;
+    PublishDigest(std::move(digest));
+  }
+}
+
+// Tells a change of what is ready at once, a change of load when it is large
+// or the last one is old, and everything again now and then for hosts that
+// missed it.
+void GroupKeeper::PublishDigest(EngineDigest digest) {
+  const EngineDigest* known = context_.view.Find(digest.engine);
+  SentDigest& sent = digests_sent_[digest.engine];
+  const bool is_load_only = known != nullptr &&
+                            digest.DiffersOnlyInLoad(*known) &&
+                            context_.now - sent.refreshed_at < kDigestRefresh;
+  if (is_load_only) {
+    const int change = std::abs(digest.running - known->running) +
+                       std::abs(digest.queued - known->queued);
+    if (change == 0) return;
+    if (change < std::max(1, digest.slots / kLargeLoadShare) &&
+        context_.now - sent.sent_at < kLoadInterval) {
+      return;
     }
-    sent_at = context_.now;
-    digest.sequence = ++digest_count_;
-    context_.view.Merge(digest, context_.now);
+    digest.base_sequence = known->base_sequence;
+  }
+  sent.sent_at = context_.now;
+  digest.sequence = ++digest_count_;
+  if (!is_load_only) {
+    digest.base_sequence = digest.sequence;
+    sent.refreshed_at = context_.now;
   }
+  context_.view.Merge(digest, context_.now);
 }
 
 void GroupKeeper::TakeInventory(const Inventory& inventory,
--- a/node/group_keeper.h
+++ b/node/group_keeper.h
@@ -57,6 +57,10 @@
   Json ToJson() const;
 
  private:
+  struct SentDigest {
+    TimePoint sent_at;
+    TimePoint refreshed_at;
+  };
   struct HeardBeat {
     FencingToken token = 0;
     uint64_t count = 0;
@@ -72,6 +76,7 @@
   bool HasUnreleasedPredecessor(const GroupOwnership& ownership) const;
   void DriveOwner(const std::string& group, EngineOwner& owner);
   void PublishDigests(EngineOwner& owner);
+  void PublishDigest(EngineDigest digest);
   void LogNotes(EngineOwner& owner);
   void UpdateStoreShare();
   void BorrowFromStore();
@@ -94,7 +99,7 @@
   TimePoint asked_store_at_;
   uint64_t grant_count_ = 0;
   TimePoint decided_at_;
-  std::map<std::string, TimePoint> digest_sent_at_;
+  std::map<std::string, SentDigest> digests_sent_;
 };
 
 }  // namespace applehall
--- a/node/messages.h
+++ b/node/messages.h
@@ -106,7 +106,8 @@
 using Event =
     std::variant<RequestArrived, CallerGone, AttemptStarted, AttemptEnded,
                  EngineAnswered, LogRead, LogFailed, AppendEnded, HostListRead,
-                 HostListConfirmed, CatalogueRead, PeerMessageReceived, DrainRequested, Tick>;
+                 HostListConfirmed, CatalogueRead, PeerMessageReceived,
+                 DrainRequested, Tick>;
 
 // ---- Actions: what a node wants done. ----
 
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -166,10 +166,10 @@
   }
   request.target = ChooseTarget(request);
   if (IsService(request) && !context_.hosts.OffersService(facts.service)) {
-    return NotRun(RefusalReason::kNoBackend,
-                  absl::StrCat("no backend server offers \"", facts.service,
-                               "\""),
-                  kRetrySoon);
+    return NotRun(
+        RefusalReason::kNoBackend,
+        absl::StrCat("no backend server offers \"", facts.service, "\""),
+        kRetrySoon);
   }
   if (!IsService(request) && !context_.catalogue.contains(request.target)) {
     if (context_.catalogue.empty()) {
--- a/routing/engine_digest.cc
+++ b/routing/engine_digest.cc
@@ -3,22 +3,39 @@
 namespace applehall {
 
 bool EngineDigest::SaysTheSame(const EngineDigest& other) const {
+  return DiffersOnlyInLoad(other) && running == other.running &&
+         queued == other.queued;
+}
+
+bool EngineDigest::DiffersOnlyInLoad(const EngineDigest& other) const {
   return engine == other.engine && address == other.address &&
          incarnation == other.incarnation && token == other.token &&
-         slots == other.slots && running == other.running &&
-         queued == other.queued && is_leaving == other.is_leaving &&
+         slots == other.slots && is_leaving == other.is_leaving &&
          ready == other.ready;
 }
 
 // Keys are single letters: digests are most of what a host sends.
 Json EngineDigest::ToJson() const {
-  Json json{{"e", engine},   {"a", address}, {"i", incarnation}, {"t", token},
-            {"s", sequence}, {"n", slots},   {"r", running},     {"m", ready}};
+  Json json{{"b", base_sequence}, {"e", engine},  {"a", address},
+            {"i", incarnation},   {"t", token},   {"s", sequence},
+            {"n", slots},         {"r", running}, {"m", ready}};
   if (queued != 0) json["q"] = queued;
   if (is_leaving) json["l"] = true;
   return json;
 }
 
+Json EngineDigest::LoadToJson() const {
+  Json json{{"b", base_sequence},
+            {"e", engine},
+            {"t", token},
+            {"s", sequence},
+            {"r", running}};
+  if (queued != 0) json["q"] = queued;
+  return json;
+}
+
+bool EngineDigest::IsLoadOnly(const Json& json) { return !json.contains("m"); }
+
 EngineDigest EngineDigest::FromJson(const Json& json) {
   EngineDigest digest;
   digest.engine = FieldOr<std::string>(json, "e", "");
@@ -26,6 +43,7 @@
   digest.incarnation = FieldOr<uint64_t>(json, "i", 0);
   digest.token = FieldOr<uint64_t>(json, "t", 0);
   digest.sequence = FieldOr<uint64_t>(json, "s", 0);
+  digest.base_sequence = FieldOr<uint64_t>(json, "b", 0);
   digest.slots = FieldOr<int>(json, "n", 0);
   digest.running = FieldOr<int>(json, "r", 0);
   digest.queued = FieldOr<int>(json, "q", 0);
--- a/routing/engine_digest.h
+++ b/routing/engine_digest.h
@@ -18,6 +18,8 @@
   uint64_t incarnation = 0;
   FencingToken token = 0;
   uint64_t sequence = 0;
+  // The sequence at which anything but the load last changed.
+  uint64_t base_sequence = 0;
   int slots = 0;
   int running = 0;
   int queued = 0;
@@ -30,7 +32,12 @@
   }
   // Equal but for its version: not worth sending again.
   bool SaysTheSame(const EngineDigest& other) const;
+  // Equal but for version and load.
+  bool DiffersOnlyInLoad(const EngineDigest& other) const;
   Json ToJson() const;
+  // Only the load, for a peer that has the rest: a third of the bytes.
+  Json LoadToJson() const;
+  static bool IsLoadOnly(const Json& json);
   static EngineDigest FromJson(const Json& json);
 };
 
--- a/routing/engine_view.cc
+++ b/routing/engine_view.cc
@@ -25,6 +25,23 @@
   return true;
 }
 
+bool EngineView::MergeLoad(const EngineDigest& digest, TimePoint now) {
+  const auto it = engines_.find(digest.engine);
+  if (it == engines_.end()) return false;
+  EngineEntry& entry = it->second;
+  if (entry.digest.token != digest.token ||
+      entry.digest.base_sequence != digest.base_sequence ||
+      !digest.IsNewerThan(entry.digest)) {
+    return false;
+  }
+  entry.digest.sequence = digest.sequence;
+  entry.digest.running = digest.running;
+  entry.digest.queued = digest.queued;
+  entry.heard_at = now;
+  entry.since_report = 0;
+  return true;
+}
+
 void EngineView::IndexTargets(const EngineDigest& before,
                               const EngineDigest& after) {
   if (before.ready == after.ready) return;
--- a/routing/engine_view.h
+++ b/routing/engine_view.h
@@ -29,6 +29,9 @@
   // Takes a digest; false if it is not newer than what is known. Not
   // thread-safe.
   bool Merge(const EngineDigest& digest, TimePoint now);
+  // Takes a load without the rest; false unless the rest it belongs to is
+  // known here. Not thread-safe.
+  bool MergeLoad(const EngineDigest& digest, TimePoint now);
   // No new work goes there from now on; the host list says it leaves or left.
   // Not thread-safe.
   void SetLeaving(const std::string& engine, bool leaving);
--- a/tests/drivers/http_test.cc
+++ b/tests/drivers/http_test.cc
@@ -146,8 +146,7 @@
   StartServer({});
   HttpCall call = Call("/x", "a");
   asio::io_context io;
-  asio::ip::tcp::acceptor closed(
-      io, {asio::ip::make_address("127.0.0.1"), 0});
+  asio::ip::tcp::acceptor closed(io, {asio::ip::make_address("127.0.0.1"), 0});
   call.address.port = closed.local_endpoint().port();
   closed.close();
   EXPECT_EQ(FetchBlocking(call).state, SendState::kNotSent);
--- a/tests/main/daemon_test.cc
+++ b/tests/main/daemon_test.cc
@@ -29,9 +29,8 @@
                 {"store_slot_bytes_per_second", 5e9},
                 {"host_list_lag_ms", 50}};
     for (const CatalogueEntry& entry : TestCatalogue(6)) {
-      config["models"].push_back({{"name", entry.name},
-                                  {"base", entry.base},
-                                  {"bytes", entry.bytes}});
+      config["models"].push_back(
+          {{"name", entry.name}, {"base", entry.base}, {"bytes", entry.bytes}});
     }
     for (const char* name : {"engine-1", "engine-2"}) {
       config["engines"].push_back({{"name", name},
@@ -205,9 +204,9 @@
       if (stream) {
         content = StreamContent(result.response.body);
       } else if (result.is_ok()) {
-        content = (*ParseJson(result.response.body))["choices"][0]["message"]
-                                                    ["content"]
-                                                        .get<std::string>();
+        content = (*ParseJson(
+            result.response.body))["choices"][0]["message"]["content"]
+                      .get<std::string>();
       }
       right += content == Expected(model, body);
     });
@@ -243,8 +242,8 @@
       ++arrived;
       const HttpResult result = ToHost("entry-1", kChat, body);
       if (result.response.status == 503) {
-        refused += result.response.body.find("\"not_run\"") !=
-                   std::string::npos;
+        refused +=
+            result.response.body.find("\"not_run\"") != std::string::npos;
       } else {
         whole += StreamContent(result.response.body) == Expected(model, body);
       }
@@ -254,8 +253,8 @@
   daemons_.at("entry-1")->Drain();
   daemons_.at("entry-1")->Drain();
   for (std::thread& caller : callers) caller.join();
-  EXPECT_EQ(whole + refused, 30) << whole << " whole, " << refused
-                                 << " refused as not run";
+  EXPECT_EQ(whole + refused, 30)
+      << whole << " whole, " << refused << " refused as not run";
 }
 
 // A kiosk repeats a door-open at the other host.
@@ -275,15 +274,14 @@
   PublishAndAwaitReady();
   std::ofstream(rules_path_) << TestRules("second").dump();
   Platform("/fault", Json{{"target", "log"}, {"kind", "duplicate"}});
-  EXPECT_EQ(PublishRulesFile(rules_path_, 1, platform_, "",
-                             OutputFormat::kJson),
-            CommandExit::kOk);
-  EXPECT_EQ(PublishRulesFile(rules_path_, 1, platform_, "",
-                             OutputFormat::kJson),
-            CommandExit::kFailed)
+  EXPECT_EQ(
+      PublishRulesFile(rules_path_, 1, platform_, "", OutputFormat::kJson),
+      CommandExit::kOk);
+  EXPECT_EQ(
+      PublishRulesFile(rules_path_, 1, platform_, "", OutputFormat::kJson),
+      CommandExit::kFailed)
       << "its base is no longer in force";
-  EXPECT_EQ(PublishRulesFile("/nowhere", 1, platform_, "",
-                             OutputFormat::kJson),
+  EXPECT_EQ(PublishRulesFile("/nowhere", 1, platform_, "", OutputFormat::kJson),
             CommandExit::kBadInput);
 }
 
@@ -321,9 +319,9 @@
   EXPECT_EQ(result.response.headers.at("x-request-id"), "my-request");
   const Address operators{"127.0.0.1",
                           daemons_.at("entry-1")->operators_port()};
-  const auto decisions = ParseJson(
-      Send(operators, "GET", "/decisions?request=my-request", "", {})
-          .response.body);
+  const auto decisions =
+      ParseJson(Send(operators, "GET", "/decisions?request=my-request", "", {})
+                    .response.body);
   ASSERT_EQ(decisions->size(), 1u);
   EXPECT_EQ((*decisions)[0]["rule"], "1/rest");
   EXPECT_EQ((*decisions)[0]["verdict"], "ran");
--- a/tests/routing/engine_view_test.cc
+++ b/tests/routing/engine_view_test.cc
@@ -66,6 +66,25 @@
   EXPECT_EQ(view.Choose("m", 0, kNow), nullptr);
 }
 
+// A peer sends only loads once it has sent the rest. A host that missed the
+// rest must not take a load for it.
+TEST(EngineViewTest, LoadAloneNeedsTheRestItBelongsTo) {
+  EngineView view(1);
+  EngineDigest load = Digest(0, 9, 5);
+  load.base_sequence = 4;
+  EXPECT_FALSE(view.MergeLoad(load, kNow));
+  EngineDigest whole = Digest(0, 1, 4);
+  whole.base_sequence = 4;
+  view.Merge(whole, kNow);
+  EXPECT_TRUE(view.MergeLoad(load, kNow));
+  EXPECT_EQ(view.Find("engine-0")->running, 9);
+  EXPECT_EQ(view.ReadyReplicas("m"), 1);
+  EXPECT_FALSE(view.MergeLoad(load, kNow)) << "doubled";
+  load.sequence = 9;
+  load.base_sequence = 8;
+  EXPECT_FALSE(view.MergeLoad(load, kNow)) << "another base";
+}
+
 TEST(EngineViewTest, FailingEngineIsLeftAloneAndTriedAgain) {
   EngineView view(1);
   view.Merge(Digest(0, 0), kNow);
