--- a/main/applehall_capacity.cc
+++ b/main/applehall_capacity.cc
@@ -136,6 +136,10 @@
   double Bytes(const std::string& name, double size) const {
     return ValueAt(slopes_.at(name), &Point::bytes, size);
   }
+  double ClaimRanges() const {
+    const double keys = kRequestsPerSecond * kClaimShare * kKeyWindow;
+    return std::ceil(Bytes("FoldClaim", keys) / kClaimRangeBytes);
+  }
   double Live(const char* key) const { return live_[key].get<double>(); }
 
   void Introduction() {
@@ -287,7 +291,6 @@
     row("memory", memory_, kMemoryLimit, "B");
     row("traffic", traffic_, kTrafficLimit, "B/s");
     const double keys = kRequestsPerSecond * kClaimShare * kKeyWindow;
-    const double ranges = std::ceil(Bytes("FoldClaim", keys) / 4e6);
     text_ << "\nMemory above the process itself is counted at 10,000 waiting "
              "requests on one node. Claims are not in the sums. With "
           << Number(100 * kClaimShare)
@@ -296,7 +299,8 @@
           << Number(Bytes("FoldClaim", keys))
           << "B, which no node may hold. What has to change: " << Number(ranges)
           << " claim streams by key range, each read only by the hosts that "
-             "write it, 4 MB a range. Today's two users have one stream, "
+             "write it, 4 MB a range, each with one writer that other hosts "
+             "send their claims to. Today's two users have one stream, "
              "which every host reads. Not built.\n\n"
           << "A chunk of a stream is data, not control. "
           << Number(kTokensPerSecond / kNodes)
@@ -319,7 +323,7 @@
     const double takeovers =
         kHostChangesPerDay / kDay * (kEngines / kEnginesPerGroup / kNodes) * 2;
     const double carry = kDataCentres * 2 / 600.0;
-    const double claims = kDataCentres / 0.1;
+    const double claims = ClaimRanges() / kClaimLinger;
     const double readers = kDataCentres * 2;
     text_ << "## The log\n\n| what | appends/s at the target | how |\n"
           << "|---|---|---|\n"
@@ -328,9 +332,11 @@
           << " | a claim and a release for each group of a changed host |\n"
           << "| carried state | " << Number(carry)
           << " | at most two hosts a data centre every 10 min |\n"
-          << "| claims | " << Number(claims)
-          << " at most | one batch every 100 ms for each of 26 writers, "
-             "whatever the rate (assumed; today's linger is 5 ms a host) |\n"
+          << "| claims | " << Number(claims) << " at most | one batch every "
+          << Number(kClaimLinger * 1000) << " ms for the writer of each of "
+          << Number(ClaimRanges())
+          << " key ranges, whatever the rate; not built, today each host "
+             "writes its own with a linger of 5 ms |\n"
           << "| sum | " << Number(rules + takeovers + carry + claims)
           << " | limit: several hundred, taken as " << Number(kLogLimit) << ": "
           << (rules + takeovers + carry + claims <= kLogLimit ? "fits"
