--- a/main/applehall_capacity.cc
+++ b/main/applehall_capacity.cc
@@ -39,6 +39,8 @@
 constexpr double kRefreshSeconds = 20;  // Between full digests.
 constexpr double kClaimShare = 0.01;    // Assumed: of all requests.
 constexpr double kKeyWindow = 1800;     // Seconds.
+constexpr double kClaimRangeBytes = 4e6;
+constexpr double kClaimLinger = 0.4;  // Seconds; what the log allows.
 
 struct Point {
   double size = 0;
@@ -297,7 +299,8 @@
           << " % of all requests not repeatable (assumed) and a window of "
           << Number(kKeyWindow) << " s, all keys take "
           << Number(Bytes("FoldClaim", keys))
-          << "B, which no node may hold. What has to change: " << Number(ranges)
+          << "B, which no node may hold. What has to change: "
+          << Number(ClaimRanges())
           << " claim streams by key range, each read only by the hosts that "
              "write it, 4 MB a range, each with one writer that other hosts "
              "send their claims to. Today's two users have one stream, "
