--- a/node/node.cc
+++ b/node/node.cc
@@ -69,7 +69,8 @@
 bool Node::IsReady() const {
   return context_.control.rules().current() != nullptr &&
          context_.hosts.is_known() && !context_.catalogue.empty() &&
-         !context_.is_draining;
+         !context_.is_draining &&
+         (flow_.has_read_claims() || context_.IsLogDown());
 }
 
 void Node::On(const EngineAnswered& event) {
--- a/node/node.h
+++ b/node/node.h
@@ -28,7 +28,8 @@
   // ---- Queries ----
 
   // True when callers may be sent here: a rule set is in force, the hosts are
-  // known and no drain has begun. Not thread-safe.
+  // known, the claims were read if the log can be, and no drain has begun. Not
+  // thread-safe.
   bool IsReady() const;
   // Whether the control stream should be read from the log by this host.
   bool WantsControlReads() const { return gossip_.IsControlReader(); }
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -42,6 +42,8 @@
 
   size_t open_requests() const { return requests_.size(); }
   size_t waiting() const;
+  // Requests that may not be repeated can be guarded.
+  bool has_read_claims() const { return claims_.fold().is_read(); }
   Json ToJson() const;
 
  private:
--- a/rules/rule_explainer.cc
+++ b/rules/rule_explainer.cc
@@ -67,7 +67,7 @@
   return absl::StrCat("When ", absl::StrJoin(parts, " and "));
 }
 
-std::string ExplainOutcome(const RuleOutcome& then) {
+std::string ExplainOutcome(const RuleOutcome& then, bool is_service) {
   if (then.refuse) return absl::StrCat("refuse: \"", *then.refuse, "\"");
   std::string text =
       then.models.empty()
@@ -86,8 +86,11 @@
                         : "let it wait",
                     " while the log is down");
   }
-  absl::StrAppend(&text, ", queue at most ", then.queue_limit, ", keep ",
-                  then.least_replicas, " to ", then.most_replicas, " replicas");
+  absl::StrAppend(&text, ", queue at most ", then.queue_limit);
+  if (!is_service) {
+    absl::StrAppend(&text, ", keep ", then.least_replicas, " to ",
+                    then.most_replicas, " replicas");
+  }
   if (then.keep_warm > Duration::zero()) {
     absl::StrAppend(&text, ", warm for ", Span(then.keep_warm));
   }
@@ -102,7 +105,8 @@
 
 std::string ExplainRule(const Rule& rule) {
   return absl::StrCat(rule.name, ": ", ExplainCondition(rule.when), ", ",
-                      ExplainOutcome(rule.then), ".");
+                      ExplainOutcome(rule.then, !rule.when.services.empty()),
+                      ".");
 }
 
 std::string ExplainRuleSet(const RuleSet& set) {
--- a/trial/trial_load.cc
+++ b/trial/trial_load.cc
@@ -26,6 +26,7 @@
 constexpr double kStreamShare = 0.5;
 constexpr double kBurstShare = 0.04;
 constexpr int kBurstSize = 6;
+constexpr size_t kMostModels = 12;
 
 std::string MessagesBody(const std::string& model, const std::string& prompt,
                          int tokens, bool stream) {
@@ -98,6 +99,8 @@
     for (size_t i = models_.size(); i > 1; --i) {
       std::swap(models_[i - 1], models_[random_.Below(i)]);
     }
+    // Few enough for the weight store to bring them to every data centre.
+    models_.resize(std::min(models_.size(), kMostModels));
     const Json hosts =
         CallJson(deployment_.platform(), "GET", "/hosts").value_or(Json());
     for (const Json& host : hosts["hosts"]) {
