One guard for attempts that cannot go on; a comment says what holds

Cause: two guards in a row refused alike, and a comment in LogWriter told of a hold-off that is not there. Change: one condition; the comment says that the fold ignores a second record.

--- a/node/log_writer.cc
+++ b/node/log_writer.cc
@@ -28,8 +28,8 @@
 }
 
 void LogWriter::Ended(const std::string& record_id) {
-  // The record itself is read back shortly; until then a repeat is held off
-  // for a moment longer by the reader's own progress, not by this table.
+  // A matter may be written again from here on, even before its record is read
+  // back; the fold judges a second one by its token and ignores it.
   std::erase_if(under_way_, [&](const auto& entry) {
     return entry.second.record_id == record_id;
   });
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -441,13 +441,10 @@
     Refuse(handle, failed);
     return;
   }
-  if (request.has_started && !request.may_resume) {
-    // The caller holds the start of one answer; another engine's would not
-    // continue it.
-    Refuse(handle, failed);
-    return;
-  }
-  if (request.attempt >= kMostAttempts) {
+  // With the start of one answer at the caller, another engine's would not
+  // continue it.
+  const bool cannot_continue = request.has_started && !request.may_resume;
+  if (cannot_continue || request.attempt >= kMostAttempts) {
     Refuse(handle, failed);
     return;
   }
