--- a/core/clock.h
+++ b/core/clock.h
@@ -1,6 +1,8 @@
 #ifndef APPLEHALL_CORE_CLOCK_H_
 #define APPLEHALL_CORE_CLOCK_H_
 
+#include <time.h>
+
 #include <chrono>
 #include <concepts>
 
@@ -17,24 +19,32 @@
   { clock.Now() } -> std::same_as<TimePoint>;
 };
 
-// Wall time at start plus steady time since, so it never steps back when the
-// machine's wall clock is corrected.
+// Wall time at start plus time since boot, so it never steps back when the
+// machine's wall clock is corrected. Time during which the machine was
+// suspended counts: the steady clock leaves it out, and a woken process would
+// believe in leases and deadlines that have long lapsed.
 class SystemClock {
  public:
   SystemClock()
       : wall_start_(std::chrono::system_clock::now()),
-        steady_start_(std::chrono::steady_clock::now()) {}
+        boot_start_(SinceBoot()) {}
 
   // Requires: nothing. Thread-safe.
   TimePoint Now() const {
     return std::chrono::time_point_cast<Duration>(wall_start_) +
-           std::chrono::duration_cast<Duration>(
-               std::chrono::steady_clock::now() - steady_start_);
+           std::chrono::duration_cast<Duration>(SinceBoot() - boot_start_);
   }
 
  private:
+  static std::chrono::nanoseconds SinceBoot() {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::seconds(time.tv_sec) +
+           std::chrono::nanoseconds(time.tv_nsec);
+  }
+
   std::chrono::system_clock::time_point wall_start_;
-  std::chrono::steady_clock::time_point steady_start_;
+  std::chrono::nanoseconds boot_start_;
 };
 
 // A clock that moves only when told. Use it in tests and measurements.
--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -19,6 +19,8 @@
   kControl,  // Records or a snapshot of the control stream.
   kStoreBorrow,
   kStoreGrant,
+  kFleetReport,  // To the placement owner: what waits, what runs where.
+  kFleetPlan,    // From the owner: what is ready where, answers to demands.
 };
 
 // One message between hosts. The body's fields depend on the type; fields a
--- a/drivers/caller_session.cc
+++ b/drivers/caller_session.cc
@@ -31,4 +31,9 @@
   co_return part;
 }
 
+asio::awaitable<void> CallerSession::PauseBackend(Duration duration) {
+  asio::steady_timer pause(io_, duration);
+  co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 }  // namespace applehall
--- a/drivers/caller_session.h
+++ b/drivers/caller_session.h
@@ -45,6 +45,9 @@
 
   // The next part; waits for it. Thread: the callers'.
   boost::asio::awaitable<ReplyPart> Next();
+  // Lets a slow caller catch up. Thread: the callers', which must be the
+  // backend's too.
+  boost::asio::awaitable<void> PauseBackend(Duration duration);
   // The caller is gone or has its answer. Thread: the callers'.
   void Close() { is_closed_ = true; }
 
@@ -53,6 +56,7 @@
   // Events of a stream that the caller holds; where a broken one goes on.
   // Thread: the backend's.
   int delivered_events = 0;
+  std::string last_event_id;
   bool has_begun = false;
 
  private:
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -8,6 +8,8 @@
 #include <deque>
 #include <map>
 
+#include "drivers/socket_options.h"
+
 namespace applehall {
 
 namespace asio = boost::asio;
@@ -23,6 +25,12 @@
 
 using StreamPtr = std::unique_ptr<beast::tcp_stream>;
 
+// Some servers do not say how long they keep an idle connection.
+constexpr Duration kUntoldIdle = std::chrono::seconds(1);
+// The part of the told time that is trusted: the server counts from another
+// moment, and its close must not cross a request.
+constexpr double kTrustedIdleShare = 0.5;
+
 bool IsStillOpen(beast::tcp_stream& stream) {
   char byte = 0;
   const auto size = ::recv(stream.socket().native_handle(), &byte, 1,
@@ -30,36 +38,65 @@
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// How long the connection may be idle and still be used again.
+Duration TrustedIdle(std::string_view keep_alive) {
+  const auto at = keep_alive.find("timeout=");
+  int seconds = 0;
+  if (at == std::string_view::npos ||
+      std::sscanf(std::string(keep_alive.substr(at + 8)).c_str(), "%d",
+                  &seconds) != 1) {
+    return kUntoldIdle;
+  }
+  return FromSeconds(seconds * kTrustedIdleShare);
+}
+
 class IdleConnections {
  public:
   StreamPtr Take(const std::string& address) {
-    std::deque<StreamPtr>& idle = idle_[address];
+    const auto now = std::chrono::steady_clock::now();
+    std::deque<Idle>& idle = idle_[address];
     while (!idle.empty()) {
-      StreamPtr stream = std::move(idle.back());
+      Idle last = std::move(idle.back());
       idle.pop_back();
-      if (IsStillOpen(*stream)) return stream;
+      if (last.use_until > now && IsStillOpen(*last.stream)) {
+        return std::move(last.stream);
+      }
     }
     return nullptr;
   }
-  void Give(const std::string& address, StreamPtr stream) {
-    std::deque<StreamPtr>& idle = idle_[address];
-    if (idle.size() < kMostIdlePerAddress) idle.push_back(std::move(stream));
+  void Give(const std::string& address, StreamPtr stream, Duration trusted) {
+    std::deque<Idle>& idle = idle_[address];
+    if (idle.size() >= kMostIdlePerAddress) return;
+    idle.push_back(
+        {std::move(stream), std::chrono::steady_clock::now() + trusted});
   }
 
  private:
-  std::map<std::string, std::deque<StreamPtr>> idle_;
+  struct Idle {
+    StreamPtr stream;
+    std::chrono::steady_clock::time_point use_until;
+  };
+  std::map<std::string, std::deque<Idle>> idle_;
 };
 
 class BeastStream : public HttpStream {
  public:
-  BeastStream(std::shared_ptr<IdleConnections> idle, std::string address)
-      : idle_(std::move(idle)), address_(std::move(address)) {
+  BeastStream(asio::io_context& io, std::shared_ptr<IdleConnections> idle,
+              HttpCall call)
+      : io_(io),
+        idle_(std::move(idle)),
+        call_(std::move(call)),
+        address_(call_.address.ToString()) {
     parser_.header_limit(kMostHeaderBytes);
     parser_.body_limit(boost::none);
   }
   ~BeastStream() override {
     if (is_whole_ && parser_.keep_alive() && buffer_.size() == 0 && stream_) {
-      idle_->Give(address_, std::move(stream_));
+      const auto keep_alive = head_.headers.find("keep-alive");
+      idle_->Give(
+          address_, std::move(stream_),
+          TrustedIdle(keep_alive == head_.headers.end() ? ""
+                                                        : keep_alive->second));
     }
   }
 
@@ -69,6 +106,7 @@
   std::string error() const override { return error_; }
   void Cancel() override {
     is_whole_ = false;
+    is_cancelled_ = true;
     if (stream_) stream_->close();
   }
 
@@ -91,12 +129,14 @@
     co_return piece;
   }
 
-  asio::awaitable<void> Run(asio::io_context& io, const HttpCall& call) {
+  asio::awaitable<void> Start() override {
+    const HttpCall& call = call_;
     if (!call.fresh_connection) stream_ = idle_->Take(address_);
     if (!stream_) {
-      const bool is_connected = co_await Connect(io, call);
+      const bool is_connected = co_await Connect(io_, call);
       if (!is_connected) co_return;
     }
+    if (is_cancelled_) co_return;
     const bool is_sent = co_await Send(call);
     if (!is_sent) co_return;
     co_await ReadHead(call);
@@ -115,6 +155,7 @@
     }
     error_code ignored;
     stream_->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    NoticeSilence(stream_->socket().native_handle());
     co_return true;
   }
 
@@ -156,7 +197,9 @@
     }
   }
 
+  asio::io_context& io_;
   std::shared_ptr<IdleConnections> idle_;
+  const HttpCall call_;
   std::string address_;
   StreamPtr stream_;
   beast::flat_buffer buffer_;
@@ -164,6 +207,7 @@
   SendState state_ = SendState::kNotSent;
   HttpResponse head_;
   bool is_whole_ = false;
+  bool is_cancelled_ = false;
   std::string error_;
 };
 
@@ -184,13 +228,15 @@
 
 asio::awaitable<std::shared_ptr<HttpStream>> HttpClient::Open(
     const HttpCall& call) {
-  const std::shared_ptr<Impl> impl = impl_;
-  auto stream =
-      std::make_shared<BeastStream>(impl->idle, call.address.ToString());
-  co_await stream->Run(impl->io, call);
+  const std::shared_ptr<HttpStream> stream = Prepare(call);
+  co_await stream->Start();
   co_return stream;
 }
 
+std::shared_ptr<HttpStream> HttpClient::Prepare(const HttpCall& call) {
+  return std::make_shared<BeastStream>(impl_->io, impl_->idle, call);
+}
+
 asio::awaitable<HttpResult> HttpClient::Fetch(const HttpCall& call) {
   const Duration timeout = call.header_timeout;
   const std::shared_ptr<HttpStream> stream = co_await Open(call);
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -20,6 +20,9 @@
  public:
   virtual ~HttpStream() = default;
 
+  // Connects if it must, sends the request and reads the answer's head.
+  // Requires: called once. Thread: the client's.
+  virtual boost::asio::awaitable<void> Start() = 0;
   virtual SendState state() const = 0;
   // Requires: state() is kAnswered.
   virtual const HttpResponse& head() const = 0;
@@ -28,7 +31,7 @@
   virtual boost::asio::awaitable<std::string> ReadSome(Duration timeout) = 0;
   // True if the body ended as the protocol says it must.
   virtual bool is_whole() const = 0;
-  // Ends the read under way and closes the connection. Thread: the client's.
+  // Ends what is under way and closes the connection. Thread: the client's.
   virtual void Cancel() = 0;
   virtual std::string error() const = 0;
 };
@@ -65,6 +68,9 @@
   explicit HttpClient(boost::asio::io_context& io);
   ~HttpClient();
 
+  // A call that is not begun yet, so that it can be cancelled at any time;
+  // never null. Thread: the one that runs `io`.
+  std::shared_ptr<HttpStream> Prepare(const HttpCall& call);
   // Sends and reads the head; the result is never null. Thread: the one that
   // runs `io`.
   boost::asio::awaitable<std::shared_ptr<HttpStream>> Open(
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -7,6 +7,8 @@
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
+#include "drivers/socket_options.h"
+
 namespace applehall {
 
 namespace asio = boost::asio;
@@ -77,10 +79,11 @@
 class BeastExchange : public HttpExchange {
  public:
   BeastExchange(beast::tcp_stream& stream, HttpRequest request, bool keep_alive,
-                const HttpServerLimits& limits)
+                const HttpServerLimits& limits, const bool& is_closing)
       : stream_(stream),
         request_(std::move(request)),
-        keep_alive_(keep_alive),
+        wants_keep_alive_(keep_alive),
+        is_closing_(is_closing),
         limits_(limits),
         watch_(std::make_shared<PeerWatch>()) {
     watch_->Start(stream_.socket());
@@ -97,6 +100,7 @@
     http::response<http::string_body> message{
         static_cast<http::status>(response.status), 11};
     for (const auto& [name, value] : response.headers) message.set(name, value);
+    keep_alive_ = wants_keep_alive_ && !is_closing_;
     message.keep_alive(keep_alive_);
     message.body() = std::move(response.body);
     message.prepare_payload();
@@ -114,6 +118,7 @@
                                              11};
     for (const auto& [name, value] : headers) message.set(name, value);
     message.chunked(true);
+    keep_alive_ = wants_keep_alive_ && !is_closing_;
     message.keep_alive(keep_alive_);
     http::response_serializer<http::empty_body> serializer{message};
     stream_.expires_after(limits_.write_timeout);
@@ -151,7 +156,9 @@
  private:
   beast::tcp_stream& stream_;
   HttpRequest request_;
-  bool keep_alive_;
+  bool wants_keep_alive_;
+  bool keep_alive_ = false;
+  const bool& is_closing_;
   const HttpServerLimits& limits_;
   std::shared_ptr<PeerWatch> watch_;
   bool is_ok_ = true;
@@ -183,6 +190,8 @@
 
   uint16_t port() const { return port_; }
   uint64_t refused() const { return refused_; }
+  void SetLimits(const HttpServerLimits& limits) { limits_ = limits; }
+  void CloseAfterAnswers() { is_closing_ = true; }
   void StopAccepting() {
     error_code ignored;
     acceptor_.close(ignored);
@@ -205,6 +214,7 @@
       }
       error_code ignored;
       socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      NoticeSilence(socket.native_handle());
       ++self->open_;
       asio::co_spawn(self->io_, Serve(self, std::move(socket)), asio::detached);
     }
@@ -244,19 +254,19 @@
       error = body_error;
     }
     if (error) {
-      co_await ExplainReadError(stream, limits, error);
+      co_await ExplainReadError(*self, stream, error);
       co_return false;
     }
     const bool keep_alive = parser.keep_alive();
     BeastExchange exchange(stream, FromBeast(parser.release()), keep_alive,
-                           limits);
+                           limits, self->is_closing_);
     stream.expires_never();
     co_await self->handler_(exchange);
     co_return exchange.can_go_on();
   }
 
-  static asio::awaitable<void> ExplainReadError(beast::tcp_stream& stream,
-                                                const HttpServerLimits& limits,
+  static asio::awaitable<void> ExplainReadError(const Impl& server,
+                                                beast::tcp_stream& stream,
                                                 error_code error) {
     HttpResponse answer;
     if (error == http::error::header_limit) {
@@ -271,7 +281,8 @@
     } else {
       answer = LimitRefusal(400, "malformed_http");
     }
-    BeastExchange exchange(stream, {}, /*keep_alive=*/false, limits);
+    BeastExchange exchange(stream, {}, /*keep_alive=*/false, server.limits_,
+                           server.is_closing_);
     co_await exchange.Respond(std::move(answer));
   }
 
@@ -279,6 +290,7 @@
   asio::ip::tcp::acceptor acceptor_;
   HttpHandler handler_;
   HttpServerLimits limits_;
+  bool is_closing_ = false;
   uint16_t port_;
   size_t open_ = 0;
   std::atomic<uint64_t> refused_{0};
@@ -292,6 +304,10 @@
 
 HttpServer::~HttpServer() { impl_->StopAccepting(); }
 uint16_t HttpServer::port() const { return impl_->port(); }
+void HttpServer::SetLimits(const HttpServerLimits& limits) {
+  impl_->SetLimits(limits);
+}
+void HttpServer::CloseAfterAnswers() { impl_->CloseAfterAnswers(); }
 void HttpServer::StopAccepting() { impl_->StopAccepting(); }
 uint64_t HttpServer::refused_connections() const { return impl_->refused(); }
 
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -61,6 +61,11 @@
 
   // The bound port. Thread-safe.
   uint16_t port() const;
+  // For requests read from now on. Thread: the server's.
+  void SetLimits(const HttpServerLimits& limits);
+  // Answers from now on ask the peer to close the connection. Thread: the
+  // server's.
+  void CloseAfterAnswers();
   // Takes no new connections; open ones go on. Requires: called on the
   // server's thread.
   void StopAccepting();
--- a/placement/engine_types.cc
+++ b/placement/engine_types.cc
@@ -8,9 +8,9 @@
 constexpr std::array<const char*, kCheckpointTiers> kTierNames = {
     "memory", "disk", "remote"};
 constexpr std::array<const char*, 3> kKindNames = {"load", "unload", "inspect"};
-constexpr std::array<const char*, 9> kResultNames = {
+constexpr std::array<const char*, 10> kResultNames = {
     "accepted", "done",    "stale_fence",   "wrong_incarnation", "no_memory",
-    "busy",     "no_base", "unknown_model", "load_failed"};
+    "busy",     "no_base", "unknown_model", "load_failed",       "unanswered"};
 
 template <typename Enum, size_t kSize>
 Enum FromName(const std::array<const char*, kSize>& names,
--- a/placement/engine_types.h
+++ b/placement/engine_types.h
@@ -2,6 +2,7 @@
 #define APPLEHALL_PLACEMENT_ENGINE_TYPES_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,9 @@
   std::string name;  // Model or adapter.
   std::string base;  // The model an adapter needs.
   uint64_t bytes = 0;
+  // Orders that the engine must have accepted before this one, no more and no
+  // less; where engines check it, an order that arrives late changes nothing.
+  std::optional<uint64_t> after_orders;
   // Must not be put on the wire later than this. Guards against a paused
   // process that sends what it decided long ago.
   TimePoint send_by;
@@ -69,6 +73,7 @@
   kNoBase,
   kUnknownModel,
   kLoadFailed,
+  kUnanswered,  // It may have been accepted, or may be carried out later.
 };
 const char* OrderResultName(OrderResult result);
 
@@ -88,6 +93,9 @@
   std::vector<Replica> replicas;
   std::map<std::string, OrderResult> results;   // Recent orders by id.
   std::map<std::string, CheckpointTier> tiers;  // Absent: remote.
+  // Only of engines that count orders.
+  uint64_t accepted_orders = 0;
+  bool is_busy = false;  // A model's load or unload is under way.
 
   Json ToJson(TimePoint now) const;
   static Inventory FromJson(const Json& json, TimePoint now);
--- /dev/null
+++ b/placement/fleet_planner.cc
@@ -0,0 +1,928 @@
+#include "placement/fleet_planner.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "core/hash.h"
+
+namespace applehall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Kept free on each engine, for adapters whose load is not known to have
+// failed or succeeded; the largest seen have 66 MB.
+constexpr uint64_t kMemoryMargin = 300'000'000;
+// By how much a report may lag behind the engine.
+constexpr Duration kReportLag = milliseconds(400);
+// Between reports while the end of an order is awaited.
+constexpr Duration kEndPoll = milliseconds(200);
+// A report that has not come by then was lost.
+constexpr Duration kReportTimeout = milliseconds(1500);
+// Without any order under way, reports only find what was missed.
+constexpr Duration kIdleReport = seconds(10);
+// An order that was never answered may be carried out this much later.
+constexpr Duration kLateOrders = seconds(15);
+constexpr Duration kSendWithin = milliseconds(500);
+// An unload of a model that nobody uses, as measured on loopback engines.
+constexpr Duration kUnloadTime = milliseconds(100);
+// What unloading a model with requests under way costs on top: their rest.
+constexpr double kBusyVictimSeconds = 3.0;
+// An adapter's load is not announced; 6 to 29 ms are usual, and a request
+// that comes too early is turned away unharmed.
+constexpr Duration kAdapterLoad = milliseconds(40);
+constexpr int kAdaptersAtOnce = 4;
+// A replica younger than this is not evicted: whoever asked for it has not
+// had time to use it.
+constexpr Duration kLeastResidency = seconds(2);
+// An engine is kept for the model its victim was unloaded for this long.
+constexpr Duration kReservation = seconds(3);
+// Loads at once that the weight store is taken to bring at full speed until
+// load times show otherwise.
+constexpr double kFirstStoreWidth = 4.0;
+// A load this much slower than told was slowed by the others beside it.
+constexpr double kSlowedLoad = 1.3;
+constexpr Duration kStoreWindow = seconds(5);
+// A model asked for this often has a second replica, so that the loss of an
+// engine does not stop it.
+constexpr double kBusyRate = 0.7;
+constexpr int kBusyReplicas = 2;
+// Requests under way for each slot of its engines beyond which a model gets
+// one more replica.
+constexpr double kBusyShare = 0.5;
+// How a loss of worth elsewhere weighs against a second of waiting: at this
+// weight a model that earns as much as waits is as good as 3 s away.
+constexpr double kLossWeight = 3.0;
+// The share of a lost model's worth that is really lost while other replicas
+// take its requests.
+constexpr double kReplicaLoss = 0.15;
+// Worth of a copy nobody has asked for yet.
+constexpr double kSeedWorth = 0.5;
+// Losing more than this a second is too much for a copy nobody waits for.
+constexpr double kMostSeedLoss = 4.0;
+// Sizes and load times by tier until the platform tells them.
+constexpr std::array<Duration, kCheckpointTiers> kAssumedLoadTimes = {
+    milliseconds(1300), milliseconds(2000), seconds(8)};
+
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+}  // namespace
+
+FleetPlanner::FleetPlanner(Incarnation self, FencingToken token, TimePoint now)
+    : self_(std::move(self)),
+      token_(token),
+      started_at_(now),
+      store_width_(kFirstStoreWidth) {}
+
+void FleetPlanner::SetCatalogue(
+    const std::map<std::string, CatalogueEntry>* catalogue,
+    const std::map<std::string, EngineClass>* classes) {
+  catalogue_ = catalogue;
+  classes_ = classes;
+}
+
+// ---- What is known ----
+
+const CatalogueEntry* FleetPlanner::EntryOf(const std::string& name) const {
+  if (catalogue_ == nullptr) return nullptr;
+  const auto it = catalogue_->find(name);
+  return it == catalogue_->end() ? nullptr : &it->second;
+}
+
+const EngineClass* FleetPlanner::ClassOf(const Engine& engine) const {
+  if (classes_ == nullptr) return nullptr;
+  const auto it = classes_->find(engine.listed.service);
+  return it == classes_->end() ? nullptr : &it->second;
+}
+
+uint64_t FleetPlanner::UsedBytes(const Engine& engine) const {
+  uint64_t bytes = kMemoryMargin;
+  for (const auto& [name, holding] : engine.holdings) bytes += holding.bytes;
+  return bytes;
+}
+
+CheckpointTier FleetPlanner::TierOn(const Engine& engine,
+                                    const std::string& model) const {
+  if (Contains(engine.listed.in_host_memory, model)) {
+    return CheckpointTier::kMemory;
+  }
+  if (Contains(engine.listed.on_disk, model)) return CheckpointTier::kDisk;
+  return CheckpointTier::kRemote;
+}
+
+Duration FleetPlanner::LoadTime(const CatalogueEntry& entry,
+                                CheckpointTier tier) const {
+  const auto index = static_cast<size_t>(tier);
+  const Duration told = entry.load_times[index];
+  return told > Duration::zero() ? told : kAssumedLoadTimes[index];
+}
+
+bool FleetPlanner::HasCopySomewhere(const std::string& model) const {
+  return std::any_of(engines_.begin(), engines_.end(), [&](const auto& item) {
+    const Engine& engine = item.second;
+    if (engine.listed.is_leaving) return false;
+    return engine.holdings.contains(model) ||
+           TierOn(engine, model) != CheckpointTier::kRemote;
+  });
+}
+
+FleetPlanner::Replicas FleetPlanner::CountOf(const std::string& model) const {
+  Replicas count;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.listed.is_leaving) continue;
+    const auto it = engine.holdings.find(model);
+    if (it == engine.holdings.end()) continue;
+    if (it->second.state == State::kReady) ++count.ready;
+    if (it->second.state == State::kLoading) ++count.loading;
+  }
+  return count;
+}
+
+int FleetPlanner::StoreLoads() const {
+  return static_cast<int>(
+      std::count_if(engines_.begin(), engines_.end(), [](const auto& item) {
+        const std::optional<OpenOrder>& order = item.second.model_order;
+        return order && order->kind == OrderKind::kLoad &&
+               order->tier == CheckpointTier::kRemote;
+      }));
+}
+
+bool FleetPlanner::StoreAllows(const Engine& engine, TimePoint now) const {
+  if (StoreLoads() >= static_cast<int>(store_width_)) return false;
+  const EngineClass* engine_class = ClassOf(engine);
+  if (engine_class == nullptr) return false;
+  const auto recent = std::count_if(
+      store_loads_begun_.begin(), store_loads_begun_.end(),
+      [now](TimePoint begun) { return now - begun < kStoreWindow; });
+  return static_cast<double>(recent) <
+         engine_class->store_loads_per_second * ToSeconds(kStoreWindow);
+}
+
+bool FleetPlanner::MayOrder(const Engine& engine) const {
+  return engine.is_known && !engine.is_rejecting && !engine.listed.is_leaving &&
+         !engine.call;
+}
+
+bool FleetPlanner::IsQuiet() const {
+  return std::none_of(engines_.begin(), engines_.end(), [](const auto& item) {
+    return item.second.call.has_value();
+  });
+}
+
+std::vector<std::string> FleetPlanner::ReadyOn(
+    const std::string& engine) const {
+  std::vector<std::string> ready;
+  const auto it = engines_.find(engine);
+  if (it == engines_.end()) return ready;
+  for (const auto& [name, holding] : it->second.holdings) {
+    if (holding.state != State::kReady) continue;
+    const auto base = it->second.holdings.find(holding.base);
+    const bool is_usable =
+        holding.base.empty() || (base != it->second.holdings.end() &&
+                                 base->second.state == State::kReady);
+    if (is_usable) ready.push_back(name);
+  }
+  return ready;
+}
+
+uint64_t FleetPlanner::VersionOf(const std::string& engine) const {
+  const auto it = engines_.find(engine);
+  return it == engines_.end() || !it->second.is_known ? 0 : it->second.version;
+}
+
+void FleetPlanner::Note(std::string event, const std::string& engine,
+                        const std::string& target, std::string reason,
+                        Duration took) {
+  notes_.push_back({std::move(event), engine, target, std::move(reason), took});
+}
+
+// ---- Listings and reports ----
+
+void FleetPlanner::SetServers(const EngineList& servers, TimePoint now) {
+  std::erase_if(engines_, [&](const auto& item) {
+    return !servers.contains(item.first);
+  });
+  for (const auto& [id, server] : servers) {
+    if (!server.is_engine) continue;
+    Engine& engine = engines_[id];
+    const bool was_leaving = engine.listed.is_leaving;
+    engine.listed = server;
+    if (was_leaving != server.is_leaving) ++engine.version;
+    if (!engine.is_known || !engine.model_order) continue;
+    // The listing follows an order's end faster than the next report.
+    const OpenOrder& order = *engine.model_order;
+    const bool is_listed = server.models.contains(order.name);
+    const bool is_done =
+        order.is_accepted && now - order.sent_at >= kReportLag &&
+        (order.kind == OrderKind::kLoad ? is_listed : !is_listed);
+    if (is_done) engine.report_at = std::min(engine.report_at, now);
+  }
+}
+
+void FleetPlanner::TakeReport(const HostReport& report, TimePoint now) {
+  usage_.Take(report, now);
+  for (const HostReport::Waiting& row : report.waiting) {
+    for (auto& [id, engine] : engines_) {
+      const auto it = engine.holdings.find(row.target);
+      if (it == engine.holdings.end() || row.count <= 0) continue;
+      // A host waits for what should be ready: it was turned away, or missed
+      // the plan. The engine is asked, and the plan is told again.
+      if (it->second.state != State::kReady ||
+          now - it->second.since < kReportLag) {
+        continue;
+      }
+      engine.report_at = std::min(engine.report_at, now);
+    }
+  }
+}
+
+void FleetPlanner::TakeInventory(const Inventory& inventory, TimePoint asked_at,
+                                 TimePoint now) {
+  const auto it = engines_.find(inventory.engine);
+  if (it == engines_.end()) return;
+  Engine& engine = it->second;
+  if (asked_at < engine.report_sent_at) return;  // Crossed by a later one.
+  engine.report_sent_at = TimePoint{};
+  engine.report_at = now + kIdleReport;
+  if (inventory.accepted_orders < engine.accepted_orders) {
+    // Written before the last order was accepted.
+    engine.report_at = now + kEndPoll;
+    return;
+  }
+  if (engine.call) {
+    engine.report_at = now + kEndPoll;
+    return;
+  }
+  const bool has_advanced = inventory.accepted_orders > engine.accepted_orders;
+  engine.accepted_orders = inventory.accepted_orders;
+  if (engine.model_order && engine.model_order->is_unanswered) {
+    OpenOrder& order = *engine.model_order;
+    if (has_advanced || inventory.is_busy) {
+      order.is_unanswered = false;
+      order.is_accepted = true;
+    } else if (asked_at - order.sent_at >= kReportLag) {
+      // Not accepted so far. The next order is decided on the same count, so
+      // of both at most one is carried out.
+      Note("order_lost", inventory.engine, order.name, "not accepted");
+      DropCall(engine, OpenOrder(order), now);
+    }
+  }
+  Adopt(engine, inventory, asked_at, now);
+  DropAbsent(engine, inventory, asked_at, now);
+  if (engine.model_order) {
+    OpenOrder& order = *engine.model_order;
+    const bool is_late_enough = asked_at - order.sent_at >= kReportLag;
+    if (order.is_accepted && !inventory.is_busy && is_late_enough) {
+      EndModelOrder(engine, now);
+    } else {
+      engine.report_at = std::max(order.expected_end, now + kEndPoll);
+    }
+  } else if (inventory.is_busy) {
+    // An order of an earlier owner; what it does is seen when it is done.
+    engine.report_at = now + kEndPoll;
+  }
+  engine.is_known = engine.is_known || !inventory.is_busy || engine.model_order;
+  ++engine.version;
+}
+
+void FleetPlanner::Adopt(Engine& engine, const Inventory& inventory,
+                         TimePoint asked_at, TimePoint now) {
+  for (const Replica& replica : inventory.replicas) {
+    const CatalogueEntry* entry = EntryOf(replica.name);
+    const auto [it, is_new] = engine.holdings.try_emplace(replica.name);
+    Holding& holding = it->second;
+    if (is_new) {
+      holding.base = replica.base;
+      holding.bytes = entry != nullptr ? entry->bytes : replica.bytes;
+      holding.state = replica.state == ReplicaState::kReady ? State::kReady
+                                                            : State::kLoading;
+      holding.since = now;
+      continue;
+    }
+    if (replica.state != ReplicaState::kReady) continue;
+    const bool is_model = holding.base.empty();
+    if (holding.state == State::kLoading) {
+      holding.state = State::kReady;
+      holding.since = now;
+      if (is_model && engine.model_order &&
+          engine.model_order->name == replica.name) {
+        EndModelOrder(engine, now);
+      }
+    } else if (holding.state == State::kUnloading && !inventory.is_busy &&
+               asked_at - holding.since >= kReportLag) {
+      // The unload never happened.
+      holding.state = State::kReady;
+      holding.since = now;
+    }
+  }
+}
+
+void FleetPlanner::DropAbsent(Engine& engine, const Inventory& inventory,
+                              TimePoint asked_at, TimePoint now) {
+  std::set<std::string> present;
+  for (const Replica& replica : inventory.replicas) {
+    present.insert(replica.name);
+  }
+  std::erase_if(engine.holdings, [&](const auto& item) {
+    const Holding& holding = item.second;
+    if (present.contains(item.first)) return false;
+    if (asked_at - holding.since < kReportLag) return false;
+    const bool is_awaited = engine.model_order &&
+                            engine.model_order->name == item.first &&
+                            holding.state == State::kLoading;
+    if (is_awaited && (inventory.is_busy || !engine.model_order->is_accepted)) {
+      return false;
+    }
+    if (is_awaited) Note("load_failed", engine.listed.id, item.first, "absent");
+    return true;
+  });
+  // Adapters leave with their model.
+  std::erase_if(engine.holdings, [&](const auto& item) {
+    return !item.second.base.empty() &&
+           !engine.holdings.contains(item.second.base);
+  });
+  std::erase_if(engine.stray_adapters,
+                [now](TimePoint until) { return until < now; });
+}
+
+void FleetPlanner::EndModelOrder(Engine& engine, TimePoint now) {
+  const OpenOrder order = *engine.model_order;
+  engine.model_order.reset();
+  const auto it = engine.holdings.find(order.name);
+  const Duration took = now - order.sent_at;
+  if (order.kind == OrderKind::kUnload) {
+    Note("unloaded", engine.listed.id, order.name, "", took);
+    return;
+  }
+  if (it == engine.holdings.end()) return;
+  if (it->second.state == State::kReady) {
+    Note("load_ready", engine.listed.id, order.name, TierName(order.tier),
+         took);
+    LearnStoreWidth(order, now);
+  }
+}
+
+// The store slows every load beyond those it brings at full speed, in
+// proportion; from how slow one was and how many there were follows its width.
+void FleetPlanner::LearnStoreWidth(const OpenOrder& order, TimePoint now) {
+  if (order.tier != CheckpointTier::kRemote) return;
+  const CatalogueEntry* entry = EntryOf(order.name);
+  if (entry == nullptr) return;
+  const double ratio =
+      ToSeconds(now - order.sent_at) / ToSeconds(LoadTime(*entry, order.tier));
+  if (ratio < kSlowedLoad) return;
+  const double width = std::max(
+      1.0, std::round(static_cast<double>(order.store_loads_at_start) / ratio));
+  store_width_ = std::min(store_width_, width);
+}
+
+// ---- Orders and their answers ----
+
+void FleetPlanner::SendOrder(Engine& engine, OrderKind kind,
+                             const CatalogueEntry& entry, CheckpointTier tier,
+                             const std::string& reason, TimePoint now,
+                             std::vector<OrderToSend>& orders) {
+  const bool is_model = entry.base.empty();
+  EngineOrder order;
+  order.id = absl::StrCat(self_.host, ".", self_.number, ".", token_, ".",
+                          ++last_order_);
+  order.kind = kind;
+  order.fence = {token_, ++last_sequence_};
+  order.name = entry.name;
+  order.base = entry.base;
+  order.bytes = entry.bytes;
+  order.send_by = now + kSendWithin;
+  if (is_model) order.after_orders = engine.accepted_orders;
+
+  OpenOrder open;
+  open.id = order.id;
+  open.kind = kind;
+  open.name = entry.name;
+  open.tier = tier;
+  open.sent_at = now;
+  Holding& holding = engine.holdings[entry.name];
+  if (kind == OrderKind::kLoad) {
+    holding = {State::kLoading, entry.base, entry.bytes, now};
+    open.expected_end = now + (is_model ? LoadTime(entry, tier) : kAdapterLoad);
+    if (is_model && tier == CheckpointTier::kRemote) {
+      store_loads_begun_.push_back(now);
+      while (now - store_loads_begun_.front() > kStoreWindow) {
+        store_loads_begun_.pop_front();
+      }
+      open.store_loads_at_start = StoreLoads() + 1;
+    }
+  } else {
+    holding.state = State::kUnloading;
+    holding.since = now;
+    open.expected_end = now + kUnloadTime;
+  }
+  engine.call = open;
+  if (is_model) engine.model_order = open;
+  ++engine.version;
+  Note(kind == OrderKind::kLoad ? "load_ordered" : "unload_ordered",
+       engine.listed.id, entry.name, reason);
+  orders.push_back({engine.listed.id, engine.listed.address, std::move(order)});
+}
+
+void FleetPlanner::Accept(Engine& engine, const OpenOrder& call,
+                          TimePoint now) {
+  ++engine.accepted_orders;
+  if (engine.model_order && engine.model_order->id == call.id) {
+    engine.model_order->is_accepted = true;
+    engine.report_at = call.expected_end;
+    return;
+  }
+  const auto it = engine.holdings.find(call.name);
+  if (it == engine.holdings.end()) return;
+  if (call.kind == OrderKind::kUnload) {
+    engine.holdings.erase(it);
+  }
+  ++engine.version;
+  (void)now;
+}
+
+void FleetPlanner::DropCall(Engine& engine, const OpenOrder& call,
+                            TimePoint now) {
+  if (engine.model_order && engine.model_order->id == call.id) {
+    engine.model_order.reset();
+  }
+  const auto it = engine.holdings.find(call.name);
+  if (it == engine.holdings.end()) return;
+  if (call.kind == OrderKind::kLoad) {
+    engine.holdings.erase(it);
+  } else {
+    it->second.state = State::kReady;
+    it->second.since = now;
+  }
+  ++engine.version;
+}
+
+void FleetPlanner::TakeOrderResult(const std::string& engine_id,
+                                   const std::string& order_id,
+                                   OrderResult result, TimePoint now) {
+  const auto it = engines_.find(engine_id);
+  if (it == engines_.end()) return;
+  Engine& engine = it->second;
+  if (!engine.call || engine.call->id != order_id) return;
+  const OpenOrder call = *engine.call;
+  engine.call.reset();
+  const bool is_model =
+      engine.model_order && engine.model_order->id == order_id;
+  if (result != OrderResult::kAccepted) {
+    Note("order_answered", engine_id, call.name, OrderResultName(result));
+  }
+  switch (result) {
+    case OrderResult::kAccepted:
+      Accept(engine, call, now);
+      return;
+    case OrderResult::kDone:
+      // Nothing had to be done, or it is done already; whether the engine
+      // counts it, its next report says.
+      if (is_model) {
+        engine.model_order->is_accepted = true;
+      } else if (call.kind == OrderKind::kUnload) {
+        engine.holdings.erase(call.name);
+      } else if (const auto holding = engine.holdings.find(call.name);
+                 holding != engine.holdings.end()) {
+        holding->second.state = State::kReady;
+        holding->second.since = now;
+      }
+      ++engine.version;
+      engine.is_known = false;
+      engine.report_at = now + kReportLag;
+      return;
+    case OrderResult::kUnanswered:
+      if (is_model) {
+        engine.model_order->is_unanswered = true;
+      } else {
+        DropCall(engine, call, now);
+        engine.stray_adapters.push_back(now + kLateOrders);
+      }
+      engine.report_at = now + kReportLag;
+      return;
+    case OrderResult::kStaleFence:
+      is_superseded_ = true;
+      DropCall(engine, call, now);
+      return;
+    case OrderResult::kWrongIncarnation:
+      engine.is_rejecting = true;
+      DropCall(engine, call, now);
+      return;
+    default:
+      // Refused: the count differs, or another order is under way.
+      DropCall(engine, call, now);
+      engine.is_known = false;
+      engine.report_at = now + kReportLag;
+      return;
+  }
+}
+
+void FleetPlanner::AskForReports(TimePoint now,
+                                 std::vector<OrderToSend>& orders) {
+  for (auto& [id, engine] : engines_) {
+    // Adapter loads end unannounced.
+    for (auto& [name, holding] : engine.holdings) {
+      if (holding.base.empty() || holding.state != State::kLoading) continue;
+      if (engine.call && engine.call->name == name) continue;
+      if (now - holding.since < kAdapterLoad) continue;
+      holding.state = State::kReady;
+      holding.since = now;
+      ++engine.version;
+    }
+    if (engine.report_at > now || engine.is_rejecting) continue;
+    const bool is_under_way = engine.report_sent_at != TimePoint{} &&
+                              now - engine.report_sent_at < kReportTimeout;
+    if (is_under_way) continue;
+    engine.report_sent_at = now;
+    engine.report_at = now + kReportTimeout;
+    EngineOrder order;
+    order.id = absl::StrCat("report.", ++last_order_);
+    order.kind = OrderKind::kInspect;
+    order.fence = {token_, 0};
+    order.send_by = now + kSendWithin;
+    orders.push_back({id, engine.listed.address, std::move(order)});
+  }
+}
+
+// ---- Decisions ----
+
+// Worth a second that is lost while `model` is missing on `engine`.
+double FleetPlanner::LossOf(const Engine& engine, const std::string& model,
+                            TimePoint now) const {
+  double worth = usage_.WorthRate(model, now);
+  for (const auto& [name, holding] : engine.holdings) {
+    if (holding.base == model) worth += usage_.WorthRate(name, now);
+  }
+  const Replicas count = CountOf(model);
+  double rate = usage_.Rate(model, now);
+  const int others = count.ready - 1;
+  if (others <= 0) return worth;
+  // The last but one replica of a busy model is what keeps it up when an
+  // engine fails.
+  const bool is_spare = others >= kBusyReplicas || rate < kBusyRate;
+  return worth * (is_spare ? kReplicaLoss / 3 : kReplicaLoss);
+}
+
+// The models whose loss costs least, until `needed` bytes are free; empty if
+// there are not enough.
+std::vector<std::string> FleetPlanner::ChooseVictims(const Engine& engine,
+                                                     uint64_t needed,
+                                                     TimePoint now) const {
+  struct Candidate {
+    std::string name;
+    uint64_t bytes = 0;
+    double loss = 0;
+  };
+  std::vector<Candidate> candidates;
+  for (const auto& [name, holding] : engine.holdings) {
+    if (!holding.base.empty() || holding.state != State::kReady) continue;
+    if (now - holding.since < kLeastResidency) continue;
+    if (usage_.IsWaitedFor(name)) continue;
+    double loss = LossOf(engine, name, now);
+    if (usage_.RunningOn(engine.listed.id, name) > 0) {
+      loss += kBusyVictimSeconds;
+    }
+    candidates.push_back({name, holding.bytes, loss});
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return std::pair(a.loss, a.name) < std::pair(b.loss, b.name);
+            });
+  std::vector<std::string> victims;
+  uint64_t freed = 0;
+  for (const Candidate& candidate : candidates) {
+    if (freed >= needed) break;
+    freed += candidate.bytes;
+    victims.push_back(candidate.name);
+  }
+  if (freed < needed) victims.clear();
+  return victims;
+}
+
+std::optional<FleetPlanner::Option> FleetPlanner::OptionOn(
+    Engine& engine, const CatalogueEntry& entry, double worth, TimePoint now) {
+  const EngineClass* engine_class = ClassOf(engine);
+  if (engine_class == nullptr || engine.listed.service != entry.service) {
+    return std::nullopt;
+  }
+  if (!engine.is_known || engine.is_rejecting || engine.listed.is_leaving ||
+      engine.holdings.contains(entry.name)) {
+    return std::nullopt;
+  }
+  const bool is_reserved = engine.reserved_until > now &&
+                           engine.reserved_for != entry.name &&
+                           !engine.reserved_for.empty();
+  if (is_reserved) return std::nullopt;
+  Option option;
+  option.engine = &engine;
+  option.tier = TierOn(engine, entry.name);
+  uint64_t used = UsedBytes(engine);
+  Duration ready_in{0};
+  if (engine.model_order) {
+    const OpenOrder& open = *engine.model_order;
+    ready_in = std::max<Duration>(kEndPoll, open.expected_end - now);
+    if (open.kind == OrderKind::kUnload) {
+      used -= engine.holdings[open.name].bytes;
+    }
+  }
+  if (entry.bytes + kMemoryMargin > engine_class->memory_bytes) {
+    return std::nullopt;
+  }
+  double loss = 0;
+  if (used + entry.bytes > engine_class->memory_bytes) {
+    const uint64_t needed = used + entry.bytes - engine_class->memory_bytes;
+    option.victims = ChooseVictims(engine, needed, now);
+    if (option.victims.empty()) return std::nullopt;
+    for (const std::string& victim : option.victims) {
+      loss += LossOf(engine, victim, now);
+      ready_in += kUnloadTime;
+      if (usage_.RunningOn(engine.listed.id, victim) > 0) {
+        ready_in += FromSeconds(kBusyVictimSeconds);
+      }
+    }
+  }
+  ready_in += LoadTime(entry, option.tier);
+  option.ready_in = ready_in;
+  option.cost = ToSeconds(ready_in) + kLossWeight * loss / (worth + 1.0);
+  return option;
+}
+
+std::optional<FleetPlanner::Option> FleetPlanner::BestOption(
+    const CatalogueEntry& entry, double worth, bool at_once_only,
+    TimePoint now) {
+  std::optional<Option> best;
+  for (auto& [id, engine] : engines_) {
+    if (at_once_only && (engine.model_order || !MayOrder(engine))) continue;
+    std::optional<Option> option = OptionOn(engine, entry, worth, now);
+    if (!option) continue;
+    if (!best || option->cost < best->cost) best = std::move(option);
+  }
+  return best;
+}
+
+bool FleetPlanner::PlaceModel(const CatalogueEntry& entry, double worth,
+                              const std::string& reason, bool at_once_only,
+                              TimePoint now, std::vector<OrderToSend>& orders) {
+  const std::optional<Option> option =
+      BestOption(entry, worth, at_once_only, now);
+  if (!option) return false;
+  Engine& engine = *option->engine;
+  if (!MayOrder(engine) || engine.model_order) {
+    // Waiting for this engine is quicker than any other way.
+    if (!at_once_only) {
+      engine.reserved_for = entry.name;
+      engine.reserved_until = now + kEndPoll;
+    }
+    return false;
+  }
+  if (option->tier == CheckpointTier::kRemote && !StoreAllows(engine, now)) {
+    return false;
+  }
+  engine.reserved_for = entry.name;
+  engine.reserved_until = now + kReservation;
+  if (!option->victims.empty()) {
+    const CatalogueEntry* victim = EntryOf(option->victims.front());
+    CatalogueEntry unknown;
+    unknown.name = option->victims.front();
+    SendOrder(engine, OrderKind::kUnload, victim ? *victim : unknown,
+              option->tier, absl::StrCat("room for ", entry.name), now, orders);
+    return true;
+  }
+  engine.reserved_for.clear();
+  SendOrder(engine, OrderKind::kLoad, entry, option->tier, reason, now, orders);
+  return true;
+}
+
+int FleetPlanner::AdapterSlotsTaken(const Engine& engine, TimePoint now) const {
+  const auto held =
+      std::count_if(engine.holdings.begin(), engine.holdings.end(),
+                    [](const auto& item) { return !item.second.base.empty(); });
+  // Loads that an earlier owner ordered and that were never answered may
+  // still be carried out.
+  const int strays = static_cast<int>(engine.stray_adapters.size()) +
+                     (now - started_at_ < kLateOrders ? 1 : 0);
+  return static_cast<int>(held) + strays;
+}
+
+// Unloads the adapter that was asked for least, if one may go.
+bool FleetPlanner::MakeAdapterRoom(Engine& engine, TimePoint now,
+                                   std::vector<OrderToSend>& orders) {
+  std::string victim;
+  double least = 0;
+  for (const auto& [name, holding] : engine.holdings) {
+    if (holding.base.empty() || holding.state != State::kReady) continue;
+    if (usage_.IsWaitedFor(name) || now - holding.since < kReportLag) continue;
+    if (usage_.RunningOn(engine.listed.id, name) > 0) continue;
+    const double worth = usage_.WorthRate(name, now);
+    if (!victim.empty() && worth >= least) continue;
+    victim = name;
+    least = worth;
+  }
+  const CatalogueEntry* entry = EntryOf(victim);
+  if (entry == nullptr) return false;
+  SendOrder(engine, OrderKind::kUnload, *entry, CheckpointTier::kMemory,
+            "adapter room", now, orders);
+  return true;
+}
+
+void FleetPlanner::PlaceAdapter(const CatalogueEntry& entry, double worth,
+                                TimePoint now,
+                                std::vector<OrderToSend>& orders) {
+  Engine* best = nullptr;
+  uint64_t best_rank = 0;
+  bool has_base = false;
+  for (auto& [id, engine] : engines_) {
+    if (engine.listed.is_leaving || engine.is_rejecting) continue;
+    const auto base = engine.holdings.find(entry.base);
+    if (base == engine.holdings.end()) continue;
+    has_base = has_base || base->second.state != State::kUnloading;
+    if (base->second.state != State::kReady) continue;
+    // One engine of the base's takes an adapter as long as it can, so that
+    // its requests meet it there again.
+    const uint64_t rank = StableHash(absl::StrCat(entry.name, "|", id));
+    if (best != nullptr && rank >= best_rank) continue;
+    best = &engine;
+    best_rank = rank;
+  }
+  if (!has_base) {
+    const CatalogueEntry* base = EntryOf(entry.base);
+    if (base != nullptr) {
+      PlaceModel(*base, worth, absl::StrCat("for ", entry.name), false, now,
+                 orders);
+    }
+    return;
+  }
+  if (best == nullptr || !MayOrder(*best)) return;
+  const auto loading = std::count_if(
+      best->holdings.begin(), best->holdings.end(), [](const auto& item) {
+        return !item.second.base.empty() &&
+               item.second.state == State::kLoading;
+      });
+  if (loading >= kAdaptersAtOnce) return;
+  const EngineClass* engine_class = ClassOf(*best);
+  if (engine_class == nullptr) return;
+  if (AdapterSlotsTaken(*best, now) >= engine_class->adapter_slots) {
+    MakeAdapterRoom(*best, now, orders);
+    return;
+  }
+  if (UsedBytes(*best) + entry.bytes >
+      engine_class->memory_bytes + kMemoryMargin / 2) {
+    return;
+  }
+  SendOrder(*best, OrderKind::kLoad, entry, CheckpointTier::kMemory,
+            "requests wait", now, orders);
+}
+
+void FleetPlanner::ServeWaiting(TimePoint now,
+                                std::vector<OrderToSend>& orders) {
+  for (const UsageTable::Demand& demand : usage_.Waiting()) {
+    const CatalogueEntry* entry = EntryOf(demand.target);
+    if (entry == nullptr) continue;
+    const Replicas count = CountOf(demand.target);
+    if (count.ready + count.loading > 0) continue;
+    if (!entry->base.empty()) {
+      PlaceAdapter(*entry, demand.worth, now, orders);
+      continue;
+    }
+    PlaceModel(*entry, demand.worth,
+               absl::StrCat(demand.waiting, " waiting, worth ", demand.worth),
+               false, now, orders);
+  }
+}
+
+void FleetPlanner::ReplicateBusy(TimePoint now,
+                                 std::vector<OrderToSend>& orders) {
+  // Requests for adapters run on the base's replicas.
+  std::map<std::string, std::pair<double, double>> rates;  // Rate and worth.
+  std::map<std::string, int> running;
+  for (const std::string& target : usage_.Targets()) {
+    const CatalogueEntry* entry = EntryOf(target);
+    if (entry == nullptr) continue;
+    const std::string& model = entry->base.empty() ? entry->name : entry->base;
+    rates[model].first += usage_.Rate(target, now);
+    rates[model].second += usage_.WorthRate(target, now);
+    running[model] += usage_.Running(target);
+  }
+  for (const auto& [model, rate] : rates) {
+    if (rate.first < kBusyRate) continue;
+    const CatalogueEntry* entry = EntryOf(model);
+    const Replicas count = CountOf(model);
+    int slots = 0;
+    for (const auto& [id, engine] : engines_) {
+      const auto it = engine.holdings.find(model);
+      if (it != engine.holdings.end()) slots += engine.listed.slots;
+    }
+    int desired = kBusyReplicas;
+    if (running[model] > kBusyShare * slots) {
+      desired = std::max(desired, count.ready + 1);
+    }
+    if (entry == nullptr || count.loading > 0 || count.ready >= desired) {
+      continue;
+    }
+    PlaceModel(*entry, rate.second * kReplicaLoss, "busy", true, now, orders);
+  }
+}
+
+// Brings models that no engine has at hand from the store ahead of their first
+// request: a later load from memory or disk takes a fifth of the time. The
+// store's pipe is kept full but never fuller, as more loads at once only slow
+// each other.
+void FleetPlanner::SeedCopies(TimePoint now, std::vector<OrderToSend>& orders) {
+  if (catalogue_ == nullptr) return;
+  const int most = std::min(static_cast<int>(store_width_),
+                            static_cast<int>(engines_.size() + 1) / 2);
+  for (const auto& [name, entry] : *catalogue_) {
+    if (StoreLoads() >= most) return;
+    if (!entry.base.empty() || entry.service.empty()) continue;
+    if (HasCopySomewhere(name)) continue;
+    const std::optional<Option> option =
+        BestOption(entry, kSeedWorth, true, now);
+    if (!option) continue;
+    double loss = 0;
+    for (const std::string& victim : option->victims) {
+      loss += LossOf(*option->engine, victim, now);
+    }
+    if (loss > kMostSeedLoss) continue;
+    PlaceModel(entry, kSeedWorth, "no copy at hand", true, now, orders);
+  }
+}
+
+void FleetPlanner::Decide(bool may_order, TimePoint now,
+                          std::vector<OrderToSend>& orders) {
+  usage_.Expire(now);
+  AskForReports(now, orders);
+  if (!may_order || is_superseded_) return;
+  ServeWaiting(now, orders);
+  ReplicateBusy(now, orders);
+  SeedCopies(now, orders);
+}
+
+DemandAnswer FleetPlanner::Answer(const std::string& target,
+                                  TimePoint now) const {
+  DemandAnswer answer{target, "", DemandStatus::kNoPlace, Duration{0}};
+  const CatalogueEntry* entry = EntryOf(target);
+  if (entry == nullptr) return answer;
+  const Replicas count = CountOf(target);
+  if (count.ready > 0) {
+    answer.status = DemandStatus::kReady;
+    return answer;
+  }
+  bool has_engine = false;
+  CheckpointTier tier = CheckpointTier::kRemote;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.listed.service != entry->service) continue;
+    if (engine.listed.is_leaving || engine.is_rejecting) continue;
+    has_engine = true;
+    tier = std::min(tier, TierOn(engine, target));
+    const auto it = engine.holdings.find(target);
+    if (it == engine.holdings.end() || it->second.state != State::kLoading) {
+      continue;
+    }
+    answer.status = DemandStatus::kLoading;
+    if (engine.model_order && engine.model_order->name == target) {
+      answer.expected =
+          std::max(Duration{0}, engine.model_order->expected_end - now);
+    }
+    return answer;
+  }
+  if (!has_engine) return answer;
+  answer.status = DemandStatus::kQueued;
+  answer.expected = entry->base.empty() ? LoadTime(*entry, tier) : kAdapterLoad;
+  return answer;
+}
+
+Json FleetPlanner::ToJson(TimePoint now) const {
+  Json json{{"token", token_},
+            {"superseded", is_superseded_},
+            {"store_width", store_width_},
+            {"store_loads", StoreLoads()},
+            {"engines", Json::object()}};
+  for (const auto& [id, engine] : engines_) {
+    Json item{{"known", engine.is_known},
+              {"rejecting", engine.is_rejecting},
+              {"accepted_orders", engine.accepted_orders},
+              {"used_bytes", UsedBytes(engine)},
+              {"holdings", Json::object()}};
+    if (engine.model_order) {
+      item["order"] =
+          Json{{"name", engine.model_order->name},
+               {"age_ms", ToMillis(now - engine.model_order->sent_at)},
+               {"accepted", engine.model_order->is_accepted}};
+    }
+    for (const auto& [name, holding] : engine.holdings) {
+      item["holdings"][name] = holding.state == State::kReady     ? "ready"
+                               : holding.state == State::kLoading ? "loading"
+                                                                  : "unloading";
+    }
+    json["engines"][id] = std::move(item);
+  }
+  return json;
+}
+
+}  // namespace applehall
--- /dev/null
+++ b/placement/fleet_planner.h
@@ -0,0 +1,178 @@
+#ifndef APPLEHALL_PLACEMENT_FLEET_PLANNER_H_
+#define APPLEHALL_PLACEMENT_FLEET_PLANNER_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "membership/engine_list.h"
+#include "placement/demand.h"
+#include "placement/engine_owner.h"
+#include "placement/usage_table.h"
+#include "rules/rule_checker.h"
+
+namespace applehall {
+
+// Decides what all listed engines load and unload, while this host holds the
+// lease for them.
+//
+// For engines that carry out one model order at a time and count the orders
+// they accepted. Each model order names the count it was decided on, so an
+// order that is carried out late, or twice, changes nothing once another one
+// was accepted: what the planner counts as held is never less than what the
+// engine holds. Memory is reserved before an order is sent and is free again
+// only when a report, asked for after the order ended, says so.
+class FleetPlanner {
+ public:
+  // `token` and `self` make order ids unique.
+  FleetPlanner(Incarnation self, FencingToken token, TimePoint now);
+
+  // Both must outlive the planner. Not thread-safe.
+  void SetCatalogue(const std::map<std::string, CatalogueEntry>* catalogue,
+                    const std::map<std::string, EngineClass>* classes);
+  // Engines that are not listed any more are forgotten. Not thread-safe.
+  void SetServers(const EngineList& servers, TimePoint now);
+  // What one host has waiting and running. Not thread-safe.
+  void TakeReport(const HostReport& report, TimePoint now);
+  // An engine's report, and its answer to an order. Not thread-safe.
+  void TakeInventory(const Inventory& inventory, TimePoint asked_at,
+                     TimePoint now);
+  void TakeOrderResult(const std::string& engine, const std::string& order_id,
+                       OrderResult result, TimePoint now);
+  // Emits the reports that are due and, if `may_order`, the orders decided
+  // now. Not thread-safe.
+  void Decide(bool may_order, TimePoint now, std::vector<OrderToSend>& orders);
+
+  // How a demand for `target` stands. Not thread-safe.
+  DemandAnswer Answer(const std::string& target, TimePoint now) const;
+  // What requests may be sent to `engine` for; its version grows with each
+  // change. Not thread-safe.
+  std::vector<std::string> ReadyOn(const std::string& engine) const;
+  uint64_t VersionOf(const std::string& engine) const;
+  // An engine has seen a higher token than this planner's.
+  bool is_superseded() const { return is_superseded_; }
+  // No order awaits its answer.
+  bool IsQuiet() const;
+  FencingToken token() const { return token_; }
+  // Takes what happened since the last call. Not thread-safe.
+  std::vector<PlacementNote> TakeNotes() { return std::exchange(notes_, {}); }
+  Json ToJson(TimePoint now) const;
+
+ private:
+  enum class State : uint8_t { kLoading, kReady, kUnloading };
+  struct Holding {
+    State state = State::kReady;
+    std::string base;
+    uint64_t bytes = 0;
+    TimePoint since;  // Of the state.
+  };
+  struct OpenOrder {
+    std::string id;
+    OrderKind kind = OrderKind::kLoad;
+    std::string name;
+    CheckpointTier tier = CheckpointTier::kMemory;
+    TimePoint sent_at;
+    TimePoint expected_end;
+    bool is_accepted = false;
+    bool is_unanswered = false;
+    int store_loads_at_start = 0;
+  };
+  struct Engine {
+    ListedServer listed;
+    bool is_known = false;      // Its count of orders and its holdings are.
+    bool is_rejecting = false;  // It is not the incarnation that is listed.
+    uint64_t accepted_orders = 0;
+    std::map<std::string, Holding> holdings;
+    std::optional<OpenOrder> model_order;
+    // The one call that awaits its answer, of either kind of order.
+    std::optional<OpenOrder> call;
+    TimePoint report_at;       // When to ask for the next report.
+    TimePoint report_sent_at;  // Of the report under way; epoch if none.
+    std::string reserved_for;
+    TimePoint reserved_until;
+    uint64_t version = 1;
+    // Adapter loads without an answer may still happen until then.
+    std::deque<TimePoint> stray_adapters;
+  };
+  // A way to bring a model onto one engine.
+  struct Option {
+    Engine* engine = nullptr;
+    CheckpointTier tier = CheckpointTier::kRemote;
+    std::vector<std::string> victims;
+    double cost = 0;
+    Duration ready_in{0};
+  };
+
+  const CatalogueEntry* EntryOf(const std::string& name) const;
+  const EngineClass* ClassOf(const Engine& engine) const;
+  uint64_t UsedBytes(const Engine& engine) const;
+  CheckpointTier TierOn(const Engine& engine, const std::string& model) const;
+  Duration LoadTime(const CatalogueEntry& entry, CheckpointTier tier) const;
+  bool HasCopySomewhere(const std::string& model) const;
+  struct Replicas {
+    int ready = 0;
+    int loading = 0;
+  };
+  Replicas CountOf(const std::string& model) const;
+  int StoreLoads() const;
+  bool StoreAllows(const Engine& engine, TimePoint now) const;
+
+  double LossOf(const Engine& engine, const std::string& model,
+                TimePoint now) const;
+  std::vector<std::string> ChooseVictims(const Engine& engine, uint64_t needed,
+                                         TimePoint now) const;
+  std::optional<Option> OptionOn(Engine& engine, const CatalogueEntry& entry,
+                                 double worth, TimePoint now);
+  std::optional<Option> BestOption(const CatalogueEntry& entry, double worth,
+                                   bool at_once_only, TimePoint now);
+  // True if an order was given, or the model is worth waiting for.
+  bool PlaceModel(const CatalogueEntry& entry, double worth,
+                  const std::string& reason, bool at_once_only, TimePoint now,
+                  std::vector<OrderToSend>& orders);
+  void PlaceAdapter(const CatalogueEntry& entry, double worth, TimePoint now,
+                    std::vector<OrderToSend>& orders);
+  bool MakeAdapterRoom(Engine& engine, TimePoint now,
+                       std::vector<OrderToSend>& orders);
+  int AdapterSlotsTaken(const Engine& engine, TimePoint now) const;
+  void ServeWaiting(TimePoint now, std::vector<OrderToSend>& orders);
+  void ReplicateBusy(TimePoint now, std::vector<OrderToSend>& orders);
+  void SeedCopies(TimePoint now, std::vector<OrderToSend>& orders);
+  bool MayOrder(const Engine& engine) const;
+
+  void SendOrder(Engine& engine, OrderKind kind, const CatalogueEntry& entry,
+                 CheckpointTier tier, const std::string& reason, TimePoint now,
+                 std::vector<OrderToSend>& orders);
+  void AskForReports(TimePoint now, std::vector<OrderToSend>& orders);
+  void Accept(Engine& engine, const OpenOrder& call, TimePoint now);
+  void DropCall(Engine& engine, const OpenOrder& call, TimePoint now);
+  void EndModelOrder(Engine& engine, TimePoint now);
+  void Adopt(Engine& engine, const Inventory& inventory, TimePoint asked_at,
+             TimePoint now);
+  void DropAbsent(Engine& engine, const Inventory& inventory,
+                  TimePoint asked_at, TimePoint now);
+  void LearnStoreWidth(const OpenOrder& order, TimePoint now);
+  void Note(std::string event, const std::string& engine,
+            const std::string& target, std::string reason,
+            Duration took = Duration{0});
+
+  Incarnation self_;
+  FencingToken token_;
+  TimePoint started_at_;
+  const std::map<std::string, CatalogueEntry>* catalogue_ = nullptr;
+  const std::map<std::string, EngineClass>* classes_ = nullptr;
+  std::map<std::string, Engine> engines_;
+  UsageTable usage_;
+  uint64_t last_order_ = 0;
+  uint64_t last_sequence_ = 0;
+  std::deque<TimePoint> store_loads_begun_;
+  double store_width_;
+  bool is_superseded_ = false;
+  std::vector<PlacementNote> notes_;
+};
+
+}  // namespace applehall
+
+#endif  // APPLEHALL_PLACEMENT_FLEET_PLANNER_H_
--- a/routing/engine_digest.h
+++ b/routing/engine_digest.h
@@ -15,6 +15,8 @@
 struct EngineDigest {
   std::string engine;
   std::string address;
+  // Empty where all engines of the view are equally near.
+  std::string data_centre = {};
   uint64_t incarnation = 0;
   FencingToken token = 0;
   uint64_t sequence = 0;
--- a/routing/engine_view.cc
+++ b/routing/engine_view.cc
@@ -10,6 +10,9 @@
 // The engine a prefix points to is left for another when it is this much
 // busier; past that a cold prefix costs less than the wait.
 constexpr double kAffinitySlack = 0.25;
+// An engine of another data centre is taken when one of the own is busier by
+// this share of its slots: the way there costs a few ms and traffic.
+constexpr double kDistanceSlack = 0.2;
 
 }  // namespace
 
@@ -93,7 +96,9 @@
 }
 
 const EngineDigest* EngineView::Choose(const std::string& target,
-                                       uint64_t prefix_hash, TimePoint now) {
+                                       uint64_t prefix_hash,
+                                       const Preference& preference,
+                                       TimePoint now) {
   const auto found = by_target_.find(target);
   if (found == by_target_.end()) return nullptr;
   const Ring& ring = found->second;
@@ -101,12 +106,29 @@
   const auto start = static_cast<size_t>(
       std::lower_bound(ring.begin(), ring.end(), RingPoint{first_hash, ""}) -
       ring.begin());
+  const auto is_wanted = [&](const EngineEntry& entry) {
+    return MayTake(entry, now) && entry.digest.engine != preference.avoid;
+  };
+  const auto distance = [&](const EngineEntry& entry) {
+    const bool is_far = !preference.data_centre.empty() &&
+                        entry.digest.data_centre != preference.data_centre;
+    return is_far ? kDistanceSlack : 0.0;
+  };
   const EngineEntry* preferred = nullptr;
   size_t position = start;
   for (size_t i = 0; i < ring.size() && preferred == nullptr; ++i) {
     position = (start + i) % ring.size();
     const EngineEntry& entry = engines_.at(ring[position].engine);
-    if (MayTake(entry, now)) preferred = &entry;
+    if (is_wanted(entry)) preferred = &entry;
+  }
+  // Without a prefix to meet again, a near engine comes first.
+  for (size_t i = 0; i < ring.size() && prefix_hash == 0; ++i) {
+    const size_t near = (start + i) % ring.size();
+    const EngineEntry& entry = engines_.at(ring[near].engine);
+    if (!is_wanted(entry) || distance(entry) > 0) continue;
+    preferred = &entry;
+    position = near;
+    break;
   }
   if (preferred == nullptr) return nullptr;
   if (ring.size() == 1) return &preferred->digest;
@@ -114,16 +136,19 @@
   const size_t other =
       (position + 1 + random_.Below(ring.size() - 1)) % ring.size();
   const EngineEntry& rival = engines_.at(ring[other].engine);
-  if (!MayTake(rival, now)) return &preferred->digest;
+  if (!is_wanted(rival)) return &preferred->digest;
   const double slack = prefix_hash != 0 ? kAffinitySlack : 0.0;
-  return Load(rival) + slack < Load(*preferred) ? &rival.digest
-                                                : &preferred->digest;
+  const double rival_cost = Load(rival) + distance(rival) + slack;
+  const double preferred_cost = Load(*preferred) + distance(*preferred);
+  return rival_cost < preferred_cost ? &rival.digest : &preferred->digest;
 }
 
-void EngineView::BeginRequest(const std::string& engine) {
+void EngineView::BeginRequest(const std::string& engine,
+                              const std::string& target) {
   const auto it = engines_.find(engine);
   if (it == engines_.end()) return;
   ++it->second.in_flight;
+  ++it->second.in_flight_by_target[target];
   ++it->second.since_report;
   it->second.breaker.Begin();
 }
@@ -135,6 +160,10 @@
   if (it == engines_.end()) return;
   EngineEntry& entry = it->second;
   entry.in_flight = std::max(0, entry.in_flight - 1);
+  const auto running = entry.in_flight_by_target.find(target);
+  if (running != entry.in_flight_by_target.end() && --running->second <= 0) {
+    entry.in_flight_by_target.erase(running);
+  }
   entry.since_report = std::max(0, entry.since_report - 1);
   switch (end) {
     case RequestEnd::kOk:
@@ -180,6 +209,16 @@
   return it == engines_.end() ? 0 : it->second.in_flight;
 }
 
+std::vector<EngineView::Running> EngineView::RunningRequests() const {
+  std::vector<Running> running;
+  for (const auto& [name, entry] : engines_) {
+    for (const auto& [target, count] : entry.in_flight_by_target) {
+      running.push_back({name, target, count});
+    }
+  }
+  return running;
+}
+
 std::vector<const EngineDigest*> EngineView::All() const {
   std::vector<const EngineDigest*> all;
   all.reserve(engines_.size());
--- a/routing/engine_view.h
+++ b/routing/engine_view.h
@@ -40,9 +40,18 @@
   // An engine that is ready for `target` and may take one more; null if none.
   // `prefix_hash` zero means no affinity. Not thread-safe.
   const EngineDigest* Choose(const std::string& target, uint64_t prefix_hash,
-                             TimePoint now);
+                             TimePoint now) {
+    return Choose(target, prefix_hash, {}, now);
+  }
+  // What speaks for or against engines beside their load.
+  struct Preference {
+    std::string avoid;        // An engine that failed this request already.
+    std::string data_centre;  // Others are further away.
+  };
+  const EngineDigest* Choose(const std::string& target, uint64_t prefix_hash,
+                             const Preference& preference, TimePoint now);
   // A request goes to / ended at `engine`. Not thread-safe.
-  void BeginRequest(const std::string& engine);
+  void BeginRequest(const std::string& engine, const std::string& target = "");
   enum class RequestEnd : uint8_t { kOk, kFull, kFailed, kModelAbsent, kOther };
   void EndRequest(const std::string& engine, const std::string& target,
                   RequestEnd end, TimePoint now);
@@ -51,6 +60,13 @@
   int ReadyReplicas(const std::string& target) const;
   const EngineDigest* Find(const std::string& engine) const;
   int InFlight(const std::string& engine) const;
+  // Requests under way, by engine and target. Not thread-safe.
+  struct Running {
+    std::string engine;
+    std::string target;
+    int count = 0;
+  };
+  std::vector<Running> RunningRequests() const;
   std::vector<const EngineDigest*> All() const;
   std::vector<std::string> ReadyTargets() const;
   // Grows whenever what is ready somewhere changes.
@@ -62,6 +78,7 @@
     EngineDigest digest;
     TimePoint heard_at;
     int in_flight = 0;
+    std::map<std::string, int> in_flight_by_target = {};
     // Of `in_flight`, those begun after the last report: not in it yet.
     int since_report = 0;
     bool is_leaving = false;
--- a/rules/rule.h
+++ b/rules/rule.h
@@ -66,6 +66,12 @@
 
 enum class WhileLogDown : uint8_t { kRefuse, kWait };
 
+// A share of requests that goes to one of several services.
+struct ServiceShare {
+  std::string service;
+  double weight = 1.0;
+};
+
 // The "then" of a rule.
 struct RuleOutcome {
   std::vector<std::string> models;  // In order of preference.
@@ -82,6 +88,18 @@
   int most_replicas = 1;
   std::vector<std::string> data_centres;  // Empty allows all.
   WhileLogDown while_log_down = WhileLogDown::kRefuse;
+  // Whose backend servers take the request; empty leaves that to the request.
+  std::vector<ServiceShare> services;
+  // Time to the first piece of an answer that its caller hopes for; zero if
+  // the rule says nothing.
+  Duration target_latency{0};
+  // Rank at an engine, 0 first; negative leaves it to the engine.
+  int priority = -1;
+  // A broken stream may go on at another engine after its last event.
+  bool resumable = false;
+  // Whether a request that may not be repeated must claim its key on the log.
+  // Needless where each attempt reaches one host only.
+  bool needs_claim = true;
 
   // A request with minutes to spare fills only what is idle.
   bool is_background() const;
--- a/rules/rule_explainer.cc
+++ b/rules/rule_explainer.cc
@@ -79,6 +79,8 @@
                   then.worth);
   if (then.repeatable) {
     absl::StrAppend(&text, ", at most ", then.retries, " retries");
+  } else if (!then.needs_claim) {
+    absl::StrAppend(&text, ", at most once");
   } else {
     absl::StrAppend(&text, ", at most once, and ",
                     then.while_log_down == WhileLogDown::kRefuse
@@ -94,6 +96,20 @@
   if (then.keep_warm > Duration::zero()) {
     absl::StrAppend(&text, ", warm for ", Span(then.keep_warm));
   }
+  if (!then.services.empty()) {
+    absl::StrAppend(
+        &text, ", at service ",
+        absl::StrJoin(then.services, " or ",
+                      [](std::string* out, const ServiceShare& share) {
+                        absl::StrAppend(out, share.service, " (weight ",
+                                        share.weight, ")");
+                      }));
+  }
+  if (then.target_latency > Duration::zero()) {
+    absl::StrAppend(&text, ", hoped for within ", Span(then.target_latency));
+  }
+  if (then.priority >= 0) absl::StrAppend(&text, ", priority ", then.priority);
+  if (then.resumable) absl::StrAppend(&text, ", resumed where it broke");
   if (!then.data_centres.empty()) {
     absl::StrAppend(&text, ", only in ",
                     absl::StrJoin(then.data_centres, ", "));
--- a/rules/rule_set_parser.cc
+++ b/rules/rule_set_parser.cc
@@ -15,6 +15,7 @@
 constexpr int64_t kMostMillis = 24LL * 3600 * 1000;
 constexpr int64_t kMostCount = 1'000'000;
 constexpr double kMostWorth = 1'000'000.0;
+constexpr int64_t kMostPriority = 100;
 
 // Reads the fields of one object of a rule; keeps every fault as a finding.
 class FieldReader {
@@ -202,6 +203,31 @@
   return WhileLogDown::kRefuse;
 }
 
+std::vector<ServiceShare> ParseServices(FieldReader& reader,
+                                        const std::string& rule,
+                                        std::vector<Finding>& findings) {
+  std::vector<ServiceShare> shares;
+  const Json* list = reader.Find("services");
+  if (list == nullptr) return shares;
+  if (!list->is_array()) {
+    reader.Fault("services", "a list of objects");
+    return shares;
+  }
+  for (const Json& item : *list) {
+    if (!item.is_object()) {
+      reader.Fault("services", "a list of objects");
+      continue;
+    }
+    FieldReader share(item, rule, "then.services.", findings);
+    ServiceShare parsed;
+    parsed.service = share.Text("name", true);
+    parsed.weight = share.Number("weight", 1.0, 0.0, kMostWorth);
+    share.RejectUnknown();
+    shares.push_back(std::move(parsed));
+  }
+  return shares;
+}
+
 RuleOutcome ParseOutcome(const Json& json, const std::string& rule,
                          std::vector<Finding>& findings) {
   FieldReader reader(json, rule, "then.", findings);
@@ -226,6 +252,13 @@
       reader.Integer("most_replicas", then.most_replicas, 0, kMostCount));
   then.data_centres = reader.Texts("data_centres");
   then.while_log_down = ParseWhileLogDown(reader);
+  then.services = ParseServices(reader, rule, findings);
+  then.target_latency = std::chrono::milliseconds(
+      reader.Integer("target_latency_ms", 0, 0, kMostMillis));
+  then.priority =
+      static_cast<int>(reader.Integer("priority", -1, 0, kMostPriority));
+  then.resumable = reader.Flag("resumable").value_or(false);
+  then.needs_claim = reader.Flag("claim").value_or(true);
   reader.RejectUnknown();
   if (then.least_replicas > then.most_replicas) {
     reader.Fault(
