--- a/node/node.cc
+++ b/node/node.cc
@@ -300,6 +300,10 @@
   if (!context_.is_draining || is_drained_) return;
   const Duration took = context_.now - context_.drain_began;
   const bool is_over = took >= context_.settings.drain_bound;
+  if (IsFleet()) {
+    const Duration bound = context_.settings.drain_bound;
+    if (took >= bound * 2 / 3) flow_.RefuseOpen(/*with_sent=*/is_over);
+  }
   const bool is_released =
       IsFleet() ? fleet_.IsReleased() : !groups_.HoldsAny();
   const bool is_done = flow_.open_requests() == 0 && is_released &&
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -17,6 +17,8 @@
 constexpr Duration kAnswerLife = std::chrono::seconds(2);
 // Retry-After for a request that waits for the log or for rules.
 constexpr Duration kRetrySoon = std::chrono::seconds(1);
+// Another host can take the request at once.
+constexpr Duration kRetryElsewhere = std::chrono::milliseconds(100);
 // Background work leaves this share of an engine to others.
 constexpr double kBackgroundShare = 0.5;
 constexpr double kServiceTimeSmoothing = 0.2;
@@ -691,6 +693,26 @@
   PumpEngine(backend);
 }
 
+// A caller whose connection closes without an answer cannot know whether its
+// request ran; one that is refused can go to another host.
+void RequestFlow::RefuseOpen(bool with_sent) {
+  std::vector<RequestHandle> open;
+  for (const auto& [handle, request] : requests_) open.push_back(handle);
+  std::sort(open.begin(), open.end());
+  for (const RequestHandle handle : open) {
+    const Request& request = *requests_.at(handle);
+    if (request.phase != Phase::kSent) {
+      Refuse(handle, NotRun(RefusalReason::kDraining,
+                            "this host is being replaced", kRetryElsewhere));
+      continue;
+    }
+    if (!with_sent || request.has_started) continue;
+    context_.Emit(CancelAttempt{handle, request.attempt});
+    Refuse(handle, {Verdict::kMayHaveRun, RefusalReason::kDraining,
+                    "this host is being replaced", Duration{0}});
+  }
+}
+
 // ---- Claims ----
 
 void RequestFlow::TakeClaims(const LogBatch& batch) {
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -39,6 +39,10 @@
   // Deadlines, backoffs, demands, claims and whatever capacity there is. Not
   // thread-safe.
   void RunTick();
+  // Answers what waits: this host goes before it could be served. With
+  // `with_sent`, also what was sent and has not begun to be answered. Not
+  // thread-safe.
+  void RefuseOpen(bool with_sent);
   // Dispatches what waits for what became ready. Not thread-safe.
   void PumpAll();
 
