Placement keeps what is asked for: busy models, adapters, ends of orders

Ruled out: queueing at engines (busiest ran 17 of 64 slots). Change: a report that counts an order is proof of its end; no adapter orders to busy engines and a cost for blocking them; nothing is unloaded that earns more a second than what it makes room for is worth.

--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -19,8 +19,10 @@
 constexpr uint64_t kMemoryMargin = 300'000'000;
 // By how much a report may lag behind the engine.
 constexpr Duration kReportLag = milliseconds(400);
-// Between reports while the end of an order is awaited.
-constexpr Duration kEndPoll = milliseconds(200);
+// Between reports while the end of an order is awaited. A model whose load is
+// noticed late keeps its requests waiting that long; reports lag by 100 ms.
+constexpr Duration kEndPoll = milliseconds(60);
+constexpr Duration kFirstEndPoll = milliseconds(100);
 // A report that has not come by then was lost.
 constexpr Duration kReportTimeout = milliseconds(1500);
 // Without any order under way, reports only find what was missed.
@@ -29,7 +31,7 @@
 constexpr Duration kLateOrders = seconds(15);
 constexpr Duration kSendWithin = milliseconds(500);
 // An unload of a model that nobody uses, as measured on loopback engines.
-constexpr Duration kUnloadTime = milliseconds(100);
+constexpr Duration kUnloadTime = milliseconds(60);
 // What unloading a model with requests under way costs on top: their rest.
 constexpr double kBusyVictimSeconds = 3.0;
 // An adapter's load is not announced; 6 to 29 ms are usual, and a request
@@ -39,6 +41,8 @@
 // A replica younger than this is not evicted: whoever asked for it has not
 // had time to use it.
 constexpr Duration kLeastResidency = seconds(2);
+// Orders victims of equal worth by age; too little to outweigh a request.
+constexpr double kAgeShare = 0.0001;
 // An engine is kept for the model its victim was unloaded for this long.
 constexpr Duration kReservation = seconds(3);
 // Loads at once that the weight store is taken to bring at full speed until
@@ -57,13 +61,16 @@
 // How a loss of worth elsewhere weighs against a second of waiting: at this
 // weight a model that earns as much as waits is as good as 3 s away.
 constexpr double kLossWeight = 3.0;
-// The share of a lost model's worth that is really lost while other replicas
-// take its requests.
-constexpr double kReplicaLoss = 0.15;
-// Worth of a copy nobody has asked for yet.
-constexpr double kSeedWorth = 0.5;
-// Losing more than this a second is too much for a copy nobody waits for.
-constexpr double kMostSeedLoss = 4.0;
+// The share of a model's worth that counts as lost with one replica while others
+// take its requests: of a busy model's last two, and of any further one. With a
+// lower first share the last but one replica of busy models came and went every
+// few seconds, and a third of their requests met a model that was not ready.
+constexpr double kReplicaLoss = 0.5;
+constexpr double kSpareLoss = 0.05;
+// A busy model's second replica earns this share of its worth a second.
+constexpr double kReplicaWorth = 0.15;
+// Worth of a copy nobody has asked for yet: about one request's.
+constexpr double kSeedWorth = 3.0;
 // Sizes and load times by tier until the platform tells them.
 constexpr std::array<Duration, kCheckpointTiers> kAssumedLoadTimes = {
     milliseconds(1300), milliseconds(2000), seconds(8)};
@@ -277,8 +284,9 @@
   DropAbsent(engine, inventory, asked_at, now);
   if (engine.model_order) {
     OpenOrder& order = *engine.model_order;
-    const bool is_late_enough = asked_at - order.sent_at >= kReportLag;
-    if (order.is_accepted && !inventory.is_busy && is_late_enough) {
+    // The report counts the order (an older one was put aside above), so it
+    // was written after the order was accepted, however much it lags.
+    if (order.is_accepted && !inventory.is_busy) {
       EndModelOrder(engine, now);
     } else {
       engine.report_at = std::max(order.expected_end, now + kEndPoll);
@@ -332,7 +340,10 @@
   std::erase_if(engine.holdings, [&](const auto& item) {
     const Holding& holding = item.second;
     if (present.contains(item.first)) return false;
-    if (asked_at - holding.since < kReportLag) return false;
+    const bool is_over = engine.model_order &&
+                         engine.model_order->name == item.first &&
+                         engine.model_order->is_accepted && !inventory.is_busy;
+    if (!is_over && asked_at - holding.since < kReportLag) return false;
     const bool is_awaited = engine.model_order &&
                             engine.model_order->name == item.first &&
                             holding.state == State::kLoading;
@@ -435,7 +446,7 @@
   ++engine.accepted_orders;
   if (engine.model_order && engine.model_order->id == call.id) {
     engine.model_order->is_accepted = true;
-    engine.report_at = call.expected_end;
+    engine.report_at = call.expected_end + kFirstEndPoll;
     return;
   }
   const auto it = engine.holdings.find(call.name);
@@ -559,14 +570,12 @@
   for (const auto& [name, holding] : engine.holdings) {
     if (holding.base == model) worth += usage_.WorthRate(name, now);
   }
-  const Replicas count = CountOf(model);
-  double rate = usage_.Rate(model, now);
-  const int others = count.ready - 1;
+  const int others = CountOf(model).ready - 1;
+  const auto busy = busy_.find(model);
+  const double rate = busy == busy_.end() ? 0 : busy->second.rate;
   if (others <= 0) return worth;
-  // The last but one replica of a busy model is what keeps it up when an
-  // engine fails.
-  const bool is_spare = others >= kBusyReplicas || rate < kBusyRate;
-  return worth * (is_spare ? kReplicaLoss / 3 : kReplicaLoss);
+  if (others >= kBusyReplicas || rate < kBusyRate) return worth * kSpareLoss;
+  return worth * kReplicaLoss;
 }
 
 // The models whose loss costs least, until `needed` bytes are free; empty if
@@ -585,6 +594,8 @@
     if (now - holding.since < kLeastResidency) continue;
     if (usage_.IsWaitedFor(name)) continue;
     double loss = LossOf(engine, name, now);
+    // Of equals, the one that has been there longest.
+    loss -= kAgeShare * ToSeconds(now - holding.since);
     if (usage_.RunningOn(engine.listed.id, name) > 0) {
       loss += kBusyVictimSeconds;
     }
@@ -648,6 +659,10 @@
     }
   }
   ready_in += LoadTime(entry, option.tier);
+  loss += BlockedAdapterLoss(engine, ready_in);
+  // Nothing is unloaded that earns more a second than what it makes room for
+  // is worth in all: demand that has moved on would push out what is asked for.
+  if (loss > worth) return std::nullopt;
   option.ready_in = ready_in;
   option.cost = ToSeconds(ready_in) + kLossWeight * loss / (worth + 1.0);
   return option;
@@ -746,6 +761,8 @@
     // One engine of the base's takes an adapter as long as it can, so that
     // its requests meet it there again.
     const uint64_t rank = StableHash(absl::StrCat(entry.name, "|", id));
+    // An engine takes no adapter while it loads or unloads a model.
+    if (engine.model_order) continue;
     if (best != nullptr && rank >= best_rank) continue;
     best = &engine;
     best_rank = rank;
@@ -796,21 +813,41 @@
   }
 }
 
-void FleetPlanner::ReplicateBusy(TimePoint now,
-                                 std::vector<OrderToSend>& orders) {
-  // Requests for adapters run on the base's replicas.
-  std::map<std::string, std::pair<double, double>> rates;  // Rate and worth.
-  std::map<std::string, int> running;
+// Requests for adapters run on their base model's replicas.
+void FleetPlanner::SumUsage(TimePoint now) {
+  busy_.clear();
   for (const std::string& target : usage_.Targets()) {
     const CatalogueEntry* entry = EntryOf(target);
     if (entry == nullptr) continue;
-    const std::string& model = entry->base.empty() ? entry->name : entry->base;
-    rates[model].first += usage_.Rate(target, now);
-    rates[model].second += usage_.WorthRate(target, now);
-    running[model] += usage_.Running(target);
+    const bool is_adapter = !entry->base.empty();
+    Usage& sum = busy_[is_adapter ? entry->base : entry->name];
+    const double worth_rate = usage_.WorthRate(target, now);
+    sum.rate += usage_.Rate(target, now);
+    sum.worth_rate += worth_rate;
+    if (is_adapter) sum.adapter_worth_rate += worth_rate;
+    sum.running += usage_.Running(target);
+  }
+}
+
+// Worth that is late because `engine` takes no adapters while it carries out a
+// model order for `duration`.
+double FleetPlanner::BlockedAdapterLoss(const Engine& engine,
+                                        Duration duration) const {
+  double loss = 0;
+  for (const auto& [name, holding] : engine.holdings) {
+    if (holding.state != State::kReady) continue;
+    const auto busy = busy_.find(name);
+    if (busy == busy_.end()) continue;
+    loss += busy->second.adapter_worth_rate /
+            std::max(1, CountOf(name).ready);
   }
-  for (const auto& [model, rate] : rates) {
-    if (rate.first < kBusyRate) continue;
+  return loss * ToSeconds(duration) / 2;
+}
+
+void FleetPlanner::ReplicateBusy(TimePoint now,
+                                 std::vector<OrderToSend>& orders) {
+  for (const auto& [model, busy] : busy_) {
+    if (busy.rate < kBusyRate) continue;
     const CatalogueEntry* entry = EntryOf(model);
     const Replicas count = CountOf(model);
     int slots = 0;
@@ -819,13 +856,14 @@
       if (it != engine.holdings.end()) slots += engine.listed.slots;
     }
     int desired = kBusyReplicas;
-    if (running[model] > kBusyShare * slots) {
+    if (busy.running > kBusyShare * slots) {
       desired = std::max(desired, count.ready + 1);
     }
     if (entry == nullptr || count.loading > 0 || count.ready >= desired) {
       continue;
     }
-    PlaceModel(*entry, rate.second * kReplicaLoss, "busy", true, now, orders);
+    PlaceModel(*entry, busy.worth_rate * kReplicaWorth, "busy", true, now,
+               orders);
   }
 }
 
@@ -841,14 +879,6 @@
     if (StoreLoads() >= most) return;
     if (!entry.base.empty() || entry.service.empty()) continue;
     if (HasCopySomewhere(name)) continue;
-    const std::optional<Option> option =
-        BestOption(entry, kSeedWorth, true, now);
-    if (!option) continue;
-    double loss = 0;
-    for (const std::string& victim : option->victims) {
-      loss += LossOf(*option->engine, victim, now);
-    }
-    if (loss > kMostSeedLoss) continue;
     PlaceModel(entry, kSeedWorth, "no copy at hand", true, now, orders);
   }
 }
@@ -858,6 +888,7 @@
   usage_.Expire(now);
   AskForReports(now, orders);
   if (!may_order || is_superseded_) return;
+  SumUsage(now);
   ServeWaiting(now, orders);
   ReplicateBusy(now, orders);
   SeedCopies(now, orders);
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -120,6 +120,8 @@
   int StoreLoads() const;
   bool StoreAllows(const Engine& engine, TimePoint now) const;
 
+  void SumUsage(TimePoint now);
+  double BlockedAdapterLoss(const Engine& engine, Duration duration) const;
   double LossOf(const Engine& engine, const std::string& model,
                 TimePoint now) const;
   std::vector<std::string> ChooseVictims(const Engine& engine, uint64_t needed,
@@ -165,6 +167,14 @@
   const std::map<std::string, EngineClass>* classes_ = nullptr;
   std::map<std::string, Engine> engines_;
   UsageTable usage_;
+  // Of each model, with its adapters; summed anew for each decision.
+  struct Usage {
+    double rate = 0;
+    double worth_rate = 0;
+    double adapter_worth_rate = 0;
+    int running = 0;
+  };
+  std::map<std::string, Usage> busy_;
   uint64_t last_order_ = 0;
   uint64_t last_sequence_ = 0;
   std::deque<TimePoint> store_loads_begun_;
--- a/placement/usage_table.cc
+++ b/placement/usage_table.cc
@@ -11,7 +11,7 @@
 constexpr Duration kReportLife = std::chrono::seconds(2);
 // Rates follow demand that moves to other models within seconds, and still
 // see a model that is asked for every few seconds.
-constexpr Duration kRateWindow = std::chrono::seconds(6);
+constexpr Duration kRateWindow = std::chrono::seconds(4);
 // Below this a target counts as never asked for.
 constexpr double kLeastRate = 0.001;
 
