--- a/core/settings_reader.cc
+++ b/core/settings_reader.cc
@@ -99,6 +99,18 @@
   return fallback;
 }
 
+double SettingsReader::NumberOr(const std::string& key, double fallback,
+                                double least, double most) {
+  const Json* value = Find(key, false, "");
+  if (value == nullptr) return fallback;
+  if (value->is_number()) {
+    const double number = value->get<double>();
+    if (number >= least && number <= most) return number;
+  }
+  Fail(key, absl::StrCat("a number from ", least, " to ", most));
+  return fallback;
+}
+
 Duration SettingsReader::MillisOr(const std::string& key, Duration fallback,
                                   Duration least, Duration most) {
   return std::chrono::milliseconds(
--- a/core/settings_reader.h
+++ b/core/settings_reader.h
@@ -39,6 +39,8 @@
   Address AddressAt(const std::string& key);
   int64_t IntegerOr(const std::string& key, int64_t fallback, int64_t least,
                     int64_t most);
+  double NumberOr(const std::string& key, double fallback, double least,
+                  double most);
   Duration MillisOr(const std::string& key, Duration fallback, Duration least,
                     Duration most);
   bool FlagOr(const std::string& key, bool fallback);
--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -16,6 +16,10 @@
 // Reports and plans go out at least this often; a plan is the owner's sign of
 // life.
 constexpr Duration kBeatInterval = milliseconds(500);
+// Changes that a host does not wait for reach it within this time: with 72
+// hosts and tens of changes a second, sending each at once took more of the
+// owner's processor than planning.
+constexpr Duration kPlanSpread = milliseconds(250);
 // News do not wait for the next beat, but are gathered for this long.
 constexpr Duration kNewsInterval = milliseconds(15);
 // Three beats lost in a row: the owner counts as gone.
@@ -31,8 +35,10 @@
 constexpr Duration kLeaseTimeout = milliseconds(1500);
 constexpr Duration kLeaseRetry = milliseconds(300);
 // Hosts that see the same silence claim one after the other.
-constexpr Duration kClaimStep = milliseconds(100);
+constexpr Duration kClaimStep = milliseconds(40);
 constexpr uint64_t kClaimSteps = 8;
+// The owner plans for all; a host with a larger share of a core claims earlier.
+constexpr Duration kClaimByCapacity = seconds(1);
 // Ticks come every kTickInterval; a gap like this means that the process or
 // its machine stood still, and others may have taken over meanwhile.
 constexpr Duration kStandstill = milliseconds(700);
@@ -239,7 +245,10 @@
   const uint64_t rank =
       StableHash(absl::StrCat(context_.settings.self.host, "|", token_)) %
       kClaimSteps;
-  return kClaimStep * static_cast<int64_t>(rank);
+  const double missing =
+      1.0 - std::clamp(context_.settings.cpu_share, 0.0, 1.0);
+  return kClaimStep * static_cast<int64_t>(rank) +
+         FromSeconds(ToSeconds(kClaimByCapacity) * missing);
 }
 
 void FleetKeeper::DriveLease() {
@@ -332,19 +341,22 @@
   reported_at_ = context_.now;
   reported_waiting_.clear();
   for (const auto& [target, demand] : waiting_) {
-    reported_waiting_[target] = true;
+    reported_waiting_.insert(target);
   }
   return report;
 }
 
+bool FleetKeeper::HasNewWaiting() const {
+  return std::any_of(waiting_.begin(), waiting_.end(),
+                     [this](const auto& item) {
+                       return !reported_waiting_.contains(item.first);
+                     });
+}
+
 void FleetKeeper::ReportToOwner() {
   if (planner_ || !lease_ || lease_->is_released) return;
   if (lease_->holder.host == context_.settings.self.host) return;
-  const bool has_news =
-      std::any_of(waiting_.begin(), waiting_.end(), [this](const auto& item) {
-        return !reported_waiting_.contains(item.first);
-      });
-  const Duration interval = has_news ? kNewsInterval : kBeatInterval;
+  const Duration interval = HasNewWaiting() ? kNewsInterval : kBeatInterval;
   if (context_.now - reported_at_ < interval) return;
   Json body = MakeReport().ToJson();
   body["p"] = context_.settings.peer_address;
@@ -359,13 +371,16 @@
   peer.address = FieldOr<std::string>(body, "p", "");
   peer.heard_at = context_.now;
   const HostReport report = HostReport::FromJson(host, body);
-  peer.waiting.clear();
+  bool is_new = false;
+  std::set<std::string> waiting;
   for (const HostReport::Waiting& row : report.waiting) {
-    peer.waiting.push_back(row.target);
+    is_new = is_new || !peer.waiting.contains(row.target);
+    waiting.insert(row.target);
   }
-  peer.has_new_waiting = peer.has_new_waiting || !peer.waiting.empty();
+  peer.waiting = std::move(waiting);
+  peer.is_urgent = peer.is_urgent || is_new;
   planner_->TakeReport(report, context_.now);
-  if (!peer.waiting.empty()) Plan();
+  if (is_new) Plan();
 }
 
 void FleetKeeper::Plan() {
@@ -379,9 +394,28 @@
   LogNotes();
   for (const auto& [id, server] : servers_) {
     const uint64_t version = planner_->VersionOf(id);
-    if (version == 0 || applied_[id] == version) continue;
-    applied_[id] = version;
-    announced_[id] = planner_->ReadyOn(id);
+    Applied& applied = applied_[id];
+    if (version == 0 || applied.version == version) continue;
+    applied.version = version;
+    std::vector<std::string> ready = planner_->ReadyOn(id);
+    std::vector<std::string>& announced = announced_[id];
+    const bool is_told = applied.news != 0 && announced == ready;
+    // Told again when a host waits for what it should know to be ready.
+    if (!is_told || !peers_.empty()) applied.news = ++last_news_;
+    if (is_told) {
+      Apply(id);
+      continue;
+    }
+    for (const std::string& name : ready) {
+      if (std::find(announced.begin(), announced.end(), name) !=
+          announced.end()) {
+        continue;
+      }
+      for (auto& [host, peer] : peers_) {
+        if (peer.waiting.contains(name)) peer.is_urgent = true;
+      }
+    }
+    announced = std::move(ready);
     Apply(id);
   }
 }
@@ -405,24 +439,23 @@
     return context_.now - item.second.heard_at > kPeerLife;
   });
   for (auto& [host, peer] : peers_) {
-    bool has_news = peer.has_new_waiting;
-    for (const auto& [id, version] : applied_) {
-      has_news = has_news || peer.versions[id] != version;
-    }
-    const Duration interval = has_news ? kNewsInterval : kBeatInterval;
+    const bool has_news = peer.sent_news < last_news_;
+    const Duration interval = peer.is_urgent ? kNewsInterval
+                              : has_news     ? kPlanSpread
+                                             : kBeatInterval;
     if (context_.now - peer.sent_at >= interval) SendPlan(host, peer);
   }
 }
 
 void FleetKeeper::SendPlan(const std::string& host, Peer& peer) {
   peer.sent_at = context_.now;
-  peer.has_new_waiting = false;
+  peer.is_urgent = false;
   Json body{{"k", token_}, {"e", Json::array()}, {"w", Json::array()}};
-  for (const auto& [id, version] : applied_) {
-    if (peer.versions[id] == version) continue;
-    peer.versions[id] = version;
+  for (const auto& [id, applied] : applied_) {
+    if (applied.news <= peer.sent_news) continue;
     body["e"].push_back(Json::array({id, announced_[id]}));
   }
+  peer.sent_news = last_news_;
   for (const std::string& target : peer.waiting) {
     const DemandAnswer answer = planner_->Answer(target, context_.now);
     body["w"].push_back(Json::array(
@@ -476,10 +509,7 @@
   DropDeparted();
   DriveLease();
   if (planner_) {
-    const bool has_news =
-        std::any_of(waiting_.begin(), waiting_.end(), [this](const auto& item) {
-          return !reported_waiting_.contains(item.first);
-        });
+    const bool has_news = HasNewWaiting();
     if (has_news || context_.now - reported_at_ >= kBeatInterval) {
       planner_->TakeReport(MakeReport(), context_.now);
     }
--- a/node/fleet_keeper.h
+++ b/node/fleet_keeper.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,9 +59,9 @@
     std::string address;
     TimePoint heard_at;
     TimePoint sent_at;
-    std::map<std::string, uint64_t> versions;  // Sent, by engine.
-    std::vector<std::string> waiting;
-    bool has_new_waiting = false;
+    uint64_t sent_news = 0;  // Of the engines, up to this one.
+    std::set<std::string> waiting;
+    bool is_urgent = false;  // It waits for something that changed.
   };
 
   bool IsHolder() const;
@@ -76,6 +77,8 @@
   void ReportToOwner();
   void SendPlans();
   void SendPlan(const std::string& host, Peer& peer);
+  // True if a request here waits for what the last report did not say.
+  bool HasNewWaiting() const;
   HostReport MakeReport();
   // Shows in the routing view what may be sent to a server.
   void Apply(const std::string& id);
@@ -87,7 +90,14 @@
   // Not listed any more, but only since the store was away: they may be back.
   std::map<std::string, TimePoint> departing_;
   std::map<std::string, std::vector<std::string>> announced_;
-  std::map<std::string, uint64_t> applied_;  // The own planner's versions.
+  // What the own planner said last of an engine; `news` orders the changes of
+  // all engines, so that a host is sent only what it has not seen.
+  struct Applied {
+    uint64_t version = 0;
+    uint64_t news = 0;
+  };
+  std::map<std::string, Applied> applied_;
+  uint64_t last_news_ = 0;
   uint64_t digest_count_ = 0;
 
   // The lease.
@@ -110,7 +120,7 @@
   // This host's own usage.
   std::map<std::string, Demand> waiting_;
   std::map<std::string, std::pair<int, double>> arrivals_;
-  std::map<std::string, bool> reported_waiting_;
+  std::set<std::string> reported_waiting_;
   TimePoint reported_at_;
   TimePoint planned_at_;
 };
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -50,6 +50,7 @@
   // For kFleet only. Where other hosts reach this one.
   std::string peer_address;
   bool engines_check_fences = true;
+  double cpu_share = 1.0;  // Of a core, for this process.
   // How long a new placement owner leaves the orders of the one before it.
   Duration order_lease = std::chrono::seconds(3);
   // The platform takes some time to send callers elsewhere; until then a
--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -41,6 +41,11 @@
 // A replica younger than this is not evicted: whoever asked for it has not
 // had time to use it.
 constexpr Duration kLeastResidency = seconds(2);
+// A target that waits is looked at again after this long, or when it is new:
+// with hundreds waiting each look costs some microseconds an engine.
+constexpr Duration kLookInterval = milliseconds(40);
+constexpr size_t kMostLooks = 4096;
+constexpr Duration kSeedInterval = milliseconds(250);
 // Orders victims of equal worth by age; too little to outweigh a request.
 constexpr double kAgeShare = 0.0001;
 // An engine is kept for the model its victim was unloaded for this long.
@@ -61,10 +66,11 @@
 // How a loss of worth elsewhere weighs against a second of waiting: at this
 // weight a model that earns as much as waits is as good as 3 s away.
 constexpr double kLossWeight = 3.0;
-// The share of a model's worth that counts as lost with one replica while others
-// take its requests: of a busy model's last two, and of any further one. With a
-// lower first share the last but one replica of busy models came and went every
-// few seconds, and a third of their requests met a model that was not ready.
+// The share of a model's worth that counts as lost with one replica while
+// others take its requests: of a busy model's last two, and of any further one.
+// With a lower first share the last but one replica of busy models came and
+// went every few seconds, and a third of their requests met a model that was
+// not ready.
 constexpr double kReplicaLoss = 0.5;
 constexpr double kSpareLoss = 0.05;
 // A busy model's second replica earns this share of its worth a second.
@@ -130,25 +136,33 @@
   return told > Duration::zero() ? told : kAssumedLoadTimes[index];
 }
 
-bool FleetPlanner::HasCopySomewhere(const std::string& model) const {
-  return std::any_of(engines_.begin(), engines_.end(), [&](const auto& item) {
-    const Engine& engine = item.second;
-    if (engine.listed.is_leaving) return false;
-    return engine.holdings.contains(model) ||
-           TierOn(engine, model) != CheckpointTier::kRemote;
-  });
-}
-
-FleetPlanner::Replicas FleetPlanner::CountOf(const std::string& model) const {
-  Replicas count;
+void FleetPlanner::IndexHoldings() {
+  if (!is_index_stale_) return;
+  is_index_stale_ = false;
+  index_.clear();
   for (const auto& [id, engine] : engines_) {
-    if (engine.listed.is_leaving) continue;
-    const auto it = engine.holdings.find(model);
-    if (it == engine.holdings.end()) continue;
-    if (it->second.state == State::kReady) ++count.ready;
-    if (it->second.state == State::kLoading) ++count.loading;
+    if (engine.listed.is_leaving || engine.is_rejecting) continue;
+    for (const auto& [name, holding] : engine.holdings) {
+      Whereabouts& where = index_[name];
+      if (holding.state == State::kReady) ++where.ready;
+      if (holding.state == State::kLoading) ++where.loading;
+      where.holders.push_back(id);
+    }
+    for (const std::string& name : engine.listed.in_host_memory) {
+      index_[name].copies.push_back(id);
+    }
+    for (const std::string& name : engine.listed.on_disk) {
+      std::vector<std::string>& copies = index_[name].copies;
+      if (copies.empty() || copies.back() != id) copies.push_back(id);
+    }
   }
-  return count;
+}
+
+const FleetPlanner::Whereabouts& FleetPlanner::WhereIs(
+    const std::string& name) const {
+  static const Whereabouts kNowhere;
+  const auto it = index_.find(name);
+  return it == index_.end() ? kNowhere : it->second;
 }
 
 int FleetPlanner::StoreLoads() const {
@@ -160,15 +174,16 @@
       }));
 }
 
-bool FleetPlanner::StoreAllows(const Engine& engine, TimePoint now) const {
+bool FleetPlanner::HasStoreRoom(const std::string& service,
+                                TimePoint now) const {
   if (StoreLoads() >= static_cast<int>(store_width_)) return false;
-  const EngineClass* engine_class = ClassOf(engine);
-  if (engine_class == nullptr) return false;
+  const auto engine_class = classes_->find(service);
+  if (engine_class == classes_->end()) return false;
   const auto recent = std::count_if(
       store_loads_begun_.begin(), store_loads_begun_.end(),
       [now](TimePoint begun) { return now - begun < kStoreWindow; });
   return static_cast<double>(recent) <
-         engine_class->store_loads_per_second * ToSeconds(kStoreWindow);
+         engine_class->second.store_loads_per_second * ToSeconds(kStoreWindow);
 }
 
 bool FleetPlanner::MayOrder(const Engine& engine) const {
@@ -211,7 +226,13 @@
 
 // ---- Listings and reports ----
 
+void FleetPlanner::Changed(Engine& engine) {
+  ++engine.version;
+  is_index_stale_ = true;
+}
+
 void FleetPlanner::SetServers(const EngineList& servers, TimePoint now) {
+  is_index_stale_ = true;
   std::erase_if(engines_, [&](const auto& item) {
     return !servers.contains(item.first);
   });
@@ -220,7 +241,7 @@
     Engine& engine = engines_[id];
     const bool was_leaving = engine.listed.is_leaving;
     engine.listed = server;
-    if (was_leaving != server.is_leaving) ++engine.version;
+    if (was_leaving != server.is_leaving) Changed(engine);
     if (!engine.is_known || !engine.model_order) continue;
     // The listing follows an order's end faster than the next report.
     const OpenOrder& order = *engine.model_order;
@@ -234,10 +255,13 @@
 
 void FleetPlanner::TakeReport(const HostReport& report, TimePoint now) {
   usage_.Take(report, now);
+  IndexHoldings();
   for (const HostReport::Waiting& row : report.waiting) {
-    for (auto& [id, engine] : engines_) {
+    if (row.count <= 0) continue;
+    for (const std::string& id : WhereIs(row.target).holders) {
+      Engine& engine = engines_.at(id);
       const auto it = engine.holdings.find(row.target);
-      if (it == engine.holdings.end() || row.count <= 0) continue;
+      if (it == engine.holdings.end()) continue;
       // A host waits for what should be ready: it was turned away, or missed
       // the plan. The engine is asked, and the plan is told again.
       if (it->second.state != State::kReady ||
@@ -296,7 +320,7 @@
     engine.report_at = now + kEndPoll;
   }
   engine.is_known = engine.is_known || !inventory.is_busy || engine.model_order;
-  ++engine.version;
+  Changed(engine);
 }
 
 void FleetPlanner::Adopt(Engine& engine, const Inventory& inventory,
@@ -435,7 +459,7 @@
   }
   engine.call = open;
   if (is_model) engine.model_order = open;
-  ++engine.version;
+  Changed(engine);
   Note(kind == OrderKind::kLoad ? "load_ordered" : "unload_ordered",
        engine.listed.id, entry.name, reason);
   orders.push_back({engine.listed.id, engine.listed.address, std::move(order)});
@@ -454,7 +478,7 @@
   if (call.kind == OrderKind::kUnload) {
     engine.holdings.erase(it);
   }
-  ++engine.version;
+  Changed(engine);
   (void)now;
 }
 
@@ -471,7 +495,7 @@
     it->second.state = State::kReady;
     it->second.since = now;
   }
-  ++engine.version;
+  Changed(engine);
 }
 
 void FleetPlanner::TakeOrderResult(const std::string& engine_id,
@@ -504,7 +528,7 @@
         holding->second.state = State::kReady;
         holding->second.since = now;
       }
-      ++engine.version;
+      Changed(engine);
       engine.is_known = false;
       engine.report_at = now + kReportLag;
       return;
@@ -544,7 +568,7 @@
       if (now - holding.since < kAdapterLoad) continue;
       holding.state = State::kReady;
       holding.since = now;
-      ++engine.version;
+      Changed(engine);
     }
     if (engine.report_at > now || engine.is_rejecting) continue;
     const bool is_under_way = engine.report_sent_at != TimePoint{} &&
@@ -570,7 +594,7 @@
   for (const auto& [name, holding] : engine.holdings) {
     if (holding.base == model) worth += usage_.WorthRate(name, now);
   }
-  const int others = CountOf(model).ready - 1;
+  const int others = WhereIs(model).ready - 1;
   const auto busy = busy_.find(model);
   const double rate = busy == busy_.end() ? 0 : busy->second.rate;
   if (others <= 0) return worth;
@@ -668,15 +692,26 @@
   return option;
 }
 
+void FleetPlanner::TryEngine(Engine& engine, const CatalogueEntry& entry,
+                             double worth, bool at_once_only, TimePoint now,
+                             std::optional<Option>& best) {
+  if (at_once_only && (engine.model_order || !MayOrder(engine))) return;
+  std::optional<Option> option = OptionOn(engine, entry, worth, now);
+  if (option && (!best || option->cost < best->cost)) best = std::move(option);
+}
+
+// Engines that have a copy are few; all others are the same distance from the
+// weight store and are looked at only when it has room.
 std::optional<FleetPlanner::Option> FleetPlanner::BestOption(
     const CatalogueEntry& entry, double worth, bool at_once_only,
     TimePoint now) {
   std::optional<Option> best;
+  for (const std::string& id : WhereIs(entry.name).copies) {
+    TryEngine(engines_.at(id), entry, worth, at_once_only, now, best);
+  }
+  if (!HasStoreRoom(entry.service, now)) return best;
   for (auto& [id, engine] : engines_) {
-    if (at_once_only && (engine.model_order || !MayOrder(engine))) continue;
-    std::optional<Option> option = OptionOn(engine, entry, worth, now);
-    if (!option) continue;
-    if (!best || option->cost < best->cost) best = std::move(option);
+    TryEngine(engine, entry, worth, at_once_only, now, best);
   }
   return best;
 }
@@ -696,9 +731,6 @@
     }
     return false;
   }
-  if (option->tier == CheckpointTier::kRemote && !StoreAllows(engine, now)) {
-    return false;
-  }
   engine.reserved_for = entry.name;
   engine.reserved_until = now + kReservation;
   if (!option->victims.empty()) {
@@ -752,8 +784,8 @@
   Engine* best = nullptr;
   uint64_t best_rank = 0;
   bool has_base = false;
-  for (auto& [id, engine] : engines_) {
-    if (engine.listed.is_leaving || engine.is_rejecting) continue;
+  for (const std::string& id : WhereIs(entry.base).holders) {
+    Engine& engine = engines_.at(id);
     const auto base = engine.holdings.find(entry.base);
     if (base == engine.holdings.end()) continue;
     has_base = has_base || base->second.state != State::kUnloading;
@@ -798,11 +830,34 @@
 
 void FleetPlanner::ServeWaiting(TimePoint now,
                                 std::vector<OrderToSend>& orders) {
+  // The store brings what is worth most first, one after the other at its
+  // full speed; whoever cannot be in time is told so now.
+  store_turn_.clear();
+  TimePoint store_free_at = now;
+  for (const auto& [id, engine] : engines_) {
+    const auto& order = engine.model_order;
+    if (!order || order->tier != CheckpointTier::kRemote) continue;
+    store_free_at = std::max(store_free_at, order->expected_end);
+  }
   for (const UsageTable::Demand& demand : usage_.Waiting()) {
     const CatalogueEntry* entry = EntryOf(demand.target);
     if (entry == nullptr) continue;
-    const Replicas count = CountOf(demand.target);
-    if (count.ready + count.loading > 0) continue;
+    const Whereabouts& where = WhereIs(demand.target);
+    if (where.ready + where.loading > 0) continue;
+    const std::string& model = entry->base.empty() ? entry->name : entry->base;
+    const Whereabouts& base = WhereIs(model);
+    const CatalogueEntry* model_entry = EntryOf(model);
+    if (base.holders.empty() && base.copies.empty() && model_entry) {
+      const Duration load = LoadTime(*model_entry, CheckpointTier::kRemote);
+      if (!HasStoreRoom(entry->service, now)) {
+        store_turn_[demand.target] = store_free_at + load;
+        store_free_at += Duration(static_cast<int64_t>(
+            static_cast<double>(load.count()) / store_width_));
+      }
+    }
+    TimePoint& next_look = next_look_[demand.target];
+    if (next_look > now) continue;
+    next_look = now + kLookInterval;
     if (!entry->base.empty()) {
       PlaceAdapter(*entry, demand.worth, now, orders);
       continue;
@@ -811,6 +866,7 @@
                absl::StrCat(demand.waiting, " waiting, worth ", demand.worth),
                false, now, orders);
   }
+  if (next_look_.size() > kMostLooks) next_look_.clear();
 }
 
 // Requests for adapters run on their base model's replicas.
@@ -838,8 +894,7 @@
     if (holding.state != State::kReady) continue;
     const auto busy = busy_.find(name);
     if (busy == busy_.end()) continue;
-    loss += busy->second.adapter_worth_rate /
-            std::max(1, CountOf(name).ready);
+    loss += busy->second.adapter_worth_rate / std::max(1, WhereIs(name).ready);
   }
   return loss * ToSeconds(duration) / 2;
 }
@@ -849,11 +904,10 @@
   for (const auto& [model, busy] : busy_) {
     if (busy.rate < kBusyRate) continue;
     const CatalogueEntry* entry = EntryOf(model);
-    const Replicas count = CountOf(model);
+    const Whereabouts& count = WhereIs(model);
     int slots = 0;
-    for (const auto& [id, engine] : engines_) {
-      const auto it = engine.holdings.find(model);
-      if (it != engine.holdings.end()) slots += engine.listed.slots;
+    for (const std::string& id : count.holders) {
+      slots += engines_.at(id).listed.slots;
     }
     int desired = kBusyReplicas;
     if (busy.running > kBusyShare * slots) {
@@ -872,14 +926,19 @@
 // store's pipe is kept full but never fuller, as more loads at once only slow
 // each other.
 void FleetPlanner::SeedCopies(TimePoint now, std::vector<OrderToSend>& orders) {
-  if (catalogue_ == nullptr) return;
+  if (catalogue_ == nullptr || seeds_at_ > now) return;
+  seeds_at_ = now + kSeedInterval;
   const int most = std::min(static_cast<int>(store_width_),
                             static_cast<int>(engines_.size() + 1) / 2);
+  if (StoreLoads() >= most) return;
   for (const auto& [name, entry] : *catalogue_) {
-    if (StoreLoads() >= most) return;
     if (!entry.base.empty() || entry.service.empty()) continue;
-    if (HasCopySomewhere(name)) continue;
-    PlaceModel(entry, kSeedWorth, "no copy at hand", true, now, orders);
+    const Whereabouts& where = WhereIs(name);
+    if (!where.holders.empty() || !where.copies.empty()) continue;
+    const bool is_ordered =
+        PlaceModel(entry, kSeedWorth, "no copy at hand", true, now, orders);
+    // Nowhere for this one is nowhere for those of its size.
+    if (!is_ordered || StoreLoads() >= most) return;
   }
 }
 
@@ -887,7 +946,8 @@
                           std::vector<OrderToSend>& orders) {
   usage_.Expire(now);
   AskForReports(now, orders);
-  if (!may_order || is_superseded_) return;
+  if (!may_order || is_superseded_ || classes_ == nullptr) return;
+  IndexHoldings();
   SumUsage(now);
   ServeWaiting(now, orders);
   ReplicateBusy(now, orders);
@@ -899,11 +959,17 @@
   DemandAnswer answer{target, "", DemandStatus::kNoPlace, Duration{0}};
   const CatalogueEntry* entry = EntryOf(target);
   if (entry == nullptr) return answer;
-  const Replicas count = CountOf(target);
-  if (count.ready > 0) {
+  const Whereabouts& where = WhereIs(target);
+  if (where.ready > 0) {
     answer.status = DemandStatus::kReady;
     return answer;
   }
+  const auto turn = store_turn_.find(target);
+  if (turn != store_turn_.end()) {
+    answer.status = DemandStatus::kQueued;
+    answer.expected = std::max(Duration{0}, turn->second - now);
+    return answer;
+  }
   bool has_engine = false;
   CheckpointTier tier = CheckpointTier::kRemote;
   for (const auto& [id, engine] : engines_) {
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -1,6 +1,8 @@
 #ifndef APPLEHALL_PLACEMENT_FLEET_PLANNER_H_
 #define APPLEHALL_PLACEMENT_FLEET_PLANNER_H_
 
+#include <absl/container/flat_hash_map.h>
+
 #include <deque>
 #include <map>
 #include <optional>
@@ -111,15 +113,18 @@
   uint64_t UsedBytes(const Engine& engine) const;
   CheckpointTier TierOn(const Engine& engine, const std::string& model) const;
   Duration LoadTime(const CatalogueEntry& entry, CheckpointTier tier) const;
-  bool HasCopySomewhere(const std::string& model) const;
-  struct Replicas {
+  // Where a model or adapter is, over all engines that stay.
+  struct Whereabouts {
     int ready = 0;
     int loading = 0;
+    std::vector<std::string> holders;  // In any state.
+    std::vector<std::string> copies;   // In host memory or on disk.
   };
-  Replicas CountOf(const std::string& model) const;
+  void IndexHoldings();
+  const Whereabouts& WhereIs(const std::string& name) const;
   int StoreLoads() const;
-  bool StoreAllows(const Engine& engine, TimePoint now) const;
 
+  void Changed(Engine& engine);
   void SumUsage(TimePoint now);
   double BlockedAdapterLoss(const Engine& engine, Duration duration) const;
   double LossOf(const Engine& engine, const std::string& model,
@@ -130,6 +135,9 @@
                                  double worth, TimePoint now);
   std::optional<Option> BestOption(const CatalogueEntry& entry, double worth,
                                    bool at_once_only, TimePoint now);
+  void TryEngine(Engine& engine, const CatalogueEntry& entry, double worth,
+                 bool at_once_only, TimePoint now, std::optional<Option>& best);
+  bool HasStoreRoom(const std::string& service, TimePoint now) const;
   // True if an order was given, or the model is worth waiting for.
   bool PlaceModel(const CatalogueEntry& entry, double worth,
                   const std::string& reason, bool at_once_only, TimePoint now,
@@ -166,6 +174,14 @@
   const std::map<std::string, CatalogueEntry>* catalogue_ = nullptr;
   const std::map<std::string, EngineClass>* classes_ = nullptr;
   std::map<std::string, Engine> engines_;
+  // Of all holdings and copies; made anew when `is_index_stale_`.
+  absl::flat_hash_map<std::string, Whereabouts> index_;
+  bool is_index_stale_ = true;
+  // When a waiting target is looked at again, and when the store could bring
+  // one that no engine has at hand.
+  absl::flat_hash_map<std::string, TimePoint> next_look_;
+  absl::flat_hash_map<std::string, TimePoint> store_turn_;
+  TimePoint seeds_at_;
   UsageTable usage_;
   // Of each model, with its adapters; summed anew for each decision.
   struct Usage {
--- a/placement/usage_table.cc
+++ b/placement/usage_table.cc
@@ -66,8 +66,30 @@
   return std::exp(-ToSeconds(now - from) / ToSeconds(kRateWindow));
 }
 
+void UsageTable::Add(const HostReport& report, int sign) {
+  for (const HostReport::Waiting& row : report.waiting) {
+    if (row.count <= 0) continue;
+    Level& level = waiting_[row.target];
+    level.count += sign * row.count;
+    level.worth += sign * row.worth;
+    if (level.count <= 0) waiting_.erase(row.target);
+  }
+  for (const HostReport::Running& row : report.running) {
+    running_on_[{row.engine, row.target}] += sign * row.count;
+    running_[row.target] += sign * row.count;
+    if (sign > 0) continue;
+    if (running_on_[{row.engine, row.target}] <= 0) {
+      running_on_.erase({row.engine, row.target});
+    }
+    if (running_[row.target] <= 0) running_.erase(row.target);
+  }
+}
+
 void UsageTable::Take(const HostReport& report, TimePoint now) {
-  hosts_[report.host] = {report, now};
+  HostLevel& level = hosts_[report.host];
+  Add(level.report, -1);
+  level = {report, now};
+  Add(level.report, 1);
   for (const HostReport::Arrivals& row : report.arrivals) {
     Flow& flow = flows_[row.target];
     const double decay = Decay(flow.at, now);
@@ -79,28 +101,24 @@
 }
 
 void UsageTable::Expire(TimePoint now) {
-  std::erase_if(hosts_, [now](const auto& entry) {
-    return now - entry.second.heard_at > kReportLife;
-  });
+  for (auto it = hosts_.begin(); it != hosts_.end();) {
+    const auto next = std::next(it);
+    if (now - it->second.heard_at > kReportLife) {
+      Add(it->second.report, -1);
+      hosts_.erase(it);
+    }
+    it = next;
+  }
   std::erase_if(flows_, [now](const auto& entry) {
     return entry.second.rate * Decay(entry.second.at, now) < kLeastRate;
   });
 }
 
 std::vector<UsageTable::Demand> UsageTable::Waiting() const {
-  std::map<std::string, Demand> by_target;
-  for (const auto& [host, level] : hosts_) {
-    for (const HostReport::Waiting& row : level.report.waiting) {
-      if (row.count <= 0) continue;
-      Demand& sum = by_target[row.target];
-      sum.slack = sum.waiting == 0 ? row.slack : std::min(sum.slack, row.slack);
-      sum.target = row.target;
-      sum.waiting += row.count;
-      sum.worth += row.worth;
-    }
-  }
   std::vector<Demand> demands;
-  for (auto& [target, sum] : by_target) demands.push_back(std::move(sum));
+  for (const auto& [target, level] : waiting_) {
+    demands.push_back({target, level.count, level.worth});
+  }
   std::stable_sort(
       demands.begin(), demands.end(),
       [](const Demand& a, const Demand& b) { return a.worth > b.worth; });
@@ -108,33 +126,18 @@
 }
 
 bool UsageTable::IsWaitedFor(const std::string& target) const {
-  return std::any_of(hosts_.begin(), hosts_.end(), [&](const auto& entry) {
-    const auto& rows = entry.second.report.waiting;
-    return std::any_of(rows.begin(), rows.end(), [&](const auto& row) {
-      return row.target == target && row.count > 0;
-    });
-  });
+  return waiting_.contains(target);
 }
 
 int UsageTable::RunningOn(const std::string& engine,
                           const std::string& target) const {
-  int count = 0;
-  for (const auto& [host, level] : hosts_) {
-    for (const HostReport::Running& row : level.report.running) {
-      if (row.engine == engine && row.target == target) count += row.count;
-    }
-  }
-  return count;
+  const auto it = running_on_.find(Names{engine, target});
+  return it == running_on_.end() ? 0 : it->second;
 }
 
 int UsageTable::Running(const std::string& target) const {
-  int count = 0;
-  for (const auto& [host, level] : hosts_) {
-    for (const HostReport::Running& row : level.report.running) {
-      if (row.target == target) count += row.count;
-    }
-  }
-  return count;
+  const auto it = running_.find(target);
+  return it == running_.end() ? 0 : it->second;
 }
 
 double UsageTable::Rate(const std::string& target, TimePoint now) const {
--- a/placement/usage_table.h
+++ b/placement/usage_table.h
@@ -1,8 +1,11 @@
 #ifndef APPLEHALL_PLACEMENT_USAGE_TABLE_H_
 #define APPLEHALL_PLACEMENT_USAGE_TABLE_H_
 
+#include <absl/container/flat_hash_map.h>
+
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/clock.h"
@@ -47,7 +50,6 @@
     std::string target;
     int waiting = 0;
     double worth = 0;
-    Duration slack{0};
   };
 
   // Not thread-safe.
@@ -71,14 +73,26 @@
     HostReport report;
     TimePoint heard_at;
   };
+  struct Level {
+    int count = 0;
+    double worth = 0;
+  };
   struct Flow {
     double rate = 0;
     double worth_rate = 0;
     TimePoint at;
   };
+  using Names = std::pair<std::string, std::string>;
+
   static double Decay(TimePoint from, TimePoint now);
+  // Adds (or takes away) what one host reports, so that no question has to go
+  // through the reports of all hosts.
+  void Add(const HostReport& report, int sign);
 
-  std::map<std::string, HostLevel> hosts_;
+  absl::flat_hash_map<std::string, HostLevel> hosts_;
+  std::map<std::string, Level> waiting_;
+  absl::flat_hash_map<Names, int> running_on_;
+  absl::flat_hash_map<std::string, int> running_;
   std::map<std::string, Flow> flows_;
 };
 
