--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -30,6 +30,8 @@
 // An order that was never answered may be carried out this much later.
 constexpr Duration kLateOrders = seconds(15);
 constexpr Duration kSendWithin = milliseconds(500);
+// Beyond the time to send and the driver's own timeout of a second.
+constexpr Duration kCallLife = seconds(3);
 // An unload of a model that nobody uses, as measured on loopback engines.
 constexpr Duration kUnloadTime = milliseconds(60);
 // What unloading a model with requests under way costs on top: their rest.
@@ -44,10 +46,14 @@
 // A target that waits is looked at again after this long, or when it is new:
 // with hundreds waiting each look costs some microseconds an engine.
 constexpr Duration kLookInterval = milliseconds(40);
-constexpr size_t kMostLooks = 4096;
+// Worth of what waits doubles after this long, so that a single request for a
+// rare model is not passed over until its deadline.
+constexpr double kAgingSeconds = 4.0;
 constexpr Duration kSeedInterval = milliseconds(250);
 // Orders victims of equal worth by age; too little to outweigh a request.
 constexpr double kAgeShare = 0.0001;
+constexpr double kOthersShare = 0.01;
+constexpr int kMostOthers = 5;
 // An engine is kept for the model its victim was unloaded for this long.
 constexpr Duration kReservation = seconds(3);
 // Loads at once that the weight store is taken to bring at full speed until
@@ -558,6 +564,16 @@
   }
 }
 
+// A call without any answer, not even that there was none, was lost in this
+// process; without this the engine would get no order again.
+void FleetPlanner::GiveUpCalls(TimePoint now) {
+  for (auto& [id, engine] : engines_) {
+    if (!engine.call || now - engine.call->sent_at < kCallLife) continue;
+    TakeOrderResult(id, std::string(engine.call->id), OrderResult::kUnanswered,
+                    now);
+  }
+}
+
 void FleetPlanner::AskForReports(TimePoint now,
                                  std::vector<OrderToSend>& orders) {
   for (auto& [id, engine] : engines_) {
@@ -618,7 +634,9 @@
     if (now - holding.since < kLeastResidency) continue;
     if (usage_.IsWaitedFor(name)) continue;
     double loss = LossOf(engine, name, now);
-    // Of equals, the one that has been there longest.
+    // Of equals, one that others hold too, and then the one that has been there
+    // longest: before any demand is known, replicas tell which are busy.
+    loss -= kOthersShare * std::min(kMostOthers, WhereIs(name).ready);
     loss -= kAgeShare * ToSeconds(now - holding.since);
     if (usage_.RunningOn(engine.listed.id, name) > 0) {
       loss += kBusyVictimSeconds;
@@ -641,7 +659,8 @@
 }
 
 std::optional<FleetPlanner::Option> FleetPlanner::OptionOn(
-    Engine& engine, const CatalogueEntry& entry, double worth, TimePoint now) {
+    Engine& engine, const CatalogueEntry& entry, double worth,
+    bool is_background, TimePoint now) {
   const EngineClass* engine_class = ClassOf(engine);
   if (engine_class == nullptr || engine.listed.service != entry.service) {
     return std::nullopt;
@@ -683,10 +702,15 @@
     }
   }
   ready_in += LoadTime(entry, option.tier);
-  loss += BlockedAdapterLoss(engine, ready_in);
   // Nothing is unloaded that earns more a second than what it makes room for
   // is worth in all: demand that has moved on would push out what is asked for.
   if (loss > worth) return std::nullopt;
+  const double blocked = BlockedAdapterLoss(engine, ready_in);
+  // Requests that wait choose the engine where they are least in the way of
+  // adapters, but are not held back for them, or they would wait for ever where
+  // all engines have some.
+  if (is_background && loss + blocked > worth) return std::nullopt;
+  loss += blocked;
   option.ready_in = ready_in;
   option.cost = ToSeconds(ready_in) + kLossWeight * loss / (worth + 1.0);
   return option;
@@ -696,7 +720,8 @@
                              double worth, bool at_once_only, TimePoint now,
                              std::optional<Option>& best) {
   if (at_once_only && (engine.model_order || !MayOrder(engine))) return;
-  std::optional<Option> option = OptionOn(engine, entry, worth, now);
+  std::optional<Option> option =
+      OptionOn(engine, entry, worth, at_once_only, now);
   if (option && (!best || option->cost < best->cost)) best = std::move(option);
 }
 
@@ -855,18 +880,23 @@
             static_cast<double>(load.count()) / store_width_));
       }
     }
-    TimePoint& next_look = next_look_[demand.target];
-    if (next_look > now) continue;
-    next_look = now + kLookInterval;
+    const auto [look, is_new] =
+        looks_.try_emplace(demand.target, Look{now, TimePoint{}});
+    if (look->second.next > now) continue;
+    look->second.next = now + kLookInterval;
+    const double waited = ToSeconds(now - look->second.since);
+    const double worth = demand.worth * (1.0 + waited / kAgingSeconds);
     if (!entry->base.empty()) {
-      PlaceAdapter(*entry, demand.worth, now, orders);
+      PlaceAdapter(*entry, worth, now, orders);
       continue;
     }
-    PlaceModel(*entry, demand.worth,
+    PlaceModel(*entry, worth,
                absl::StrCat(demand.waiting, " waiting, worth ", demand.worth),
                false, now, orders);
   }
-  if (next_look_.size() > kMostLooks) next_look_.clear();
+  std::erase_if(looks_, [this](const auto& item) {
+    return !usage_.IsWaitedFor(item.first);
+  });
 }
 
 // Requests for adapters run on their base model's replicas.
@@ -945,6 +975,7 @@
 void FleetPlanner::Decide(bool may_order, TimePoint now,
                           std::vector<OrderToSend>& orders) {
   usage_.Expire(now);
+  GiveUpCalls(now);
   AskForReports(now, orders);
   if (!may_order || is_superseded_ || classes_ == nullptr) return;
   IndexHoldings();
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -132,7 +132,8 @@
   std::vector<std::string> ChooseVictims(const Engine& engine, uint64_t needed,
                                          TimePoint now) const;
   std::optional<Option> OptionOn(Engine& engine, const CatalogueEntry& entry,
-                                 double worth, TimePoint now);
+                                 double worth, bool is_background,
+                                 TimePoint now);
   std::optional<Option> BestOption(const CatalogueEntry& entry, double worth,
                                    bool at_once_only, TimePoint now);
   void TryEngine(Engine& engine, const CatalogueEntry& entry, double worth,
@@ -155,6 +156,7 @@
   void SendOrder(Engine& engine, OrderKind kind, const CatalogueEntry& entry,
                  CheckpointTier tier, const std::string& reason, TimePoint now,
                  std::vector<OrderToSend>& orders);
+  void GiveUpCalls(TimePoint now);
   void AskForReports(TimePoint now, std::vector<OrderToSend>& orders);
   void Accept(Engine& engine, const OpenOrder& call, TimePoint now);
   void DropCall(Engine& engine, const OpenOrder& call, TimePoint now);
@@ -179,7 +181,11 @@
   bool is_index_stale_ = true;
   // When a waiting target is looked at again, and when the store could bring
   // one that no engine has at hand.
-  absl::flat_hash_map<std::string, TimePoint> next_look_;
+  struct Look {
+    TimePoint since;
+    TimePoint next;
+  };
+  std::map<std::string, Look> looks_;
   absl::flat_hash_map<std::string, TimePoint> store_turn_;
   TimePoint seeds_at_;
   UsageTable usage_;
--- /dev/null
+++ b/tests/node/fleet_test.cc
@@ -0,0 +1,391 @@
+// Hosts of a fleet, event by event, under a paused clock.
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+
+#include "node/node.h"
+
+namespace applehall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kRules[] = R"({"name": "n", "author": "a", "reason": "r",
+  "rules": [
+   {"name": "once", "when": {"path": "/once/*"}, "then": {"deadline_ms": 1000,
+    "repeatable": false, "claim": false, "services": [{"name": "app"}]}},
+   {"name": "again", "when": {"path": "/again/*"}, "then": {"deadline_ms": 1000,
+    "retries": 1, "services": [{"name": "app"}]}},
+   {"name": "rare", "when": {"path": "/rare/*"}, "then": {"deadline_ms": 20000,
+    "repeatable": false, "claim": false, "services": [{"name": "llm"}]}},
+   {"name": "stream", "when": {"path": "/stream/*"}, "then": {
+    "deadline_ms": 15000, "retries": 1, "resumable": true,
+    "services": [{"name": "llm"}]}},
+   {"name": "none", "then": {"refuse": "no route"}}]})";
+
+ListedServer Server(const std::string& id, const std::string& service,
+                    const std::string& model = "") {
+  ListedServer server;
+  server.id = id;
+  server.service = service;
+  server.address = "10.0.0.1:80";
+  server.data_centre = "hall";
+  server.slots = 8;
+  server.is_engine = !model.empty();
+  if (!model.empty()) server.models[model] = {};
+  return server;
+}
+
+// Hosts, the store's lease record and the links between the hosts.
+class FleetTest : public testing::Test {
+ protected:
+  struct Host {
+    std::unique_ptr<Node> node;
+    std::vector<Action> done;  // What was asked of it and not carried here.
+    bool is_down = false;
+    bool is_cut_from_store = false;
+    bool is_cut_from_hosts = false;
+  };
+
+  void Add(const std::string& name) {
+    NodeSettings settings;
+    settings.self = {name, 1};
+    settings.data_centre = "hall";
+    settings.placement = PlacementStyle::kFleet;
+    settings.peer_address = name;
+    settings.serves_while_draining = true;
+    settings.drain_least = seconds(1);
+    settings.drain_bound = seconds(6);
+    Host& host = hosts_[name];
+    host.node = std::make_unique<Node>(settings);
+    Handle(name, RuleSetRead{1, *ParseJson(kRules)});
+    CatalogueRead catalogue;
+    for (const char* model : {"llm/m0", "llm/m1"}) {
+      CatalogueEntry entry;
+      entry.name = model;
+      entry.service = "llm";
+      entry.bytes = 70'000'000'000;
+      catalogue.catalogue.push_back(entry);
+    }
+    catalogue.engine_classes["llm"] = {200'000'000'000, 8, 4.0};
+    Handle(name, catalogue);
+    ServersListed listed;
+    listed.is_whole = true;
+    listed.listed = {Server("app-1", "app"), Server("app-2", "app"),
+                     Server("llm-1", "llm", "llm/m0"),
+                     Server("llm-2", "llm", "llm/m0")};
+    Handle(name, listed);
+  }
+
+  void Handle(const std::string& name, const Event& event) {
+    Host& host = hosts_.at(name);
+    if (host.is_down) return;
+    std::vector<Action> actions;
+    host.node->Handle(event, now_, actions);
+    for (Action& action : actions) Perform(name, std::move(action));
+  }
+
+  void Perform(const std::string& name, Action action) {
+    Host& host = hosts_.at(name);
+    if (std::holds_alternative<ReadLease>(action)) {
+      if (host.is_cut_from_store) return;
+      pending_.push_back({name, LeaseRead{true, lease_, token_, end_}});
+    } else if (const auto* append = std::get_if<AppendLease>(&action)) {
+      if (host.is_cut_from_store) return;
+      const bool is_granted = append->end == end_;
+      if (is_granted) {
+        lease_ = append->record;
+        token_ = ++end_;
+      }
+      pending_.push_back({name, LeaseAppendEnded{is_granted}});
+    } else if (const auto* peer = std::get_if<SendPeer>(&action)) {
+      if (!hosts_.contains(peer->host)) return;
+      if (host.is_cut_from_hosts || hosts_.at(peer->host).is_cut_from_hosts) {
+        return;
+      }
+      pending_.push_back(
+          {peer->host, PeerMessageReceived{name, peer->message}});
+    } else if (const auto* order = std::get_if<SendOrder>(&action);
+               order != nullptr && order->order.kind == OrderKind::kInspect) {
+      Inventory inventory;
+      inventory.engine = order->engine;
+      Replica replica;
+      replica.name = "llm/m0";
+      inventory.replicas.push_back(replica);
+      pending_.push_back({name, EngineAnswered{inventory, now_}});
+    } else {
+      if (const auto* load = std::get_if<SendOrder>(&action)) {
+        pending_.push_back({name, OrderAnswered{load->engine, load->order.id,
+                                                OrderResult::kAccepted}});
+      }
+      host.done.push_back(std::move(action));
+    }
+  }
+
+  void Run(Duration duration) {
+    for (const TimePoint end = now_ + duration; now_ < end;) {
+      now_ += milliseconds(25);
+      const auto due = std::move(pending_);
+      pending_.clear();
+      for (const auto& [name, event] : due) Handle(name, event);
+      for (const auto& [name, host] : hosts_) Handle(name, Tick{});
+    }
+  }
+
+  RequestArrived Arrive(const std::string& name, RequestHandle handle,
+                        const std::string& path,
+                        const std::string& model = "") {
+    RequestArrived request;
+    request.handle = handle;
+    request.request_id = "r" + std::to_string(handle);
+    request.facts.path = path;
+    request.facts.model = model;
+    request.facts.caller = "c";
+    Handle(name, request);
+    return request;
+  }
+
+  template <typename T>
+  std::vector<T> Done(const std::string& name) const {
+    std::vector<T> found;
+    for (const Action& action : hosts_.at(name).done) {
+      if (const T* one = std::get_if<T>(&action)) found.push_back(*one);
+    }
+    return found;
+  }
+
+  std::vector<std::string> Holders() const {
+    std::vector<std::string> holders;
+    for (const auto& [name, host] : hosts_) {
+      if (host.is_down) continue;
+      const Json dump = host.node->StateDump();
+      if (dump["fleet"].contains("planner")) holders.push_back(name);
+    }
+    return holders;
+  }
+
+  TimePoint now_{std::chrono::hours(500000)};
+  std::map<std::string, Host> hosts_;
+  std::vector<std::pair<std::string, Event>> pending_;
+  std::optional<LeaseRecord> lease_;
+  FencingToken token_ = 0;
+  LogOffset end_ = 0;
+};
+
+TEST_F(FleetTest, OneHostTakesTheLeaseAndKeepsIt) {
+  for (const char* name : {"a", "b", "c"}) Add(name);
+  Run(seconds(3));
+  ASSERT_EQ(Holders().size(), 1u);
+  const std::string holder = Holders()[0];
+  EXPECT_EQ(lease_->holder.host, holder);
+  Run(seconds(20));
+  EXPECT_EQ(Holders(), std::vector<std::string>{holder});
+  EXPECT_EQ(token_, 1u) << "nobody else claimed";
+}
+
+// The host that plans dies. Models that nobody has loaded could not be brought
+// until another takes over; its first order waits for the dead one's last to
+// be carried out, or engines would see two hosts by turns.
+TEST_F(FleetTest, AnotherHostTakesOverAndWaitsOutTheLease) {
+  for (const char* name : {"a", "b", "c"}) Add(name);
+  Run(seconds(3));
+  const std::string first = Holders()[0];
+  hosts_.at(first).is_down = true;
+  const TimePoint died = now_;
+  while (Holders().empty()) {
+    Run(milliseconds(25));
+    ASSERT_LT(now_ - died, seconds(4));
+  }
+  const std::string second = Holders()[0];
+  EXPECT_EQ(token_, 2u);
+  const TimePoint taken = now_;
+  Arrive(second, 1, "/rare/x", "llm/m1");
+  // The catalogue name is SERVICE/MODEL; the caller names the model alone.
+  Arrive(second, 2, "/rare/x", "m1");
+  Run(seconds(2));
+  EXPECT_TRUE(Done<SendOrder>(second).empty()) << "too early";
+  Run(seconds(2));
+  EXPECT_FALSE(Done<SendOrder>(second).empty());
+  EXPECT_GE(now_ - taken, seconds(3));
+}
+
+// A host that holds the lease is frozen and wakes after another took over. It
+// still believes that it may order; engines that do not check tokens would
+// obey both.
+TEST_F(FleetTest, WokenHolderReadsTheLeaseBeforeItOrders) {
+  for (const char* name : {"a", "b"}) Add(name);
+  Run(seconds(3));
+  const std::string first = Holders()[0];
+  hosts_.at(first).is_down = true;  // Frozen.
+  Run(seconds(5));
+  hosts_.at(first).is_down = false;
+  hosts_.at(first).done.clear();
+  Arrive(first, 1, "/rare/x", "m1");
+  Handle(first, Tick{});
+  EXPECT_TRUE(Done<SendOrder>(first).empty());
+  Run(seconds(1));
+  EXPECT_TRUE(Done<SendOrder>(first).empty());
+  ASSERT_EQ(Holders().size(), 1u);
+  EXPECT_NE(Holders()[0], first);
+}
+
+// The holder is cut off from the store, as one host in a data centre may be.
+// It is heard by the others, and goes on.
+TEST_F(FleetTest, HolderWithoutStoreGoesOn) {
+  for (const char* name : {"a", "b"}) Add(name);
+  Run(seconds(3));
+  const std::string holder = Holders()[0];
+  hosts_.at(holder).is_cut_from_store = true;
+  Run(seconds(8));
+  EXPECT_EQ(Holders(), std::vector<std::string>{holder});
+  EXPECT_EQ(token_, 1u);
+}
+
+// While the store is away, listings of live servers lapse with it. Without
+// them every request was refused for two seconds after each outage.
+TEST_F(FleetTest, ServersThatLapseWithTheStoreStayForAWhile) {
+  Add("a");
+  Run(seconds(2));
+  Handle("a", LogFailed{});
+  ServersListed lapsed;
+  lapsed.gone = {"app-1", "app-2"};
+  Handle("a", lapsed);
+  Arrive("a", 1, "/once/x");
+  EXPECT_EQ(Done<DispatchRequest>("a").size(), 1u);
+  Run(seconds(3));  // Not listed again: gone.
+  hosts_.at("a").done.clear();
+  Arrive("a", 2, "/once/x");
+  EXPECT_TRUE(Done<DispatchRequest>("a").empty());
+  ASSERT_EQ(Done<RefuseRequest>("a").size(), 1u);
+  EXPECT_EQ(Done<RefuseRequest>("a")[0].refusal.verdict, Verdict::kNotRun);
+}
+
+// Away from an outage, a server that is not listed gets nothing more at once.
+TEST_F(FleetTest, ServersThatAreTakenOffTheListAreLeftAtOnce) {
+  Add("a");
+  Run(seconds(2));
+  Handle("a", StoreReached{});
+  ServersListed gone;
+  gone.gone = {"app-1"};
+  ListedServer leaving = Server("app-2", "app");
+  leaving.is_leaving = true;
+  gone.listed = {leaving};
+  Handle("a", gone);
+  Arrive("a", 1, "/once/x");
+  EXPECT_TRUE(Done<DispatchRequest>("a").empty());
+}
+
+// A payment is sent and its connection breaks. Sent once more, the caller might
+// pay twice; "not run" would be a lie.
+TEST_F(FleetTest, RequestThatMayNotBeRepeatedIsSentOnce) {
+  Add("a");
+  Run(seconds(2));
+  Arrive("a", 1, "/once/x");
+  ASSERT_EQ(Done<DispatchRequest>("a").size(), 1u);
+  EXPECT_FALSE(Done<DispatchRequest>("a")[0].is_repeatable);
+  AttemptEnded broken;
+  broken.handle = 1;
+  broken.attempt = 1;
+  broken.result = AttemptResult::kBroken;
+  Handle("a", broken);
+  Run(seconds(1));
+  EXPECT_EQ(Done<DispatchRequest>("a").size(), 1u);
+  ASSERT_EQ(Done<RefuseRequest>("a").size(), 1u);
+  EXPECT_EQ(Done<RefuseRequest>("a")[0].refusal.verdict, Verdict::kMayHaveRun);
+}
+
+TEST_F(FleetTest, RepeatableRequestGoesToAnotherServerOnce) {
+  Add("a");
+  Run(seconds(2));
+  Arrive("a", 1, "/again/x");
+  AttemptEnded broken;
+  broken.handle = 1;
+  broken.attempt = 1;
+  broken.result = AttemptResult::kBroken;
+  Handle("a", broken);
+  Run(milliseconds(300));
+  const auto sent = Done<DispatchRequest>("a");
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_NE(sent[0].backend, sent[1].backend);
+  EXPECT_TRUE(sent[0].has_retries);
+  EXPECT_FALSE(sent[1].has_retries);
+}
+
+// An engine dies amid a stream that may be resumed. The caller has part of it;
+// another engine goes on after the last event, in the same answer.
+TEST_F(FleetTest, BrokenStreamGoesOnAtAnotherEngine) {
+  Add("a");
+  Run(seconds(2));
+  Arrive("a", 1, "/stream/x", "m0");
+  Handle("a", AttemptStarted{1});
+  AttemptEnded broken;
+  broken.handle = 1;
+  broken.attempt = 1;
+  broken.result = AttemptResult::kBroken;
+  broken.has_delivered = true;
+  broken.can_resume = true;
+  Handle("a", broken);
+  Run(milliseconds(300));
+  const auto sent = Done<DispatchRequest>("a");
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_NE(sent[0].backend, sent[1].backend);
+  EXPECT_TRUE(sent[1].resume);
+}
+
+// A host is stopped while a request waits for a model. Killed with it open, its
+// caller would not know whether it ran.
+TEST_F(FleetTest, DrainAnswersWhatItCannotServe) {
+  for (const char* name : {"a", "b"}) Add(name);
+  Run(seconds(3));
+  Arrive("a", 1, "/rare/x", "m1");
+  Handle("a", DrainRequested{});
+  Run(seconds(7));
+  ASSERT_EQ(Done<RefuseRequest>("a").size(), 1u);
+  EXPECT_EQ(Done<RefuseRequest>("a")[0].refusal.verdict, Verdict::kNotRun);
+  EXPECT_GT(Done<RefuseRequest>("a")[0].refusal.retry_after, Duration{0});
+  EXPECT_EQ(Done<Drained>("a").size(), 1u);
+}
+
+// The lease of a host that is stopped in order passes on without the wait for
+// its silence.
+TEST_F(FleetTest, StoppedHolderReleasesTheLease) {
+  for (const char* name : {"a", "b"}) Add(name);
+  Run(seconds(3));
+  const std::string holder = Holders()[0];
+  Handle(holder, DrainRequested{});
+  Run(milliseconds(500));
+  EXPECT_TRUE(lease_->is_released || lease_->holder.host != holder);
+  hosts_.at(holder).is_down = true;
+  Run(seconds(2));
+  ASSERT_EQ(Holders().size(), 1u);
+  EXPECT_NE(Holders()[0], holder);
+}
+
+// Rule sets of the platform are numbered; one that arrives late, from a reader
+// that was paused, must not bring an older one back into force.
+TEST_F(FleetTest, OlderRuleSetsAreIgnored) {
+  Add("a");
+  Run(seconds(1));
+  Json newer = *ParseJson(kRules);
+  newer["rules"].erase(0);  // Without "once".
+  Handle("a", RuleSetRead{5, newer});
+  Handle("a", RuleSetRead{3, *ParseJson(kRules)});
+  Arrive("a", 1, "/once/x");
+  ASSERT_EQ(Done<RefuseRequest>("a").size(), 1u);
+  EXPECT_EQ(Done<RefuseRequest>("a")[0].refusal.reason,
+            RefusalReason::kRefusedByRule);
+}
+
+TEST_F(FleetTest, MalformedRuleSetLeavesTheLastInForce) {
+  Add("a");
+  Run(seconds(1));
+  Handle("a", RuleSetRead{5, Json{{"rules", 3}}});
+  Arrive("a", 1, "/once/x");
+  EXPECT_EQ(Done<DispatchRequest>("a").size(), 1u);
+}
+
+}  // namespace
+}  // namespace applehall
--- /dev/null
+++ b/tests/placement/fleet_planner_test.cc
@@ -0,0 +1,363 @@
+#include "placement/fleet_planner.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+
+#include "core/random.h"
+#include "standins/fake_counted_engine.h"
+
+namespace applehall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(500000)};
+constexpr uint64_t kModelBytes = 70'000'000'000;
+constexpr uint64_t kEngineBytes = 230'000'000'000;  // Three models.
+constexpr char kService[] = "writer";
+
+std::string ModelName(int i) { return "writer/m" + std::to_string(i); }
+
+// A planner, engines that do what it orders, and a network that loses, delays
+// or swallows the answers of some orders.
+class FleetPlannerTest : public testing::Test {
+ protected:
+  void Use(int engines, int models, int adapters = 0) {
+    for (int i = 0; i < models; ++i) {
+      CatalogueEntry entry;
+      entry.name = ModelName(i);
+      entry.service = kService;
+      entry.bytes = kModelBytes;
+      entry.load_times = {milliseconds(1200), milliseconds(1600),
+                          milliseconds(6000)};
+      catalogue_[entry.name] = entry;
+      for (int a = 1; a <= adapters; ++a) {
+        CatalogueEntry adapter;
+        adapter.name = entry.name + "/a" + std::to_string(a);
+        adapter.base = entry.name;
+        adapter.service = kService;
+        adapter.bytes = 66'000'000;
+        catalogue_[adapter.name] = adapter;
+      }
+    }
+    classes_[kService] = {kEngineBytes, 8, 4.0};
+    for (int i = 0; i < engines; ++i) {
+      const std::string id = "e" + std::to_string(i);
+      engines_[id] = std::make_unique<FakeCountedEngine>(
+          id, kService, kEngineBytes, /*adapter_slots=*/8);
+    }
+    planner_ =
+        std::make_unique<FleetPlanner>(Incarnation{"entry", 1}, token_, now_);
+    planner_->SetCatalogue(&catalogue_, &classes_);
+    List();
+  }
+
+  void List() {
+    EngineList list;
+    for (const auto& [id, engine] : engines_) list[id] = engine->Listing();
+    planner_->SetServers(list, now_);
+  }
+
+  void Report(const std::string& target, int waiting, int arrivals = 0,
+              double worth = 5.0) {
+    HostReport report;
+    report.host = "entry";
+    if (waiting > 0) {
+      report.waiting.push_back({target, waiting, waiting * worth, seconds(20)});
+    }
+    if (arrivals > 0) {
+      report.arrivals.push_back({target, arrivals, arrivals * worth});
+    }
+    planner_->TakeReport(report, now_);
+  }
+
+  // One step of 20 ms: ends, decisions, orders and their answers.
+  void Step() {
+    now_ += milliseconds(20);
+    for (auto& [id, engine] : engines_) engine->Advance(now_);
+    DeliverLate();
+    std::vector<OrderToSend> orders;
+    planner_->Decide(/*may_order=*/true, now_, orders);
+    for (const OrderToSend& order : orders) Carry(order);
+    if (++steps_ % 20 == 0) List();
+  }
+
+  void Run(Duration duration) {
+    for (const TimePoint end = now_ + duration; now_ < end;) Step();
+  }
+
+  void Carry(const OrderToSend& sent) {
+    FakeCountedEngine& engine = *engines_.at(sent.engine);
+    if (sent.order.kind == OrderKind::kInspect) {
+      planner_->TakeInventory(engine.Report(), now_, now_);
+      return;
+    }
+    sent_.push_back(sent);
+    const double luck = random_.Unit();
+    if (luck < lost_) {
+      Answer(sent, OrderResult::kUnanswered);
+      return;
+    }
+    if (luck < lost_ + late_) {
+      late_orders_.push_back(
+          {now_ + milliseconds(2000 + random_.Below(10000)), sent});
+      Answer(sent, OrderResult::kUnanswered);
+      return;
+    }
+    const OrderResult result = engine.Take(sent.order, now_);
+    Answer(sent, luck < lost_ + late_ + answer_lost_ ? OrderResult::kUnanswered
+                                                     : result);
+  }
+
+  void Answer(const OrderToSend& sent, OrderResult result) {
+    planner_->TakeOrderResult(sent.engine, sent.order.id, result, now_);
+  }
+
+  void DeliverLate() {
+    std::erase_if(late_orders_, [this](const LateOrder& late) {
+      if (late.arrives > now_) return false;
+      engines_.at(late.sent.engine)->Take(late.sent.order, now_);
+      return true;
+    });
+  }
+
+  bool IsReady(const std::string& target) const {
+    return std::any_of(engines_.begin(), engines_.end(), [&](const auto& item) {
+      const auto ready = planner_->ReadyOn(item.first);
+      return std::find(ready.begin(), ready.end(), target) != ready.end();
+    });
+  }
+
+  int Count(OrderKind kind, const std::string& name) const {
+    return static_cast<int>(
+        std::count_if(sent_.begin(), sent_.end(), [&](const auto& sent) {
+          return sent.order.kind == kind && sent.order.name == name;
+        }));
+  }
+
+  int Loads() const {
+    int loads = 0;
+    for (const auto& [id, engine] : engines_) loads += engine->model_loads();
+    return loads;
+  }
+
+  struct LateOrder {
+    TimePoint arrives;
+    OrderToSend sent;
+  };
+
+  FencingToken token_ = 7;
+  TimePoint now_ = kStart;
+  std::map<std::string, CatalogueEntry> catalogue_;
+  std::map<std::string, EngineClass> classes_;
+  std::map<std::string, std::unique_ptr<FakeCountedEngine>> engines_;
+  std::unique_ptr<FleetPlanner> planner_;
+  std::vector<OrderToSend> sent_;
+  std::vector<LateOrder> late_orders_;
+  Random random_{1};
+  double lost_ = 0;
+  double late_ = 0;
+  double answer_lost_ = 0;
+  int steps_ = 0;
+};
+
+TEST_F(FleetPlannerTest, NothingIsOrderedBeforeTheFirstReport) {
+  Use(2, 3);
+  Report(ModelName(0), 1);
+  std::vector<OrderToSend> orders;
+  planner_->Decide(true, now_, orders);
+  ASSERT_EQ(orders.size(), 2u);
+  for (const OrderToSend& order : orders) {
+    EXPECT_EQ(order.order.kind, OrderKind::kInspect);
+  }
+}
+
+TEST_F(FleetPlannerTest, WaitedForModelIsLoadedOnceFromWhereItIsNearest) {
+  Use(3, 4);
+  engines_.at("e2")->Hold(ModelName(0), kModelBytes);
+  List();
+  Run(milliseconds(100));
+  // It leaves memory, but stays on the disk of e2.
+  EngineOrder unload;
+  unload.kind = OrderKind::kUnload;
+  unload.name = ModelName(0);
+  engines_.at("e2")->Take(unload, now_);
+  Run(seconds(12));  // The idle report finds out.
+  if (!IsReady(ModelName(0))) {
+    Report(ModelName(0), 1);
+    Run(milliseconds(2200));
+  }
+  EXPECT_TRUE(IsReady(ModelName(0)));
+  EXPECT_TRUE(engines_.at("e2")->Holds(ModelName(0)));
+}
+
+// A caller's rare model waits for a place although one unload is done: the
+// report that shows it lags, and the planner waited half a second to be sure.
+// The report's count of orders proves that it was written after the unload.
+TEST_F(FleetPlannerTest, EndOfAnOrderIsSeenInTheFirstReportThatCountsIt) {
+  Use(1, 4);
+  for (int i = 0; i < 3; ++i)
+    engines_.at("e0")->Hold(ModelName(i), kModelBytes);
+  Run(seconds(3));
+  const TimePoint asked = now_;
+  Report(ModelName(3), 1);
+  while (Count(OrderKind::kLoad, ModelName(3)) == 0) {
+    Step();
+    ASSERT_LT(now_ - asked, seconds(2));
+  }
+  EXPECT_LE(now_ - asked, milliseconds(300));
+}
+
+// Demand moves: a model that was asked for often comes and goes every few
+// seconds, pushed out by single requests for rare ones, and its callers wait.
+// Nothing is unloaded that earns more a second than what it makes room for.
+TEST_F(FleetPlannerTest, BusyModelsStayForSingleRareRequests) {
+  Use(1, 6);
+  for (int i = 0; i < 3; ++i)
+    engines_.at("e0")->Hold(ModelName(i), kModelBytes);
+  List();
+  for (int second = 0; second < 13; ++second) {
+    for (int i = 0; i < 3; ++i) Report(ModelName(i), 0, 7);
+    if (second >= 3) Report(ModelName(5), 1);
+    Run(seconds(1));
+  }
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(Count(OrderKind::kUnload, ModelName(i)), 0) << ModelName(i);
+  }
+}
+
+// The other side of the same: once nobody asks for them any more, models that
+// were busy give way.
+TEST_F(FleetPlannerTest, ModelsThatWereBusyGiveWayWhenDemandHasMoved) {
+  Use(1, 6);
+  for (int i = 0; i < 3; ++i)
+    engines_.at("e0")->Hold(ModelName(i), kModelBytes);
+  Run(seconds(3));
+  for (int i = 0; i < 3; ++i) Report(ModelName(i), 0, 30);
+  Run(seconds(20));
+  for (int tries = 0; tries < 12 && !IsReady(ModelName(5)); ++tries) {
+    Report(ModelName(5), 1);
+    Run(seconds(1));
+  }
+  EXPECT_TRUE(IsReady(ModelName(5)));
+}
+
+// An engine refuses adapters while it loads a model. Orders to it were refused
+// three times in a row while another engine held the same base model.
+TEST_F(FleetPlannerTest, AdaptersGoToAnEngineThatIsNotBusy) {
+  Use(2, 8, /*adapters=*/4);
+  engines_.at("e0")->Hold(ModelName(0), kModelBytes);
+  engines_.at("e1")->Hold(ModelName(0), kModelBytes);
+  List();
+  Run(milliseconds(40));
+  for (int a = 1; a <= 4; ++a) {
+    Report(ModelName(0) + "/a" + std::to_string(a), 1);
+    Run(milliseconds(200));
+  }
+  int refused = 0;
+  for (const PlacementNote& note : planner_->TakeNotes()) {
+    if (note.event == "order_answered" && note.reason == "busy") ++refused;
+  }
+  EXPECT_EQ(refused, 0);
+  for (int a = 1; a <= 4; ++a) {
+    EXPECT_TRUE(IsReady(ModelName(0) + "/a" + std::to_string(a))) << a;
+  }
+}
+
+// A model that no engine has at hand waits for the store; those behind it in
+// the store's queue would wait past their deadline, and are told when their
+// turn is, so that their hosts can refuse them at once.
+TEST_F(FleetPlannerTest, ModelsBehindAFullStoreAreToldTheirTurn) {
+  Use(9, 60);
+  Run(seconds(1));
+  HostReport report;
+  report.host = "entry";
+  for (int i = 40; i < 60; ++i) {
+    report.waiting.push_back({ModelName(i), 1, 5.0, seconds(20)});
+  }
+  planner_->TakeReport(report, now_);
+  Step();
+  Duration longest{0};
+  for (int i = 40; i < 60; ++i) {
+    const DemandAnswer answer = planner_->Answer(ModelName(i), now_);
+    longest = std::max(longest, answer.expected);
+  }
+  // Sixteen or more, four at once, six seconds each.
+  EXPECT_GE(longest, seconds(24));
+}
+
+// Another host took the lease; an engine has seen its token and refuses. This
+// planner must not go on ordering with what it believes.
+TEST_F(FleetPlannerTest, RefusedTokenEndsAllOrders) {
+  Use(1, 4);
+  Run(milliseconds(40));
+  EngineOrder newer;
+  newer.kind = OrderKind::kLoad;
+  newer.name = ModelName(3);
+  newer.bytes = kModelBytes;
+  newer.fence = {token_ + 1, 1};
+  engines_.at("e0")->Take(newer, now_);
+  Report(ModelName(0), 1);
+  Run(seconds(10));
+  EXPECT_TRUE(planner_->is_superseded());
+  const size_t sent = sent_.size();
+  Report(ModelName(1), 1);
+  Run(seconds(5));
+  EXPECT_EQ(sent_.size(), sent);
+}
+
+// The driver's answer to an order gets lost in the process. The engine would
+// take no order again, and a drain would wait for it until it is killed.
+TEST_F(FleetPlannerTest, OrderWhoseAnswerNeverComesIsGivenUp) {
+  Use(1, 4);
+  Run(milliseconds(40));
+  std::vector<OrderToSend> orders;
+  Report(ModelName(0), 1);
+  now_ += milliseconds(50);
+  planner_->Decide(true, now_, orders);
+  ASSERT_FALSE(planner_->IsQuiet());
+  now_ += seconds(4);
+  planner_->Decide(true, now_, orders);
+  EXPECT_TRUE(planner_->IsQuiet());
+}
+
+// An order that nobody answered may be carried out seconds later, after newer
+// ones; an engine that is then ordered to load more than fits crashes with all
+// it runs. The count in each order makes the late one void.
+class FleetPlannerChaosTest : public FleetPlannerTest,
+                              public testing::WithParamInterface<int> {};
+
+TEST_P(FleetPlannerChaosTest, MemoryIsNeverOvercommitted) {
+  SCOPED_TRACE(testing::Message() << "seed " << GetParam());
+  random_ = Random(static_cast<uint64_t>(GetParam()));
+  lost_ = 0.1;
+  late_ = 0.2;
+  answer_lost_ = 0.1;
+  Use(4, 14, /*adapters=*/12);
+  int loads_at_half = 0;
+  for (int step = 0; step < 1500; ++step) {
+    if (random_.Unit() < 0.2) {
+      std::string target = ModelName(static_cast<int>(random_.Below(14)));
+      if (random_.Unit() < 0.5) {
+        target += "/a" + std::to_string(1 + random_.Below(12));
+      }
+      Report(target, IsReady(target) ? 0 : 1, 1);
+    }
+    Step();
+    if (step == 750) loads_at_half = Loads();
+    for (const auto& [id, engine] : engines_) {
+      ASSERT_FALSE(engine->was_overcommitted()) << id << " at step " << step;
+    }
+  }
+  // It must have gone on under all that; in the second half too.
+  EXPECT_GT(loads_at_half, 1);
+  EXPECT_GT(Loads(), loads_at_half);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FleetPlannerChaosTest, testing::Range(1, 41));
+
+}  // namespace
+}  // namespace applehall
--- /dev/null
+++ b/tests/platform/edge_test.cc
@@ -0,0 +1,290 @@
+// Callers, this host's connections and servers that do wrong, over loopback.
+
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "platform/engine_client.h"
+#include "platform/ingress.h"
+
+namespace applehall {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+constexpr char kAnswer[] =
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Server-Stamp: s\r\n"
+    "Content-Length: 5\r\n\r\nhello";
+
+// One connection after the other: reads a request, sends the next of the
+// scripted texts and closes.
+class ScriptedServer {
+ public:
+  explicit ScriptedServer(asio::io_context& io)
+      : acceptor_(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {
+    asio::co_spawn(io, Serve(), asio::detached);
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+  std::deque<std::string> answers;
+  std::vector<std::string> requests;
+
+ private:
+  asio::awaitable<void> Serve() {
+    while (true) {
+      tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
+      std::string request;
+      const auto read = co_await asio::async_read_until(
+          socket, asio::dynamic_buffer(request), "\r\n\r\n",
+          asio::as_tuple(asio::use_awaitable));
+      requests.push_back(request);
+      if (answers.empty()) continue;
+      const std::string answer = answers.front();
+      answers.pop_front();
+      const auto written = co_await asio::async_write(
+          socket, asio::buffer(answer), asio::as_tuple(asio::use_awaitable));
+      (void)read;
+      (void)written;
+    }
+  }
+
+  tcp::acceptor acceptor_;
+};
+
+// A caller's connection to the ingress, the ingress and the engine client, with
+// the test in the node's place.
+class EdgeTest : public testing::Test {
+ protected:
+  EdgeTest()
+      : server_(io_),
+        ingress_(io_, Address{"127.0.0.1", Port()},
+                 [this](Event event) { events_.push_back(std::move(event)); }),
+        engines_(io_, "edge-1",
+                 [this](Event event) { events_.push_back(std::move(event)); }) {
+  }
+
+  // A port that the kernel gave and nobody uses.
+  uint16_t Port() {
+    tcp::acceptor probe(io_,
+                        tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    port_ = probe.local_endpoint().port();
+    return port_;
+  }
+
+  bool RunUntil(const std::function<bool()>& is_done) {
+    for (int i = 0; i < 2000 && !is_done(); ++i) {
+      io_.run_for(std::chrono::milliseconds(5));
+      io_.restart();
+    }
+    return is_done();
+  }
+
+  template <typename T>
+  const T* Find() const {
+    for (const Event& event : events_) {
+      if (const T* found = std::get_if<T>(&event)) return found;
+    }
+    return nullptr;
+  }
+
+  // Sends a caller's request and waits until the node would see it.
+  const RequestArrived& Ask(const std::string& extra = "") {
+    caller_ = std::make_unique<tcp::socket>(io_);
+    caller_->connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port_));
+    const std::string request =
+        "POST /a/b?q=1 HTTP/1.1\r\nHost: Shop.Example:80\r\n"
+        "X-Attempt-Id: id-1\r\nX-Deadline-Ms: 5000\r\nX-Model: m\r\n" +
+        extra + "Content-Length: 2\r\n\r\nhi";
+    asio::write(*caller_, asio::buffer(request));
+    EXPECT_TRUE(RunUntil([this] { return Find<RequestArrived>() != nullptr; }));
+    return *Find<RequestArrived>();
+  }
+
+  void Dispatch(RequestHandle handle, int attempt = 1, bool resume = false) {
+    DispatchRequest dispatch;
+    dispatch.handle = handle;
+    dispatch.attempt = attempt;
+    dispatch.backend = "i-7";
+    dispatch.address = server_.address();
+    dispatch.resume = resume;
+    dispatch.deadline = SystemClock().Now() + std::chrono::seconds(4);
+    dispatch.priority = 2;
+    engines_.Dispatch(dispatch, ingress_.Find(handle));
+  }
+
+  const AttemptEnded& AwaitEnd() {
+    EXPECT_TRUE(RunUntil([this] { return Find<AttemptEnded>() != nullptr; }));
+    return *Find<AttemptEnded>();
+  }
+
+  // Everything the caller got so far.
+  std::string Received() {
+    io_.run_for(std::chrono::milliseconds(20));
+    io_.restart();
+    while (caller_->available() > 0) {
+      std::string bytes(caller_->available(), '\0');
+      boost::system::error_code error;
+      bytes.resize(caller_->read_some(asio::buffer(bytes), error));
+      if (error) break;
+      received_ += bytes;
+    }
+    return received_;
+  }
+
+  asio::io_context io_;
+  ScriptedServer server_;
+  uint16_t port_ = 0;
+  std::deque<Event> events_;
+  Ingress ingress_;
+  EngineClient engines_;
+  std::unique_ptr<tcp::socket> caller_;
+  std::string received_;
+};
+
+TEST_F(EdgeTest, AnswerIsPassedOnUnchanged) {
+  server_.answers = {kAnswer};
+  const RequestArrived& request = Ask();
+  EXPECT_EQ(request.facts.headers.at("host"), "shop.example");
+  EXPECT_EQ(request.facts.path, "/a/b");
+  EXPECT_EQ(request.facts.model, "m");
+  Dispatch(request.handle);
+  EXPECT_EQ(AwaitEnd().result, AttemptResult::kCompleted);
+  const std::string received = Received();
+  EXPECT_NE(received.find("x-server-stamp: s"), std::string::npos) << received;
+  EXPECT_TRUE(received.ends_with("\r\n\r\nhello")) << received;
+}
+
+// A caller sets headers that only this system may set: they would reserve
+// memory, or take over another request's.
+TEST_F(EdgeTest, OwnHeadersOfACallerNeverReachAServer) {
+  server_.answers = {kAnswer};
+  Dispatch(Ask("X-Hold: 1\r\nX-Pin-Ms: 5\r\nX-Kv-Backup: a\r\nKv-From: b\r\n"
+               "X-Expect-Instance: other\r\nX-Custom: kept\r\n")
+               .handle);
+  AwaitEnd();
+  ASSERT_EQ(server_.requests.size(), 1u);
+  const std::string& sent = server_.requests[0];
+  for (const char* name : {"x-hold", "x-pin-ms", "x-kv-backup", "kv-from"}) {
+    EXPECT_EQ(sent.find(name), std::string::npos) << sent;
+  }
+  EXPECT_NE(sent.find("x-expect-instance: i-7\r\n"), std::string::npos) << sent;
+  EXPECT_NE(sent.find("x-custom: kept\r\n"), std::string::npos) << sent;
+  EXPECT_NE(sent.find("POST /a/b?q=1 "), std::string::npos) << sent;
+  EXPECT_NE(sent.find("x-request-urgency: 2\r\n"), std::string::npos) << sent;
+}
+
+// A late answer to another request stands where this one's is due. Passed on,
+// a caller would read a stranger's answer.
+TEST_F(EdgeTest, AnswerToAnotherIdIsNotPassedOn) {
+  server_.answers = {
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-0\r\nX-Server-Stamp: s\r\n"
+      "Content-Length: 5\r\n\r\nhello"};
+  Dispatch(Ask().handle);
+  EXPECT_EQ(AwaitEnd().result, AttemptResult::kBroken);
+  EXPECT_EQ(Received(), "");
+}
+
+// A server hands out bytes that are no answer, an answer without its proof, or
+// half of one. None may look like a success.
+TEST_F(EdgeTest, WrongBytesAreNoSuccess) {
+  const std::string wrong[] = {
+      "garbage\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nContent-Length: 5\r\n\r\nhello",
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Server-Stamp: s\r\n"
+      "Content-Encoding: gzip\r\nContent-Length: 5\r\n\r\nhello",
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Server-Stamp: s\r\n"
+      "Content-Length: 50\r\n\r\nhello"};
+  for (const std::string& answer : wrong) {
+    events_.clear();
+    server_.answers = {answer};
+    Dispatch(Ask().handle);
+    EXPECT_EQ(AwaitEnd().result, AttemptResult::kBroken) << answer;
+    EXPECT_EQ(Received(), "") << answer;
+  }
+}
+
+TEST_F(EdgeTest, ServersSayWhatTheyDidNotRun) {
+  const std::pair<std::string, AttemptResult> cases[] = {
+      {"503 Full", AttemptResult::kFull},
+      {"421 Misdirected", AttemptResult::kModelAbsent},
+      {"429 Many", AttemptResult::kFull}};
+  for (const auto& [status, result] : cases) {
+    events_.clear();
+    server_.answers = {"HTTP/1.1 " + status +
+                       "\r\nX-Attempt-Id: id-1\r\nX-Not-Executed: 1\r\n"
+                       "Content-Length: 0\r\n\r\n"};
+    Dispatch(Ask().handle);
+    EXPECT_EQ(AwaitEnd().result, result) << status;
+  }
+}
+
+// An engine is lost in the middle of an event. The caller has whole events
+// only, and another engine goes on after the last: nothing twice, none missing.
+TEST_F(EdgeTest, BrokenStreamIsResumedAfterItsLastWholeEvent) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Server-Stamp: s\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  server_.answers = {head + "18\r\nid: 1\ndata: a\n\nid: 2\ndat\r\n",
+                     head + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"};
+  const RequestHandle handle = Ask().handle;
+  Dispatch(handle);
+  const AttemptEnded first = AwaitEnd();
+  EXPECT_EQ(first.result, AttemptResult::kBroken);
+  EXPECT_TRUE(first.has_delivered);
+  EXPECT_TRUE(first.can_resume);
+  std::string received = Received();
+  EXPECT_NE(received.find("data: a"), std::string::npos);
+  EXPECT_EQ(received.find("id: 2"), std::string::npos) << received;
+  events_.clear();
+  Dispatch(handle, 2, /*resume=*/true);
+  EXPECT_EQ(AwaitEnd().result, AttemptResult::kCompleted);
+  EXPECT_NE(server_.requests[1].find("last-event-id: 1\r\n"),
+            std::string::npos);
+  received = Received();
+  EXPECT_NE(received.find("data: b"), std::string::npos) << received;
+  EXPECT_TRUE(received.ends_with("0\r\n\r\n")) << received;
+}
+
+// A caller leaves while its request waits for an engine's first token. The
+// engine would work on for nobody.
+TEST_F(EdgeTest, CallerThatLeavesIsNoticedAndItsAttemptCancelled) {
+  const RequestHandle handle = Ask().handle;
+  Dispatch(handle);
+  RunUntil([this] { return !server_.requests.empty(); });
+  caller_->close();
+  EXPECT_TRUE(RunUntil([this] { return Find<CallerGone>() != nullptr; }));
+  engines_.Cancel(CancelAttempt{handle, 1});
+  EXPECT_EQ(AwaitEnd().result, AttemptResult::kBroken);
+}
+
+TEST_F(EdgeTest, RefusalTellsWhenToComeBack) {
+  const RequestHandle handle = Ask().handle;
+  ingress_.Refuse({handle,
+                   "4/rule",
+                   {Verdict::kNotRun, RefusalReason::kCannotMeetDeadline,
+                    "late", std::chrono::milliseconds(1250)}});
+  const std::string received = Received();
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 503 ")) << received;
+  EXPECT_NE(received.find("retry-after: 1.250"), std::string::npos) << received;
+}
+
+// What may have run must not be called "not run", whatever the reason.
+TEST_F(EdgeTest, RefusalOfWhatMayHaveRunPromisesNothing) {
+  const RequestHandle handle = Ask().handle;
+  ingress_.Refuse({handle,
+                   "4/rule",
+                   {Verdict::kMayHaveRun, RefusalReason::kQueueFull, "x",
+                    std::chrono::seconds(1)}});
+  const std::string received = Received();
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 502 ")) << received;
+  EXPECT_EQ(received.find("retry-after"), std::string::npos) << received;
+}
+
+}  // namespace
+}  // namespace applehall
--- /dev/null
+++ b/tests/platform/operator_config_test.cc
@@ -0,0 +1,137 @@
+#include "platform/operator_config.h"
+
+#include <gtest/gtest.h>
+
+#include "rules/rule_book.h"
+#include "rules/rule_explainer.h"
+
+namespace applehall {
+namespace {
+
+constexpr char kConfig[] = R"({"version": 7, "routes": [
+  {"name": "wide", "host": "Shop.Example", "path_prefix": "/a/",
+   "kind": "idempotent", "timeout_ms": 1000, "target_latency_ms": 100,
+   "priority": 2, "service": "app", "max_attempts": 2},
+  {"name": "long", "host": "shop.example", "path_prefix": "/a/b/",
+   "kind": "streaming", "timeout_ms": 15000, "target_latency_ms": 600,
+   "priority": 1, "max_attempts": 2, "resumable": true,
+   "backends": [{"service": "llm", "weight": 90},
+                {"service": "llm2", "weight": 10}], "unknown": 1},
+  {"name": "once", "host": "shop.example", "path_prefix": "/c/",
+   "kind": "non_idempotent", "timeout_ms": 1000, "service": "app",
+   "max_attempts": 1}],
+  "services": [{"name": "app"},
+   {"name": "llm", "engine": {"weights_mb": 200000, "adapter_slots": 8,
+     "loads_per_s": 2.2, "models": [{"name": "m", "weights_mb": 65099.9,
+     "load_s": 6.2, "warmup_s": 1.2, "disk_s": 1.6, "adapters": 2,
+     "adapter_mb": 12}]}}],
+  "limits": {"max_header_bytes": 1000, "max_body_bytes": 2000,
+             "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})";
+
+class OperatorConfigTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    const auto config = ReadOperatorConfig(*ParseJson(kConfig));
+    ASSERT_TRUE(config.ok()) << config.status().message();
+    config_ = *config;
+    const absl::Status status =
+        book_.Install(config_.rules.version, config_.rules.document);
+    ASSERT_TRUE(status.ok()) << status.message();
+  }
+
+  const Rule& RuleFor(const std::string& host, const std::string& path) {
+    RequestFacts facts;
+    facts.path = path;
+    facts.headers["host"] = host;
+    const auto rules = book_.current();
+    return rules->set
+        .rules[rules->matcher.FirstMatch(rules->set.rules, facts, {})];
+  }
+
+  OperatorConfig config_;
+  RuleBook book_;
+};
+
+TEST_F(OperatorConfigTest, LongestPrefixOfTheHostDecides) {
+  EXPECT_EQ(RuleFor("shop.example", "/a/x").name, "wide");
+  EXPECT_EQ(RuleFor("shop.example", "/a/b/x").name, "long");
+  EXPECT_EQ(RuleFor("shop.example", "/c/x").name, "once");
+  EXPECT_TRUE(RuleFor("shop.example", "/d/x").then.refuse.has_value());
+  EXPECT_TRUE(RuleFor("other.example", "/a/x").then.refuse.has_value());
+}
+
+TEST_F(OperatorConfigTest, KindsSayWhatMayBeRepeated) {
+  const RuleOutcome& wide = RuleFor("shop.example", "/a/x").then;
+  EXPECT_TRUE(wide.repeatable);
+  EXPECT_EQ(wide.retries, 1);
+  EXPECT_EQ(wide.deadline, std::chrono::seconds(1));
+  const RuleOutcome& stream = RuleFor("shop.example", "/a/b/x").then;
+  EXPECT_TRUE(stream.resumable);
+  EXPECT_TRUE(stream.repeatable);
+  ASSERT_EQ(stream.services.size(), 2u);
+  EXPECT_EQ(stream.services[1].service, "llm2");
+  EXPECT_EQ(stream.services[1].weight, 10);
+  const RuleOutcome& once = RuleFor("shop.example", "/c/x").then;
+  EXPECT_FALSE(once.repeatable);
+  EXPECT_FALSE(once.needs_claim);
+  EXPECT_EQ(once.retries, 0);
+}
+
+TEST_F(OperatorConfigTest, RulesReadAsSentences) {
+  const std::string text = ExplainRuleSet(book_.current()->set);
+  EXPECT_NE(text.find("at service llm (weight 90) or llm2"), std::string::npos);
+  EXPECT_NE(text.find("no route matches"), std::string::npos);
+}
+
+TEST_F(OperatorConfigTest, ModelsAndAdaptersStandByService) {
+  ASSERT_EQ(config_.catalogue.catalogue.size(), 3u);
+  const CatalogueEntry& model = config_.catalogue.catalogue[0];
+  EXPECT_EQ(model.name, "llm/m");
+  EXPECT_EQ(model.bytes, 65'099'900'000u);
+  EXPECT_EQ(model.load_times[1], std::chrono::milliseconds(1600));
+  EXPECT_EQ(config_.catalogue.catalogue[2].name, "llm/m/a2");
+  EXPECT_EQ(config_.catalogue.catalogue[2].base, "llm/m");
+  EXPECT_EQ(config_.catalogue.engine_classes.at("llm").adapter_slots, 8);
+}
+
+TEST_F(OperatorConfigTest, LimitsBoundTheCallers) {
+  EXPECT_EQ(config_.limits.header_bytes, 1000u);
+  EXPECT_EQ(config_.limits.body_bytes, 2000u);
+  EXPECT_EQ(config_.limits.idle_timeout, std::chrono::seconds(15));
+}
+
+TEST(OperatorConfig, MalformedOnesAreRefused) {
+  for (const char* text :
+       {"[]", "{}", R"({"version": 3})", R"({"version": 0, "routes": []})"}) {
+    EXPECT_FALSE(ReadOperatorConfig(*ParseJson(text)).ok()) << text;
+  }
+}
+
+TEST(OperatorConfig, ListedServers) {
+  const auto server = ReadServer("i-1", *ParseJson(R"({"service": "llm",
+    "address": "10.0.0.9:80", "zone": "hall", "capacity": 64,
+    "state": "draining", "models": [{"name": "m", "version": 1,
+    "adapters": ["a3@2"]}], "at_hand": {"in_memory": ["x"],
+    "on_disk": ["x", "m"]}})"));
+  ASSERT_TRUE(server.ok());
+  EXPECT_TRUE(server->is_leaving);
+  EXPECT_TRUE(server->is_engine);
+  EXPECT_EQ(server->models.at("llm/m"), std::vector<std::string>{"llm/m/a3"});
+  EXPECT_EQ(server->on_disk, (std::vector<std::string>{"llm/x", "llm/m"}));
+  EXPECT_FALSE(ReadServer("i-2", *ParseJson(R"({"service": "llm"})")).ok());
+}
+
+TEST(OperatorConfig, Reports) {
+  const Inventory inventory = ReadReport("i-1", "llm", *ParseJson(R"({
+    "models": [{"name": "m", "version": 1, "adapters": ["a1"]}],
+    "loading": ["m/a2@1"], "busy": true, "seq": 12})"));
+  EXPECT_EQ(inventory.accepted_orders, 12u);
+  EXPECT_TRUE(inventory.is_busy);
+  ASSERT_EQ(inventory.replicas.size(), 3u);
+  EXPECT_EQ(inventory.replicas[1].name, "llm/m/a1");
+  EXPECT_EQ(inventory.replicas[2].state, ReplicaState::kLoading);
+  EXPECT_EQ(inventory.replicas[2].base, "llm/m");
+}
+
+}  // namespace
+}  // namespace applehall
