--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -92,7 +92,7 @@
   for (const std::string& id : gone) {
     if (!servers_.contains(id)) continue;
     if (was_away) {
-      departing_.try_emplace(id, context_.now + kRelisting);
+      departing_.insert(id);
     } else {
       Forget(id);
     }
@@ -101,12 +101,16 @@
 }
 
 void FleetKeeper::DropDeparted() {
-  std::vector<std::string> due;
-  for (const auto& [id, until] : departing_) {
-    if (until <= context_.now) due.push_back(id);
+  // Counted from the store's return: a server that leaves in the two seconds
+  // after it must be left as fast as at any other time.
+  if (departing_.empty() || context_.IsLogDown() ||
+      context_.now - context_.log_back_at < kRelisting) {
+    return;
   }
+  const std::set<std::string> due = std::move(departing_);
+  departing_.clear();
   for (const std::string& id : due) Forget(id);
-  if (!due.empty() && planner_) planner_->SetServers(servers_, context_.now);
+  if (planner_) planner_->SetServers(servers_, context_.now);
 }
 
 void FleetKeeper::Forget(const std::string& id) {
--- a/node/fleet_keeper.h
+++ b/node/fleet_keeper.h
@@ -88,7 +88,7 @@
   NodeContext& context_;
   EngineList servers_;
   // Not listed any more, but only since the store was away: they may be back.
-  std::map<std::string, TimePoint> departing_;
+  std::set<std::string> departing_;
   std::map<std::string, std::vector<std::string>> announced_;
   // What the own planner said last of an engine; `news` orders the changes of
   // all engines, so that a host is sent only what it has not seen.
--- a/node/node.cc
+++ b/node/node.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int kDefaultServiceSlots = 64;
+// A single call that fails is no outage: listings lapse after seconds only.
+constexpr Duration kOutage = std::chrono::seconds(1);
 
 Demand DemandFrom(const std::string& host, const Json& body) {
   Demand demand;
@@ -104,10 +106,10 @@
 }
 
 void Node::On(const StoreReached&) {
-  if (context_.log_failed) {
+  const Duration silent = context_.now - context_.log_answered_at;
+  if (context_.log_failed && silent >= kOutage) {
     context_.log_back_at = context_.now;
-    LogEvent(LogLevel::kInfo, "store_back")
-        .With("silent_ms", ToMillis(context_.now - context_.log_answered_at));
+    LogEvent(LogLevel::kInfo, "store_back").With("silent_ms", ToMillis(silent));
   }
   context_.log_failed = false;
   context_.log_answered_at = context_.now;
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -19,6 +19,14 @@
 constexpr Duration kRetrySoon = std::chrono::seconds(1);
 // Another host can take the request at once.
 constexpr Duration kRetryElsewhere = std::chrono::milliseconds(100);
+// From disk, with what stands before it.
+constexpr Duration kUsualLoad = std::chrono::milliseconds(1900);
+// Of its worth that an answer earns when it is late; users tell from 0.1 to
+// 0.5.
+constexpr double kLateShare = 0.2;
+// Of the time in which an answer must start; what waits longer for a model that
+// is not being loaded is refused.
+constexpr double kPatienceShare = 0.7;
 // Background work leaves this share of an engine to others.
 constexpr double kBackgroundShare = 0.5;
 constexpr double kServiceTimeSmoothing = 0.2;
@@ -473,12 +481,13 @@
     Settle(event.handle, "answered", Verdict::kRan, "");
   } else {
     if (event.result == AttemptResult::kBroken) request->may_have_run = true;
+    // An engine that turned it away unharmed may well take it a moment later.
+    const bool is_harmful = event.result == AttemptResult::kBroken ||
+                            event.result == AttemptResult::kNotSent;
+    request->failed_backend = is_harmful ? backend : "";
     request->may_resume =
         (event.has_delivered && event.can_resume) ||
         (request->has_started && request->rule().then.resumable);
-    if (event.result != AttemptResult::kModelAbsent) {
-      request->failed_backend = backend;
-    }
     context_.metrics.Count(absl::StrCat("attempts_failed_total{result=\"",
                                         AttemptResultName(event.result),
                                         "\"}"));
@@ -778,13 +787,29 @@
   }
 }
 
+// What a load that begins now would still earn. Loads are what is scarce under
+// overload; spent on requests that are late already, they make those late that
+// could have been in time, and in the end all are.
+double RequestFlow::WaitingWorth(const TargetState& state) const {
+  double worth = 0;
+  for (const auto& [handle, entry] : state.queue.entries()) {
+    const Request& request = *requests_.at(handle);
+    const Duration hoped_for = request.rule().then.target_latency;
+    const bool is_late =
+        hoped_for > Duration::zero() &&
+        context_.now + kUsualLoad > request.arrived_at + hoped_for;
+    worth += entry.request.worth * (is_late ? kLateShare : 1.0);
+  }
+  return worth;
+}
+
 Demand RequestFlow::DemandOf(const std::string& target,
                              const TargetState& state) const {
   Demand demand;
   demand.target = target;
   demand.host = context_.settings.self.host;
   demand.waiting = static_cast<int>(state.queue.size());
-  demand.worth = state.queue.total_worth();
+  demand.worth = IsFleet() ? WaitingWorth(state) : state.queue.total_worth();
   demand.slack = *state.queue.EarliestDeadline() - context_.now;
   demand.is_background = state.queue.foreground_size() == 0;
   return demand;
@@ -893,6 +918,48 @@
   }
 }
 
+// The latest time at which the first piece of an answer still finds its caller.
+TimePoint RequestFlow::LastStart(const Request& request) const {
+  const Duration patience = request.rule().then.patience;
+  if (patience == Duration::zero()) return request.deadline;
+  return std::min(request.deadline, request.arrived_at + patience);
+}
+
+// Callers of streams leave long before their deadline if nothing comes, and a
+// caller that left is not served at all; one that is told when to come back may
+// be. So what cannot start in time is refused as soon as that is known, and
+// what nobody knows anything of when most of the caller's patience is over.
+void RequestFlow::RefuseHopeless(const std::string& target,
+                                 TargetState& state) {
+  const bool is_fresh =
+      state.has_answer && context_.now - state.answered_at <= kAnswerLife;
+  const DemandStatus status =
+      is_fresh ? state.answer.status : DemandStatus::kUnknown;
+  const Duration expected = is_fresh ? state.answer.expected : Duration{0};
+  const TimePoint ready_at = state.answered_at + expected;
+  const bool is_dated =
+      status == DemandStatus::kLoading || status == DemandStatus::kQueued;
+  std::vector<RequestHandle> hopeless;
+  for (const auto& [handle, entry] : state.queue.entries()) {
+    const Request& request = *requests_.at(handle);
+    const TimePoint last_start = LastStart(request);
+    const Duration span = last_start - request.arrived_at;
+    const bool is_late = is_dated && ready_at > last_start;
+    const bool is_due = context_.now - request.arrived_at >
+                        FromSeconds(ToSeconds(span) * kPatienceShare);
+    const bool may_still_come = status == DemandStatus::kLoading && !is_late;
+    if (is_late || (is_due && !may_still_come)) hopeless.push_back(handle);
+  }
+  std::sort(hopeless.begin(), hopeless.end());
+  for (const RequestHandle handle : hopeless) {
+    Refuse(handle,
+           NotRun(RefusalReason::kCannotMeetDeadline,
+                  absl::StrCat(target, " is ", DemandStatusName(status),
+                               ", expected in ", ToMillis(expected), " ms"),
+                  std::max(expected, kRetrySoon)));
+  }
+}
+
 void RequestFlow::RunDemands() {
   std::vector<std::string> wanting;
   for (auto& [target, state] : targets_) {
@@ -903,7 +970,7 @@
     TargetState& state = targets_[target];
     if (IsFleet()) {
       fleet_.SetWaiting(DemandOf(target, state));
-      if (context_.view.ReadyReplicas(target) == 0) RefuseEarly(target, state);
+      RefuseHopeless(target, state);
       continue;
     }
     if (context_.now - state.demanded_at >= context_.settings.demand_interval) {
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -120,6 +120,8 @@
   // Ends.
   void Retry(Request& request, AttemptResult result);
   void Backoff(Request& request);
+  TimePoint LastStart(const Request& request) const;
+  void RefuseHopeless(const std::string& target, TargetState& state);
   void RefuseEarly(const std::string& target, TargetState& state);
   bool TryNextModel(Request& request);
   void Settle(RequestHandle handle, const std::string& action, Verdict verdict,
@@ -133,6 +135,7 @@
   void RunDemands();
   void RunClaims();
   void SendDemand(const std::string& target, TargetState& state);
+  double WaitingWorth(const TargetState& state) const;
   Demand DemandOf(const std::string& target, const TargetState& state) const;
   bool IsService(const Request& request) const;
   bool IsFleet() const {
--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -46,9 +46,7 @@
 // A target that waits is looked at again after this long, or when it is new:
 // with hundreds waiting each look costs some microseconds an engine.
 constexpr Duration kLookInterval = milliseconds(40);
-// Worth of what waits doubles after this long, so that a single request for a
-// rare model is not passed over until its deadline.
-constexpr double kAgingSeconds = 4.0;
+constexpr size_t kMostLooks = 4096;
 constexpr Duration kSeedInterval = milliseconds(250);
 // Orders victims of equal worth by age; too little to outweigh a request.
 constexpr double kAgeShare = 0.0001;
@@ -79,6 +77,12 @@
 // not ready.
 constexpr double kReplicaLoss = 0.5;
 constexpr double kSpareLoss = 0.05;
+// Requests a second that one replica takes. An engine reads some 20 prompt
+// tokens in a ms and a request brings about 1,500: at 5 a second a third of its
+// time goes into prompts, and streams beside them begin to pause beyond 0.3 s.
+constexpr double kRatePerReplica = 5.0;
+// How long a further replica is taken to be of use.
+constexpr double kReplicaHorizonSeconds = 3.0;
 // A busy model's second replica earns this share of its worth a second.
 constexpr double kReplicaWorth = 0.15;
 // Worth of a copy nobody has asked for yet: about one request's.
@@ -614,8 +618,9 @@
   const auto busy = busy_.find(model);
   const double rate = busy == busy_.end() ? 0 : busy->second.rate;
   if (others <= 0) return worth;
-  if (others >= kBusyReplicas || rate < kBusyRate) return worth * kSpareLoss;
-  return worth * kReplicaLoss;
+  const double unmet = Unmet(rate, others);
+  const bool is_last_pair = others < kBusyReplicas && rate >= kBusyRate;
+  return worth * (unmet + (is_last_pair ? kReplicaLoss : kSpareLoss));
 }
 
 // The models whose loss costs least, until `needed` bytes are free; empty if
@@ -880,23 +885,18 @@
             static_cast<double>(load.count()) / store_width_));
       }
     }
-    const auto [look, is_new] =
-        looks_.try_emplace(demand.target, Look{now, TimePoint{}});
-    if (look->second.next > now) continue;
-    look->second.next = now + kLookInterval;
-    const double waited = ToSeconds(now - look->second.since);
-    const double worth = demand.worth * (1.0 + waited / kAgingSeconds);
+    TimePoint& next_look = next_look_[demand.target];
+    if (next_look > now) continue;
+    next_look = now + kLookInterval;
     if (!entry->base.empty()) {
-      PlaceAdapter(*entry, worth, now, orders);
+      PlaceAdapter(*entry, demand.worth, now, orders);
       continue;
     }
-    PlaceModel(*entry, worth,
+    PlaceModel(*entry, demand.worth,
                absl::StrCat(demand.waiting, " waiting, worth ", demand.worth),
                false, now, orders);
   }
-  std::erase_if(looks_, [this](const auto& item) {
-    return !usage_.IsWaitedFor(item.first);
-  });
+  if (next_look_.size() > kMostLooks) next_look_.clear();
 }
 
 // Requests for adapters run on their base model's replicas.
@@ -929,25 +929,34 @@
   return loss * ToSeconds(duration) / 2;
 }
 
-void FleetPlanner::ReplicateBusy(TimePoint now,
+// The share of `rate` that `replicas` cannot take.
+double FleetPlanner::Unmet(double rate, int replicas) {
+  if (rate <= 0) return 0;
+  return std::max(0.0, 1.0 - replicas * kRatePerReplica / rate);
+}
+
+void FleetPlanner::ReplicateBusy(bool is_overloaded, TimePoint now,
                                  std::vector<OrderToSend>& orders) {
   for (const auto& [model, busy] : busy_) {
     if (busy.rate < kBusyRate) continue;
     const CatalogueEntry* entry = EntryOf(model);
-    const Whereabouts& count = WhereIs(model);
+    if (entry == nullptr) continue;
+    const Whereabouts& where = WhereIs(model);
+    if (where.loading > 0) continue;
     int slots = 0;
-    for (const std::string& id : count.holders) {
+    for (const std::string& id : where.holders) {
       slots += engines_.at(id).listed.slots;
     }
-    int desired = kBusyReplicas;
-    if (busy.running > kBusyShare * slots) {
-      desired = std::max(desired, count.ready + 1);
-    }
-    if (entry == nullptr || count.loading > 0 || count.ready >= desired) {
-      continue;
-    }
-    PlaceModel(*entry, busy.worth_rate * kReplicaWorth, "busy", true, now,
-               orders);
+    const bool is_full = busy.running > kBusyShare * slots;
+    const double unmet = is_full ? kBusyShare : Unmet(busy.rate, where.ready);
+    if (where.ready >= kBusyReplicas && unmet <= 0) continue;
+    const double share = where.ready == 0 ? 1.0 : unmet + kReplicaWorth;
+    if ((unmet > 0) != is_overloaded) continue;
+    // A model that cannot take what is asked of it may wait for an engine, as
+    // requests do; a spare replica takes only what is free.
+    PlaceModel(*entry, busy.worth_rate * share * kReplicaHorizonSeconds,
+               is_overloaded ? "overloaded" : "busy",
+               /*at_once_only=*/!is_overloaded, now, orders);
   }
 }
 
@@ -980,8 +989,11 @@
   if (!may_order || is_superseded_ || classes_ == nullptr) return;
   IndexHoldings();
   SumUsage(now);
+  // Requests that wait keep the engines' one order each taken; models that
+  // cannot take what is asked of them, or are gone, go before them.
+  ReplicateBusy(/*is_overloaded=*/true, now, orders);
   ServeWaiting(now, orders);
-  ReplicateBusy(now, orders);
+  ReplicateBusy(/*is_overloaded=*/false, now, orders);
   SeedCopies(now, orders);
 }
 
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -149,7 +149,9 @@
                        std::vector<OrderToSend>& orders);
   int AdapterSlotsTaken(const Engine& engine, TimePoint now) const;
   void ServeWaiting(TimePoint now, std::vector<OrderToSend>& orders);
-  void ReplicateBusy(TimePoint now, std::vector<OrderToSend>& orders);
+  static double Unmet(double rate, int replicas);
+  void ReplicateBusy(bool is_overloaded, TimePoint now,
+                     std::vector<OrderToSend>& orders);
   void SeedCopies(TimePoint now, std::vector<OrderToSend>& orders);
   bool MayOrder(const Engine& engine) const;
 
@@ -181,11 +183,7 @@
   bool is_index_stale_ = true;
   // When a waiting target is looked at again, and when the store could bring
   // one that no engine has at hand.
-  struct Look {
-    TimePoint since;
-    TimePoint next;
-  };
-  std::map<std::string, Look> looks_;
+  absl::flat_hash_map<std::string, TimePoint> next_look_;
   absl::flat_hash_map<std::string, TimePoint> store_turn_;
   TimePoint seeds_at_;
   UsageTable usage_;
--- a/routing/engine_view.cc
+++ b/routing/engine_view.cc
@@ -130,6 +130,12 @@
     position = near;
     break;
   }
+  if (preferred == nullptr && !preference.avoid.empty()) {
+    // Nobody else can take it.
+    Preference rest = preference;
+    rest.avoid.clear();
+    return Choose(target, prefix_hash, rest, now);
+  }
   if (preferred == nullptr) return nullptr;
   if (ring.size() == 1) return &preferred->digest;
   // The other is drawn from the rest of the ring.
--- a/rules/rule.h
+++ b/rules/rule.h
@@ -93,6 +93,9 @@
   // Time to the first piece of an answer that its caller hopes for; zero if
   // the rule says nothing.
   Duration target_latency{0};
+  // How long a caller waits for the first piece before it leaves, although its
+  // deadline is later; zero: until its deadline.
+  Duration patience{0};
   // Rank at an engine, 0 first; negative leaves it to the engine.
   int priority = -1;
   // A broken stream may go on at another engine after its last event.
--- a/rules/rule_explainer.cc
+++ b/rules/rule_explainer.cc
@@ -108,6 +108,10 @@
   if (then.target_latency > Duration::zero()) {
     absl::StrAppend(&text, ", hoped for within ", Span(then.target_latency));
   }
+  if (then.patience > Duration::zero()) {
+    absl::StrAppend(&text, ", callers wait ", Span(then.patience),
+                    " for its start");
+  }
   if (then.priority >= 0) absl::StrAppend(&text, ", priority ", then.priority);
   if (then.resumable) absl::StrAppend(&text, ", resumed where it broke");
   if (!then.data_centres.empty()) {
--- a/rules/rule_set_parser.cc
+++ b/rules/rule_set_parser.cc
@@ -255,6 +255,8 @@
   then.services = ParseServices(reader, rule, findings);
   then.target_latency = std::chrono::milliseconds(
       reader.Integer("target_latency_ms", 0, 0, kMostMillis));
+  then.patience = std::chrono::milliseconds(
+      reader.Integer("patience_ms", 0, 0, kMostMillis));
   then.priority =
       static_cast<int>(reader.Integer("priority", -1, 0, kMostPriority));
   then.resumable = reader.Flag("resumable").value_or(false);
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -59,6 +59,7 @@
     settings.serves_while_draining = true;
     settings.drain_least = seconds(1);
     settings.drain_bound = seconds(6);
+    settings.log_down_after = seconds(5);
     Host& host = hosts_[name];
     host.node = std::make_unique<Node>(settings);
     Handle(name, RuleSetRead{1, *ParseJson(kRules)});
@@ -250,11 +251,13 @@
   Add("a");
   Run(seconds(2));
   Handle("a", LogFailed{});
+  Run(seconds(1));
   ServersListed lapsed;
   lapsed.gone = {"app-1", "app-2"};
   Handle("a", lapsed);
   Arrive("a", 1, "/once/x");
   EXPECT_EQ(Done<DispatchRequest>("a").size(), 1u);
+  Handle("a", StoreReached{});
   Run(seconds(3));  // Not listed again: gone.
   hosts_.at("a").done.clear();
   Arrive("a", 2, "/once/x");
@@ -263,6 +266,24 @@
   EXPECT_EQ(Done<RefuseRequest>("a")[0].refusal.verdict, Verdict::kNotRun);
 }
 
+// A server leaves two seconds after the store came back. Taken for one that
+// lapsed with the store it was kept for two seconds more, and got work it was
+// to be spared.
+TEST_F(FleetTest, ServerThatLeavesSoonAfterAnOutageIsLeftInTime) {
+  Add("a");
+  Run(seconds(2));
+  Handle("a", LogFailed{});
+  Run(seconds(3));
+  Handle("a", StoreReached{});
+  Run(milliseconds(1900));
+  ServersListed gone;
+  gone.gone = {"app-1", "app-2"};
+  Handle("a", gone);
+  Run(milliseconds(400));
+  Arrive("a", 1, "/once/x");
+  EXPECT_TRUE(Done<DispatchRequest>("a").empty());
+}
+
 // Away from an outage, a server that is not listed gets nothing more at once.
 TEST_F(FleetTest, ServersThatAreTakenOffTheListAreLeftAtOnce) {
   Add("a");
@@ -314,6 +335,48 @@
   EXPECT_FALSE(sent[1].has_retries);
 }
 
+// A request arrives as its model is being unloaded and is turned away. Loaded
+// again on the same engine, the model waited for it and it for another engine,
+// until its deadline.
+TEST_F(FleetTest, RequestReturnsToTheEngineThatTurnedItAway) {
+  Add("a");
+  Run(seconds(2));
+  ServersListed gone;
+  gone.gone = {"llm-2"};
+  Handle("a", StoreReached{});
+  Handle("a", gone);
+  Arrive("a", 1, "/rare/x", "m0");
+  AttemptEnded full;
+  full.handle = 1;
+  full.attempt = 1;
+  full.result = AttemptResult::kFull;
+  Handle("a", full);
+  Run(milliseconds(500));
+  const auto sent = Done<DispatchRequest>("a");
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_EQ(sent[1].backend, "llm-1");
+}
+
+// A caller of a stream leaves after two seconds without a first event, long
+// before its deadline. Its model will not be there by then: told so at once, it
+// can come back; held, it gets no answer at all.
+TEST_F(FleetTest, CallerIsToldWhenItsModelCannotComeInTime) {
+  Add("a");
+  Run(seconds(2));
+  Json rules = *ParseJson(kRules);
+  rules["rules"][2]["then"]["patience_ms"] = 2000;
+  Handle("a", RuleSetRead{9, rules});
+  Arrive("a", 1, "/rare/x", "m1");
+  const TimePoint asked = now_;
+  while (Done<RefuseRequest>("a").empty()) {
+    Run(milliseconds(25));
+    ASSERT_LT(now_ - asked, seconds(2));
+  }
+  const Refusal refusal = Done<RefuseRequest>("a")[0].refusal;
+  EXPECT_EQ(refusal.verdict, Verdict::kNotRun);
+  EXPECT_GE(refusal.retry_after, seconds(1));
+}
+
 // An engine dies amid a stream that may be resumed. The caller has part of it;
 // another engine goes on after the last event, in the same answer.
 TEST_F(FleetTest, BrokenStreamGoesOnAtAnotherEngine) {
