--- a/core/event_log.cc
+++ b/core/event_log.cc
@@ -73,7 +73,7 @@
   g_host = host;
   auto backend = boost::make_shared<sinks::text_ostream_backend>();
   backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
   backend->auto_flush(true);
   g_sink = boost::make_shared<LineSink>(backend);
   boost::log::core::get()->add_sink(g_sink);
--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -57,6 +57,7 @@
 // ---- Listing ----
 
 void FleetKeeper::TakeServers(const ServersListed& event) {
+  if (servers_.empty() && !event.listed.empty()) listed_at_ = context_.now;
   std::vector<std::string> gone = event.gone;
   if (event.is_whole) {
     for (const auto& [id, server] : servers_) {
@@ -284,7 +285,9 @@
       lease_ && lease_->holder.host == context_.settings.self.host &&
       lease_->holder != context_.settings.self;
   const bool is_free = !lease_ || lease_->is_released || is_own_earlier_life;
-  const TimePoint heard = std::max(beat_at_, lease_since_);
+  // Listings come to all hosts at about the same time; counted from the lease
+  // alone, whoever saw the first one claimed, with however little processor.
+  const TimePoint heard = std::max({beat_at_, lease_since_, listed_at_});
   const Duration silence = is_free ? Duration{0} : kOwnerSilence;
   if (context_.now - heard < silence + ClaimStagger()) return;
   if (servers_.empty()) return;  // Nothing to place; let another host do it.
--- a/node/fleet_keeper.h
+++ b/node/fleet_keeper.h
@@ -108,6 +108,7 @@
   TimePoint lease_read_at_;   // Last answer.
   TimePoint lease_asked_at_;  // Last question.
   TimePoint lease_since_;     // When this holder was first seen.
+  TimePoint listed_at_;       // When the first servers were listed.
   TimePoint beat_at_;         // Last sign of life of the holder.
   TimePoint claimed_at_;
   bool is_appending_ = false;
--- /dev/null
+++ b/soak/applehall_soak.cc
@@ -0,0 +1,34 @@
+// Runs entry hosts as real processes under faults that follow from a seed.
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+
+#include "soak/soak.h"
+
+int main(int argc, char** argv) {
+  CLI::App app{"applehall fault soak"};
+  applehall::SoakOptions options;
+  int seconds = 20;
+  app.add_option("--daemon", options.daemon, "Path of applehall-edged")
+      ->required();
+  app.add_option("--folder", options.folder, "For settings and logs")
+      ->required();
+  app.add_option("--seed", options.seed, "Decides faults and requests");
+  app.add_option("--seconds", seconds, "Length without warm-up")
+      ->check(CLI::Range(5, 3600));
+  app.add_option("--hosts", options.hosts, "Entry hosts")
+      ->check(CLI::Range(1, 200));
+  app.add_option("--callers", options.callers_per_host, "For each host");
+  CLI11_PARSE(app, argc, argv);
+  options.length = std::chrono::seconds(seconds);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::filesystem::create_directories(options.folder);
+  applehall::Soak soak(options);
+  const std::vector<std::string> broken = soak.Run();
+  std::cout << soak.Summary() << "\n";
+  for (const std::string& line : broken) std::cout << "BROKEN " << line << "\n";
+  std::cout << (broken.empty() ? "held" : "BROKEN") << "\n";
+  return broken.empty() ? 0 : 1;
+}
--- /dev/null
+++ b/soak/fault_proxy.h
@@ -0,0 +1,40 @@
+#ifndef APPLEHALL_SOAK_FAULT_PROXY_H_
+#define APPLEHALL_SOAK_FAULT_PROXY_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <set>
+
+#include "core/settings_reader.h"
+
+namespace applehall {
+
+// A loopback relay of TCP connections that can be made to misbehave. Thread of
+// all methods: the one that runs `io`.
+class FaultProxy {
+ public:
+  enum class Mode : uint8_t {
+    kPass,
+    kDelay,   // Each piece 150 ms late.
+    kOneWay,  // Nothing comes back.
+    kSilent,  // Nothing passes, either way; connections stay open.
+  };
+
+  FaultProxy(boost::asio::io_context& io, Address target);
+  ~FaultProxy();
+
+  Address address() const;
+  void SetMode(Mode mode);
+  // Resets every open connection.
+  void ResetAll();
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace applehall
+
+#endif  // APPLEHALL_SOAK_FAULT_PROXY_H_
--- /dev/null
+++ b/soak/host_processes.cc
@@ -0,0 +1,107 @@
+#include "soak/host_processes.h"
+
+#include <absl/strings/str_cat.h>
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+
+#include "core/json.h"
+
+extern char** environ;
+
+namespace applehall {
+namespace {
+
+// A port that the kernel gave out just now and that nobody holds any more.
+uint16_t FreePort() {
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  ::bind(listener, reinterpret_cast<sockaddr*>(&address), size);
+  ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+  ::close(listener);
+  return ntohs(address.sin_port);
+}
+
+std::string Local(uint16_t port) { return absl::StrCat("127.0.0.1:", port); }
+
+}  // namespace
+
+HostProcesses::HostProcesses(std::string daemon, std::string folder)
+    : daemon_(std::move(daemon)), folder_(std::move(folder)) {}
+
+HostProcesses::~HostProcesses() {
+  for (Host& host : hosts_) {
+    if (host.process == 0) continue;
+    ::kill(host.process, SIGKILL);
+    ::waitpid(host.process, nullptr, 0);
+  }
+}
+
+int HostProcesses::Add(const Address& store) {
+  Host host;
+  host.name = absl::StrCat("edge-", hosts_.size());
+  host.settings_path = absl::StrCat(folder_, "/", host.name, ".json");
+  host.callers = {"127.0.0.1", FreePort()};
+  const Json settings{{"host", host.name},
+                      {"data_centre", "hall"},
+                      {"ip", "127.0.0.1"},
+                      {"callers", host.callers.ToString()},
+                      {"readiness", Local(FreePort())},
+                      {"store", store.ToString()},
+                      {"operators", Local(FreePort())},
+                      {"peers", Local(FreePort())},
+                      {"shared_key", "soak-soak-soak-soak"},
+                      {"cpu_share", 0.25},
+                      {"grace_period_ms", 4000},
+                      {"order_lease_ms", 1000}};
+  std::ofstream(host.settings_path) << settings.dump(1);
+  hosts_.push_back(std::move(host));
+  return count() - 1;
+}
+
+void HostProcesses::Start(int index) {
+  Host& host = hosts_[index];
+  if (IsRunning(index)) return;
+  const std::string log = absl::StrCat(folder_, "/", host.name, ".log");
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, 1, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&files, 1, 2);
+  char config[] = "--config";
+  char* const arguments[] = {daemon_.data(), config, host.settings_path.data(),
+                             nullptr};
+  if (posix_spawn(&host.process, daemon_.c_str(), &files, nullptr, arguments,
+                  environ) != 0) {
+    host.process = 0;
+  }
+  posix_spawn_file_actions_destroy(&files);
+  host.is_told_to_end = false;
+}
+
+void HostProcesses::Signal(int index, int signal) {
+  Host& host = hosts_[index];
+  if (!IsRunning(index)) return;
+  if (signal == SIGKILL || signal == SIGTERM) host.is_told_to_end = true;
+  ::kill(host.process, signal);
+}
+
+bool HostProcesses::IsRunning(int index) {
+  Host& host = hosts_[index];
+  if (host.process == 0) return false;
+  if (::waitpid(host.process, nullptr, WNOHANG) == 0) return true;
+  if (!host.is_told_to_end) ++own_ends_;
+  host.process = 0;
+  return false;
+}
+
+}  // namespace applehall
--- /dev/null
+++ b/soak/platform_standin.cc
@@ -0,0 +1,389 @@
+#include "soak/platform_standin.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <boost/asio.hpp>
+
+namespace applehall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kLoopback[] = "127.0.0.1";
+constexpr uint64_t kModelMegabytes = 70000;
+constexpr uint64_t kEngineMegabytes = 200000;
+constexpr uint64_t kBytesPerMegabyte = 1000000;
+constexpr int kModels = 6;
+constexpr int kEvents = 12;
+constexpr Duration kEventGap = milliseconds(8);
+constexpr Duration kPoll = milliseconds(10);
+constexpr Duration kSilence = std::chrono::seconds(60);
+
+std::string BigEndian(uint64_t value, int bytes) {
+  std::string text;
+  for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
+    text += static_cast<char>(value >> shift & 0xff);
+  }
+  return text;
+}
+
+Json Route(const std::string& name, const std::string& kind,
+           const std::string& service) {
+  Json route{{"name", name},
+             {"host", "soak.example"},
+             {"path_prefix", "/" + name + "/"},
+             {"kind", kind},
+             {"timeout_ms", 4000},
+             {"target_latency_ms", 500},
+             {"priority", 1},
+             {"service", service},
+             {"max_attempts", kind == "non_idempotent" ? 1 : 2}};
+  if (kind == "streaming") route["resumable"] = name == "stream";
+  return route;
+}
+
+HttpResponse Stamped(const std::string& attempt, std::string body) {
+  HttpResponse response;
+  response.headers["x-attempt-id"] = attempt;
+  response.headers["x-server-stamp"] = "stamp-" + attempt;
+  response.body = std::move(body);
+  return response;
+}
+
+HttpResponse TurnedAway(const std::string& attempt, int status) {
+  HttpResponse response;
+  response.status = status;
+  response.headers["x-attempt-id"] = attempt;
+  response.headers["x-not-executed"] = "1";
+  return response;
+}
+
+}  // namespace
+
+PlatformStandin::PlatformStandin(asio::io_context& io)
+    : io_(io),
+      store_(
+          io, Address{kLoopback, 0},
+          [this](HttpExchange& exchange) { return ServeStore(exchange); },
+          HttpServerLimits{}) {}
+
+Address PlatformStandin::store_address() const {
+  return {kLoopback, store_.port()};
+}
+
+asio::awaitable<void> PlatformStandin::Pause(Duration duration) {
+  asio::steady_timer timer(io_, duration);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+// ---- The store ----
+
+void PlatformStandin::Put(const std::string& topic, const std::string& key,
+                          const std::string& value) {
+  topics_[topic].push_back({key, value});
+}
+
+void PlatformStandin::PutConfig(const std::vector<std::string>& extra) {
+  Json config{{"version", ++config_version_}, {"routes", Json::array()}};
+  config["routes"].push_back(Route("once", "non_idempotent", "app"));
+  config["routes"].push_back(Route("again", "idempotent", "app"));
+  config["routes"].push_back(Route("stream", "streaming", "llm"));
+  config["routes"].push_back(Route("rare", "streaming", "llm"));
+  for (const std::string& name : extra) {
+    config["routes"].push_back(Route(name, "idempotent", "app"));
+  }
+  Json models = Json::array();
+  for (int i = 0; i < kModels; ++i) {
+    models.push_back({{"name", absl::StrCat("m", i)},
+                      {"weights_mb", kModelMegabytes},
+                      {"load_s", 0.6},
+                      {"warmup_s", 0.1},
+                      {"disk_s", 0.2},
+                      {"adapters", 0}});
+  }
+  const Json engine{{"weights_mb", kEngineMegabytes},
+                    {"adapter_slots", 8},
+                    {"loads_per_s", 4.0},
+                    {"models", models}};
+  config["services"] = Json::array(
+      {Json{{"name", "app"}}, Json{{"name", "llm"}, {"engine", engine}}});
+  Put("keyed.op", "config", config.dump());
+}
+
+asio::awaitable<void> PlatformStandin::ServeStore(HttpExchange& exchange) {
+  const HttpRequest& request = exchange.request();
+  if (store_mode_ == StoreMode::kSilent) {
+    co_await Pause(kSilence);
+    exchange.Abort();
+    co_return;
+  }
+  HttpResponse response;
+  if (store_mode_ == StoreMode::kRefusing) {
+    response.status = 503;
+  } else if (request.Path() == "/v1/log-read") {
+    co_await ReadNews(exchange);
+    co_return;
+  } else if (request.Path() == "/v1/log-newest") {
+    ReadNewest(request, response);
+  } else {
+    Append(request, response);
+  }
+  co_await exchange.Respond(std::move(response));
+}
+
+asio::awaitable<void> PlatformStandin::ReadNews(HttpExchange& exchange) {
+  const std::string topic = exchange.request().QueryParameter("topic");
+  uint64_t from = 0;
+  int64_t wait_ms = 0;
+  (void)absl::SimpleAtoi(exchange.request().QueryParameter("from"), &from);
+  (void)absl::SimpleAtoi(exchange.request().QueryParameter("wait_ms"),
+                         &wait_ms);
+  const TimePoint until = clock_.Now() + milliseconds(wait_ms);
+  while (topics_[topic].size() <= from && clock_.Now() < until) {
+    co_await Pause(kPoll);
+  }
+  const std::vector<Record>& records = topics_[topic];
+  std::string body = BigEndian(records.size(), 8) + BigEndian(0, 8);
+  for (size_t i = from; i < records.size(); ++i) {
+    const std::string content =
+        BigEndian(records[i].key.size(), 1) + records[i].key + records[i].value;
+    body += BigEndian(content.size(), 4) + content;
+  }
+  HttpResponse response;
+  response.body = std::move(body);
+  co_await exchange.Respond(std::move(response));
+}
+
+void PlatformStandin::ReadNewest(const HttpRequest& request,
+                                 HttpResponse& response) const {
+  const auto topic = topics_.find(request.QueryParameter("topic"));
+  if (topic == topics_.end()) {
+    response.status = 404;
+    return;
+  }
+  std::map<std::string, Json> newest;
+  for (size_t i = 0; i < topic->second.size(); ++i) {
+    const Record& record = topic->second[i];
+    newest.erase(record.key);
+    if (record.value.empty()) continue;
+    newest[record.key] = Json{{"key", record.key},
+                              {"value", absl::Base64Escape(record.value)},
+                              {"offset", i}};
+  }
+  Json page{{"items", Json::array()},
+            {"has_more", false},
+            {"end", topic->second.size()}};
+  for (const auto& [key, item] : newest) page["items"].push_back(item);
+  response = HttpResponse::JsonText(200, page.dump());
+}
+
+void PlatformStandin::Append(const HttpRequest& request,
+                             HttpResponse& response) {
+  std::vector<Record>& records = topics_[request.QueryParameter("topic")];
+  uint64_t at = 0;
+  const bool is_conditional =
+      absl::SimpleAtoi(request.QueryParameter("at"), &at);
+  const Json end{{"end", records.size()}};
+  if (is_conditional && at != records.size()) {
+    response = HttpResponse::JsonText(412, end.dump());
+    return;
+  }
+  const std::string& body = request.body;
+  const size_t key_size = body.size() > 4 ? static_cast<uint8_t>(body[4]) : 0;
+  if (body.size() < 5 + key_size) {
+    response.status = 400;
+    return;
+  }
+  records.push_back({body.substr(5, key_size), body.substr(5 + key_size)});
+  response = HttpResponse::JsonText(
+      200,
+      Json{{"offset", records.size() - 1}, {"end", records.size()}}.dump());
+}
+
+// ---- Backend servers ----
+
+std::string PlatformStandin::Start(std::unique_ptr<FakeCountedEngine> engine,
+                                   const std::string& service) {
+  const std::string id = absl::StrCat("i-", started_);
+  const auto server = std::make_shared<Server>();
+  server->service = service;
+  server->engine = std::move(engine);
+  server->http = std::make_unique<HttpServer>(
+      io_, Address{kLoopback, 0},
+      [this, id](HttpExchange& exchange) { return ServeServer(id, exchange); },
+      HttpServerLimits{});
+  servers_[id] = server;
+  ++started_;
+  List(id);
+  return id;
+}
+
+std::string PlatformStandin::StartEngine(
+    const std::vector<std::string>& models) {
+  auto engine = std::make_unique<FakeCountedEngine>(
+      absl::StrCat("i-", started_), "llm", kEngineMegabytes * kBytesPerMegabyte,
+      8);
+  engine->load_from_disk = milliseconds(200);
+  engine->load_from_store = milliseconds(600);
+  for (const std::string& model : models) {
+    engine->Hold(model, kModelMegabytes * kBytesPerMegabyte);
+  }
+  return Start(std::move(engine), "llm");
+}
+
+std::string PlatformStandin::StartApp() { return Start(nullptr, "app"); }
+
+void PlatformStandin::List(const std::string& id) {
+  Server& server = *servers_.at(id);
+  Json entry{{"service", server.service},
+             {"address", absl::StrCat(kLoopback, ":", server.http->port())},
+             {"zone", "hall"},
+             {"capacity", 16},
+             {"state", server.is_leaving ? "draining" : "ready"},
+             {"seq", ++server.beat}};
+  if (server.engine) {
+    entry["models"] = Json::array();
+    entry["at_hand"] = Json{{"on_disk", Json::array()}};
+    const ListedServer listing = server.engine->Listing();
+    for (const auto& [model, adapters] : listing.models) {
+      entry["models"].push_back({{"name", model}, {"version", 1}});
+    }
+    for (const std::string& model : listing.on_disk) {
+      entry["at_hand"]["on_disk"].push_back(model);
+    }
+  }
+  Put("keyed.servers", id, entry.dump());
+}
+
+void PlatformStandin::Drain(const std::string& id) {
+  servers_.at(id)->is_leaving = true;
+  left_at_[id] = clock_.Now();
+  List(id);
+}
+
+void PlatformStandin::Stop(const std::string& id, bool is_delisted) {
+  Server& server = *servers_.at(id);
+  server.is_stopped = true;
+  server.http->StopAccepting();
+  if (!is_delisted) return;
+  if (!left_at_.contains(id)) left_at_[id] = clock_.Now();
+  Put("keyed.servers", id, "");
+}
+
+std::vector<std::string> PlatformStandin::Servers(bool engines) const {
+  std::vector<std::string> ids;
+  for (const auto& [id, server] : servers_) {
+    if (server->is_stopped || server->is_leaving) continue;
+    if ((server->engine != nullptr) == engines) ids.push_back(id);
+  }
+  return ids;
+}
+
+void PlatformStandin::TakeOrder(Server& server, const HttpRequest& request,
+                                HttpResponse& response) {
+  const absl::StatusOr<Json> body = ParseJson(request.body);
+  if (!body.ok()) {
+    response.status = 400;
+    return;
+  }
+  EngineOrder order;
+  order.kind = FieldOr<std::string>(*body, "operation", "") == "load"
+                   ? OrderKind::kLoad
+                   : OrderKind::kUnload;
+  order.name = FieldOr<std::string>(*body, "model", "");
+  order.bytes = kModelMegabytes * kBytesPerMegabyte;
+  order.fence.token = FieldOr<uint64_t>(*body, "fence_token", 0);
+  if (body->contains("precondition")) {
+    order.after_orders = FieldOr<uint64_t>(*body, "precondition", 0);
+  }
+  switch (server.engine->Take(order, clock_.Now())) {
+    case OrderResult::kAccepted:
+      response.status = 202;
+      break;
+    case OrderResult::kDone:
+      response.status = 200;
+      break;
+    case OrderResult::kStaleFence:
+      response.status = 412;
+      break;
+    default:
+      response.status = 409;
+  }
+  if (server.engine->was_overcommitted()) {
+    violations_.push_back("MEMORY an engine was ordered more than it holds");
+  }
+}
+
+asio::awaitable<void> PlatformStandin::ServeServer(std::string id,
+                                                   HttpExchange& exchange) {
+  const std::shared_ptr<Server> server = servers_.at(id);
+  const HttpRequest& request = exchange.request();
+  const std::string attempt = request.Header("x-attempt-id");
+  const std::string expected = request.Header("x-expect-instance");
+  if (server->is_stopped) {
+    exchange.Abort();
+    co_return;
+  }
+  if (server->engine) server->engine->Advance(clock_.Now());
+  HttpResponse response;
+  if (!expected.empty() && expected != id) {
+    response = TurnedAway(attempt, 421);
+  } else if (request.Path() == "/v1/report" && server->engine) {
+    const Inventory inventory = server->engine->Report();
+    Json report{{"models", Json::array()},
+                {"busy", inventory.is_busy},
+                {"seq", inventory.accepted_orders}};
+    for (const Replica& replica : inventory.replicas) {
+      report["models"].push_back({{"name", replica.name}, {"version", 1}});
+    }
+    response = HttpResponse::JsonText(200, report.dump());
+  } else if (request.Path() == "/v1/order" && server->engine) {
+    TakeOrder(*server, request, response);
+  } else if (server->engine &&
+             !server->engine->Holds(request.Header("x-model"))) {
+    response = TurnedAway(attempt, 421);
+  } else {
+    for (const char* name : {"x-hold", "x-pin-ms", "kv-from"}) {
+      if (!request.Header(name).empty()) {
+        violations_.push_back(absl::StrCat("UNASKED a caller's ", name));
+      }
+    }
+    runs_[attempt].push_back({id, clock_.Now()});
+    if (server->engine) {
+      co_await ServeStream(*server, exchange);
+      co_return;
+    }
+    co_await Pause(milliseconds(5));
+    response = Stamped(attempt, absl::StrCat("answer to ", attempt));
+  }
+  co_await exchange.Respond(std::move(response));
+}
+
+asio::awaitable<void> PlatformStandin::ServeStream(Server& server,
+                                                   HttpExchange& exchange) {
+  const std::string attempt = exchange.request().Header("x-attempt-id");
+  int from = 0;
+  (void)absl::SimpleAtoi(exchange.request().Header("last-event-id"), &from);
+  HttpResponse head = Stamped(attempt, "");
+  head.headers["content-type"] = "text/event-stream";
+  const bool breaks = break_every_ > 0 && ++streams_ % break_every_ == 0;
+  bool is_ok = co_await exchange.BeginStream(200, head.headers);
+  for (int event = from + 1; event <= kEvents && is_ok; ++event) {
+    co_await Pause(kEventGap);
+    if (server.is_stopped || (breaks && event == kEvents / 2)) {
+      exchange.Abort();
+      co_return;
+    }
+    const std::string text =
+        absl::StrCat("id: ", event, "\ndata: ", attempt, "\n\n");
+    is_ok = co_await exchange.Write(text);
+  }
+  if (is_ok) co_await exchange.EndStream();
+}
+
+}  // namespace applehall
--- /dev/null
+++ b/soak/platform_standin.h
@@ -0,0 +1,103 @@
+#ifndef APPLEHALL_SOAK_PLATFORM_STANDIN_H_
+#define APPLEHALL_SOAK_PLATFORM_STANDIN_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/json.h"
+#include "core/settings_reader.h"
+#include "drivers/http_server.h"
+#include "standins/fake_counted_engine.h"
+
+namespace applehall {
+
+// What a backend server did for one request.
+struct ServedRun {
+  std::string server;
+  TimePoint at;
+};
+
+// The users' platform as far as entry hosts see it: its store, model engines
+// and plain services, over HTTP on loopback. Thread of all methods: the one
+// that runs `io`.
+class PlatformStandin {
+ public:
+  enum class StoreMode : uint8_t { kUp, kRefusing, kSilent };
+
+  explicit PlatformStandin(boost::asio::io_context& io);
+
+  Address store_address() const;
+  void SetStoreMode(StoreMode mode) { store_mode_ = mode; }
+  // Writes the newest configuration, with a route more for each in `extra`.
+  void PutConfig(const std::vector<std::string>& extra);
+  // Starts a server with a new id; returns the id.
+  std::string StartEngine(const std::vector<std::string>& models);
+  std::string StartApp();
+  // Lists it as leaving; it goes on serving until Stop().
+  void Drain(const std::string& id);
+  // Ends it without a word, or takes it off the list.
+  void Stop(const std::string& id, bool is_delisted);
+  // Every so many-th stream breaks off in the middle; zero: none.
+  void SetBreakEvery(int every) { break_every_ = every; }
+
+  const std::map<std::string, std::vector<ServedRun>>& runs() const {
+    return runs_;
+  }
+  // When a server was listed as leaving or gone.
+  const std::map<std::string, TimePoint>& left_at() const { return left_at_; }
+  const std::vector<std::string>& violations() const { return violations_; }
+  std::vector<std::string> Servers(bool engines) const;
+
+ private:
+  struct Record {
+    std::string key;
+    std::string value;
+  };
+  struct Server {
+    std::unique_ptr<HttpServer> http;
+    std::unique_ptr<FakeCountedEngine> engine;  // Null: a plain service.
+    std::string service;
+    bool is_leaving = false;
+    bool is_stopped = false;
+    uint64_t beat = 0;
+  };
+  template <typename T>
+  using Awaitable = boost::asio::awaitable<T>;
+
+  Awaitable<void> ServeStore(HttpExchange& exchange);
+  Awaitable<void> ReadNews(HttpExchange& exchange);
+  void ReadNewest(const HttpRequest& request, HttpResponse& response) const;
+  void Append(const HttpRequest& request, HttpResponse& response);
+  Awaitable<void> ServeServer(std::string id, HttpExchange& exchange);
+  Awaitable<void> ServeStream(Server& server, HttpExchange& exchange);
+  void TakeOrder(Server& server, const HttpRequest& request,
+                 HttpResponse& response);
+  void Put(const std::string& topic, const std::string& key,
+           const std::string& value);
+  void List(const std::string& id);
+  Awaitable<void> Pause(Duration duration);
+  std::string Start(std::unique_ptr<FakeCountedEngine> engine,
+                    const std::string& service);
+
+  boost::asio::io_context& io_;
+  SystemClock clock_;
+  HttpServer store_;
+  StoreMode store_mode_ = StoreMode::kUp;
+  std::map<std::string, std::vector<Record>> topics_;
+  std::map<std::string, std::shared_ptr<Server>> servers_;
+  std::map<std::string, std::vector<ServedRun>> runs_;
+  std::map<std::string, TimePoint> left_at_;
+  std::vector<std::string> violations_;
+  uint64_t config_version_ = 0;
+  int started_ = 0;
+  int streams_ = 0;
+  int break_every_ = 0;
+};
+
+}  // namespace applehall
+
+#endif  // APPLEHALL_SOAK_PLATFORM_STANDIN_H_
--- /dev/null
+++ b/soak/soak.cc
@@ -0,0 +1,317 @@
+#include "soak/soak.h"
+
+#include <absl/strings/str_cat.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+namespace applehall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kEvents = 12;
+constexpr int kModels = 6;
+constexpr Duration kCallTimeout = seconds(7);
+constexpr Duration kWarmUp = seconds(4);
+constexpr Duration kCoolDown = seconds(9);
+// A leaving server gets no new work after 2 s; the rest is the loaded machine.
+constexpr Duration kDrainBound = milliseconds(3500);
+// Of the calm requests that must be served, or the soak proves nothing.
+constexpr double kLeastServed = 0.5;
+
+bool IsPromiseOfNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool MayRepeat(const std::string& kind) {
+  return kind == "again" || kind == "stream" || kind.starts_with("added");
+}
+
+std::string WholeStream(const std::string& id) {
+  std::string text;
+  for (int event = 1; event <= kEvents; ++event) {
+    absl::StrAppend(&text, "id: ", event, "\ndata: ", id, "\n\n");
+  }
+  return text;
+}
+
+}  // namespace
+
+Soak::Soak(SoakOptions options)
+    : options_(std::move(options)),
+      random_(options_.seed),
+      platform_(io_),
+      hosts_(options_.daemon, options_.folder),
+      client_(io_) {
+  platform_.PutConfig({});
+  for (int i = 0; i < 3; ++i) platform_.StartApp();
+  for (int i = 0; i < 4; ++i) {
+    platform_.StartEngine({absl::StrCat("m", i % kModels)});
+  }
+  for (int i = 0; i < options_.hosts; ++i) {
+    store_proxies_.push_back(
+        std::make_unique<FaultProxy>(io_, platform_.store_address()));
+    hosts_.Add(store_proxies_.back()->address());
+  }
+}
+
+asio::awaitable<void> Soak::Pause(Duration duration) {
+  asio::steady_timer timer(io_, duration);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+std::vector<std::string> Soak::Run() {
+  ends_at_ = clock_.Now() + kWarmUp + options_.length;
+  for (int host = 0; host < hosts_.count(); ++host) {
+    hosts_.Start(host);
+    for (int i = 0; i < options_.callers_per_host; ++i) {
+      ++callers_running_;
+      asio::co_spawn(io_, Caller(host, random_.Next()), asio::detached);
+    }
+  }
+  asio::co_spawn(io_, Faults(), asio::detached);
+  const TimePoint last = ends_at_ + kCoolDown;
+  while (callers_running_ > 0 && clock_.Now() < last) {
+    io_.run_for(milliseconds(50));
+    io_.restart();
+  }
+  std::vector<std::string> broken = platform_.violations();
+  if (callers_running_ > 0) broken.push_back("HANG a request has no answer");
+  if (hosts_.own_ends() > 0) {
+    broken.push_back(absl::StrCat("CRASH ", hosts_.own_ends(),
+                                  " hosts ended by themselves"));
+  }
+  CheckAnswers(broken);
+  CheckRuns(broken);
+  return broken;
+}
+
+asio::awaitable<void> Soak::Caller(int host, uint64_t seed) {
+  Random random(seed);
+  co_await Pause(kWarmUp);
+  while (clock_.Now() < ends_at_) {
+    const std::string id = absl::StrCat("a", seed, "-", random.Next());
+    CallerView& view = asked_[id];
+    const uint64_t drawn = random.Below(10);
+    view.kind = drawn < 3 ? "once" : drawn < 6 ? "again" : "stream";
+    if (drawn == 9) view.kind = "rare";
+    view.host = host;
+    view.sent_at = clock_.Now();
+    is_calm_[id] = view.sent_at > disturbed_until_;
+    HttpCall call;
+    call.address = hosts_.callers(host);
+    call.request.method = "POST";
+    call.request.target = absl::StrCat("/", view.kind, "/x");
+    call.request.headers["host"] = "soak.example";
+    call.request.headers["x-attempt-id"] = id;
+    call.request.headers["x-deadline-ms"] = "4000";
+    call.request.headers["x-hold"] = "mine";
+    const bool is_stream = view.kind == "stream" || view.kind == "rare";
+    if (is_stream) {
+      call.request.headers["x-model"] =
+          absl::StrCat("m", random.Below(kModels));
+    }
+    call.request.body = "body";
+    call.connect_timeout = milliseconds(500);
+    call.header_timeout = kCallTimeout;
+    call.fresh_connection = random.Below(4) == 0;
+    const HttpResult result = co_await client_.Fetch(call);
+    if (result.state == SendState::kAnswered) {
+      view.status = result.response.status;
+      view.body = result.response.body;
+      const auto stamp = result.response.headers.find("x-server-stamp");
+      if (stamp != result.response.headers.end()) view.stamp = stamp->second;
+    }
+    if (view.sent_at < disturbed_until_) is_calm_[id] = false;
+    co_await Pause(milliseconds(5 + random.Below(40)));
+  }
+  --callers_running_;
+}
+
+void Soak::Note(const std::string& fault) {
+  faults_.push_back(fault);
+  Disturb();
+}
+
+asio::awaitable<void> Soak::Faults() {
+  co_await Pause(kWarmUp + seconds(1));
+  while (clock_.Now() + seconds(8) < ends_at_) {
+    co_await OneFault();
+    // Some come at once, others after things have settled.
+    const bool overlaps = random_.Below(3) > 0;
+    co_await Pause(milliseconds(overlaps ? 300 + random_.Below(900) : 7000));
+  }
+}
+
+asio::awaitable<void> Soak::Restart(int host, int signal) {
+  hosts_.Signal(host, signal);
+  for (int i = 0; i < 500 && hosts_.IsRunning(host); ++i) {
+    co_await Pause(milliseconds(10));
+  }
+  if (hosts_.IsRunning(host)) hosts_.Signal(host, SIGKILL);
+  co_await Pause(milliseconds(100 + random_.Below(500)));
+  hosts_.Start(host);
+  Disturb();
+}
+
+asio::awaitable<void> Soak::OneFault() {
+  const int host = static_cast<int>(random_.Below(hosts_.count()));
+  FaultProxy& proxy = *store_proxies_[host];
+  const Duration span = milliseconds(500 + random_.Below(3000));
+  switch (random_.Below(11)) {
+    case 0:
+      Note(absl::StrCat("kill ", host));
+      co_await Restart(host, SIGKILL);
+      break;
+    case 1:
+      Note(absl::StrCat("term ", host));
+      co_await Restart(host, SIGTERM);
+      break;
+    case 2:
+      Note(absl::StrCat("freeze ", host));
+      hosts_.Signal(host, SIGSTOP);
+      co_await Pause(span);
+      hosts_.Signal(host, SIGCONT);
+      break;
+    case 3: {
+      const auto mode = static_cast<FaultProxy::Mode>(1 + random_.Below(3));
+      Note(absl::StrCat("store link ", host, " mode ", static_cast<int>(mode)));
+      proxy.SetMode(mode);
+      co_await Pause(span);
+      proxy.SetMode(FaultProxy::Mode::kPass);
+      break;
+    }
+    case 4:
+      Note(absl::StrCat("store link ", host, " reset"));
+      proxy.ResetAll();
+      break;
+    case 5: {
+      const bool is_silent = random_.Below(2) == 0;
+      Note(is_silent ? "store silent" : "store refuses");
+      platform_.SetStoreMode(is_silent ? PlatformStandin::StoreMode::kSilent
+                                       : PlatformStandin::StoreMode::kRefusing);
+      co_await Pause(span);
+      platform_.SetStoreMode(PlatformStandin::StoreMode::kUp);
+      break;
+    }
+    case 6: {
+      const bool is_engine = random_.Below(2) == 0;
+      const auto servers = platform_.Servers(is_engine);
+      if (servers.size() < 2) break;
+      const std::string& id = servers[random_.Below(servers.size())];
+      Note(absl::StrCat("drain ", id));
+      if (is_engine) {
+        platform_.StartEngine({absl::StrCat("m", random_.Below(kModels))});
+      } else {
+        platform_.StartApp();
+      }
+      platform_.Drain(id);
+      break;
+    }
+    case 7: {
+      const auto servers = platform_.Servers(true);
+      if (servers.size() < 2) break;
+      const std::string& id = servers[random_.Below(servers.size())];
+      Note(absl::StrCat("crash ", id));
+      platform_.Stop(id, /*is_delisted=*/false);
+      co_await Pause(seconds(1));
+      platform_.Stop(id, /*is_delisted=*/true);
+      platform_.StartEngine({});
+      break;
+    }
+    case 8:
+      added_routes_.push_back(absl::StrCat("added", added_routes_.size()));
+      faults_.push_back("config");
+      platform_.PutConfig(added_routes_);
+      break;
+    case 9:
+      Note("streams break");
+      platform_.SetBreakEvery(4);
+      co_await Pause(span);
+      platform_.SetBreakEvery(0);
+      break;
+    default:
+      Note("kill all");
+      for (int i = 0; i < hosts_.count(); ++i) hosts_.Signal(i, SIGKILL);
+      co_await Pause(milliseconds(300));
+      for (int i = 0; i < hosts_.count(); ++i) hosts_.Start(i);
+      break;
+  }
+  Disturb();
+}
+
+void Soak::CheckAnswers(std::vector<std::string>& broken) const {
+  int calm = 0;
+  int served = 0;
+  for (const auto& [id, view] : asked_) {
+    const bool is_stream = view.kind == "stream" || view.kind == "rare";
+    const bool is_success = view.status / 100 == 2;
+    const std::string whole =
+        is_stream ? WholeStream(id) : absl::StrCat("answer to ", id);
+    // An answer cut on the way has a head and a part of the body; Fetch()
+    // reports it as not answered.
+    if (is_success && (view.body != whole || view.stamp != "stamp-" + id)) {
+      broken.push_back(absl::StrCat("MIXED ", view.kind, " ", id, " got \"",
+                                    view.body.substr(0, 60), "\""));
+    }
+    if (view.status == 404) {
+      broken.push_back(absl::StrCat("DENIED ", view.kind, " ", id));
+    }
+    if (!is_calm_.at(id)) continue;
+    ++calm;
+    served += is_success ? 1 : 0;
+  }
+  if (calm > 20 && served < kLeastServed * calm) {
+    broken.push_back(absl::StrCat("SERVED ", served, " of ", calm,
+                                  " requests in calm times"));
+  }
+}
+
+void Soak::CheckRuns(std::vector<std::string>& broken) const {
+  for (const auto& [id, runs] : platform_.runs()) {
+    const auto asked = asked_.find(id);
+    if (asked == asked_.end()) {
+      broken.push_back("UNASKED " + id);
+      continue;
+    }
+    const CallerView& view = asked->second;
+    if (!MayRepeat(view.kind) && runs.size() > 1) {
+      broken.push_back(absl::StrCat("TWICE ", view.kind, " ", id, " ran ",
+                                    runs.size(), " times"));
+    }
+    if (!MayRepeat(view.kind) && IsPromiseOfNotRun(view.status)) {
+      broken.push_back(absl::StrCat("REFUSED ", view.kind, " ", id, " got ",
+                                    view.status, " and ran"));
+    }
+    for (const ServedRun& run : runs) {
+      const auto left = platform_.left_at().find(run.server);
+      if (left == platform_.left_at().end() || !is_calm_.at(id)) continue;
+      if (run.at > left->second + kDrainBound) {
+        broken.push_back(absl::StrCat("DRAIN ", id, " reached ", run.server));
+      }
+    }
+  }
+}
+
+std::string Soak::Summary() const {
+  std::map<int, int> by_status;
+  for (const auto& [id, view] : asked_) ++by_status[view.status];
+  std::string text =
+      absl::StrCat("seed=", options_.seed, " hosts=", options_.hosts,
+                   " requests=", asked_.size());
+  for (const auto& [status, count] : by_status) {
+    absl::StrAppend(&text, " ", status == 0 ? "none" : absl::StrCat(status),
+                    "=", count);
+  }
+  absl::StrAppend(&text, " faults=", faults_.size());
+  for (const std::string& fault : faults_) absl::StrAppend(&text, "; ", fault);
+  return text;
+}
+
+}  // namespace applehall
