--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -22,8 +22,9 @@
 constexpr Duration kPlanSpread = milliseconds(250);
 // News do not wait for the next beat, but are gathered for this long.
 constexpr Duration kNewsInterval = milliseconds(15);
-// Three beats lost in a row: the owner counts as gone.
-constexpr Duration kOwnerSilence = milliseconds(1600);
+// Two beats lost in a row, and some time for the third: the owner counts as
+// gone. Nothing is loaded meanwhile; a claim too early costs no more than that.
+constexpr Duration kOwnerSilence = milliseconds(1300);
 // A plan older than this no longer outweighs the listing.
 constexpr Duration kPlanLife = seconds(3);
 constexpr Duration kPeerLife = seconds(5);
@@ -35,10 +36,10 @@
 constexpr Duration kLeaseTimeout = milliseconds(1500);
 constexpr Duration kLeaseRetry = milliseconds(300);
 // Hosts that see the same silence claim one after the other.
-constexpr Duration kClaimStep = milliseconds(40);
+constexpr Duration kClaimStep = milliseconds(10);
 constexpr uint64_t kClaimSteps = 8;
 // The owner plans for all; a host with a larger share of a core claims earlier.
-constexpr Duration kClaimByCapacity = seconds(1);
+constexpr Duration kClaimByCapacity = milliseconds(400);
 // Ticks come every kTickInterval; a gap like this means that the process or
 // its machine stood still, and others may have taken over meanwhile.
 constexpr Duration kStandstill = milliseconds(700);
