An engine that is busy for an earlier owner is not filled

Its count of orders was in the report, its model was not, so the place counted as free and was ordered a second time just as the load ended. Ruled out: a late order (the count was right), two tokens at once. Change: an engine that reports an order of another owner is unknown until done. The test fails without it.

--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -329,7 +329,10 @@
     // An order of an earlier owner; what it does is seen when it is done.
     engine.report_at = now + kEndPoll;
   }
-  engine.is_known = engine.is_known || !inventory.is_busy || engine.model_order;
+  // What an engine loads for an earlier owner stands in no list until it is
+  // done; counted as free, its place would be ordered a second time and the
+  // engine would crash.
+  engine.is_known = !inventory.is_busy || engine.model_order.has_value();
   Changed(engine);
 }
 
--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -309,6 +309,37 @@
   EXPECT_EQ(sent_.size(), sent);
 }
 
+// Two hosts took turns as owner: the first one's last load is under way when
+// the second asks the engine about something else. The report counts that load,
+// but does not list its model yet. Taken for all there is, the place was
+// ordered a second time at the moment the load ended, and the engine crashed.
+TEST_F(FleetPlannerTest, EngineThatIsBusyForAnEarlierOwnerIsNotFilled) {
+  Use(1, 6);
+  FakeCountedEngine& engine = *engines_.at("e0");
+  engine.Hold(ModelName(0), kModelBytes);
+  engine.Hold(ModelName(1), kModelBytes);
+  planner_->SetCatalogue(nullptr, &classes_);  // Nothing to bring ahead.
+  Run(seconds(1));
+  EngineOrder earlier;
+  earlier.kind = OrderKind::kLoad;
+  earlier.name = ModelName(2);
+  earlier.bytes = kModelBytes;
+  earlier.fence = {token_ - 1, 1};
+  ASSERT_EQ(engine.Take(earlier, now_), OrderResult::kAccepted);
+  planner_->SetCatalogue(&catalogue_, &classes_);
+  Report(ModelName(0), 1);  // A host missed the plan: the engine is asked.
+  std::vector<OrderToSend> orders;
+  planner_->TakeInventory(engine.Report(), now_, now_);
+  now_ += seconds(6);
+  engine.Advance(now_);
+  Report(ModelName(3), 1);
+  planner_->Decide(true, now_, orders);
+  for (const OrderToSend& order : orders) {
+    if (order.order.kind == OrderKind::kLoad) engine.Take(order.order, now_);
+  }
+  EXPECT_FALSE(engine.was_overcommitted());
+}
+
 // The driver's answer to an order gets lost in the process. The engine would
 // take no order again, and a drain would wait for it until it is killed.
 TEST_F(FleetPlannerTest, OrderWhoseAnswerNeverComesIsGivenUp) {
