--- a/core/event_log.h
+++ b/core/event_log.h
@@ -12,7 +12,8 @@
 
 // Starts the log: one key=value line per event on standard output, written by
 // a thread of its own from a bounded queue. A reader that does not read costs
-// lines, never time: what does not fit is dropped. Requires: called once, before any other thread starts.
+// lines, never time: what does not fit is dropped. Requires: called once,
+// before any other thread starts.
 void StartEventLog(LogLevel least, const std::string& host);
 
 // Writes what is queued and stops the log thread. Not thread-safe.
--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -61,11 +61,10 @@
   if (servers_.empty() && !event.listed.empty()) listed_at_ = context_.now;
   std::vector<std::string> gone = event.gone;
   if (event.is_whole) {
+    std::set<std::string> listed;
+    for (const ListedServer& server : event.listed) listed.insert(server.id);
     for (const auto& [id, server] : servers_) {
-      const bool is_listed = std::any_of(
-          event.listed.begin(), event.listed.end(),
-          [&](const ListedServer& other) { return other.id == id; });
-      if (!is_listed) gone.push_back(id);
+      if (!listed.contains(id)) gone.push_back(id);
     }
   }
   for (const ListedServer& server : event.listed) {
--- a/soak/host_processes.cc
+++ b/soak/host_processes.cc
@@ -18,17 +18,30 @@
 namespace applehall {
 namespace {
 
-// A port that the kernel gave out just now and that nobody holds any more.
-uint16_t FreePort() {
+// Below the ports that the kernel gives out by itself: those come and go with
+// every connection, and one given back here was taken by another host's page.
+constexpr uint16_t kFirstPort = 10000;
+constexpr uint16_t kPortsOfAProcess = 1000;
+constexpr int kProcesses = 20;
+
+bool IsFree(uint16_t port) {
   const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  ::bind(listener, reinterpret_cast<sockaddr*>(&address), size);
-  ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+  address.sin_port = htons(port);
+  const bool is_free = ::bind(listener, reinterpret_cast<sockaddr*>(&address),
+                              sizeof(address)) == 0;
   ::close(listener);
-  return ntohs(address.sin_port);
+  return is_free;
+}
+
+// Soaks that run side by side take theirs from different ranges.
+uint16_t FreePort() {
+  static uint16_t next = static_cast<uint16_t>(
+      kFirstPort + ::getpid() % kProcesses * kPortsOfAProcess);
+  while (!IsFree(next)) ++next;
+  return next++;
 }
 
 std::string Local(uint16_t port) { return absl::StrCat("127.0.0.1:", port); }
