Orders for adapters name the count they were decided on; a returning host listens first

Cause: at takeover the new owner's first report lagged behind the last adapter loads of the owner before. It counted two places as free that were taken, and the ninth adapter crashed the engine (LIMIT). Model orders carry the engine's count of orders and are refused in that case; adapter orders did not. The takeover itself was needless: a host that had been cut off from all for some seconds claimed the lease as soon as the store answered, since it had not heard the owner, who was well.

Change: every order names the count, so the reserve of one place for strays and its 15 s go; an adapter's unload that is answered 200 counts as accepted, so its place is filled at once instead of after the next report (0.4 s). Silence of the owner counts from the store's return at the earliest.

--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -229,8 +229,7 @@
 }
 
 void FleetKeeper::StartPlanner() {
-  planner_ = std::make_unique<FleetPlanner>(context_.settings.self, token_,
-                                            context_.now);
+  planner_ = std::make_unique<FleetPlanner>(context_.settings.self, token_);
   planner_->SetCatalogue(&context_.catalogue, &context_.engine_classes);
   planner_->SetServers(servers_, context_.now);
   applied_.clear();
@@ -287,7 +286,11 @@
   const bool is_free = !lease_ || lease_->is_released || is_own_earlier_life;
   // Listings come to all hosts at about the same time; counted from the lease
   // alone, whoever saw the first one claimed, with however little processor.
-  const TimePoint heard = std::max({beat_at_, lease_since_, listed_at_});
+  // A host that was cut off has heard nobody for reasons of its own; it listens
+  // first. Claims at the end of each cut stopped all loads for a takeover's 2
+  // s.
+  const TimePoint heard =
+      std::max({beat_at_, lease_since_, listed_at_, context_.log_back_at});
   const Duration silence = is_free ? Duration{0} : kOwnerSilence;
   if (context_.now - heard < silence + ClaimStagger()) return;
   if (servers_.empty()) return;  // Nothing to place; let another host do it.
--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -27,8 +27,6 @@
 constexpr Duration kReportTimeout = milliseconds(1500);
 // Without any order under way, reports only find what was missed.
 constexpr Duration kIdleReport = seconds(10);
-// An order that was never answered may be carried out this much later.
-constexpr Duration kLateOrders = seconds(15);
 constexpr Duration kSendWithin = milliseconds(500);
 // Beyond the time to send and the driver's own timeout of a second.
 constexpr Duration kCallLife = seconds(3);
@@ -97,11 +95,8 @@
 
 }  // namespace
 
-FleetPlanner::FleetPlanner(Incarnation self, FencingToken token, TimePoint now)
-    : self_(std::move(self)),
-      token_(token),
-      started_at_(now),
-      store_width_(kFirstStoreWidth) {}
+FleetPlanner::FleetPlanner(Incarnation self, FencingToken token)
+    : self_(std::move(self)), token_(token), store_width_(kFirstStoreWidth) {}
 
 void FleetPlanner::SetCatalogue(
     const std::map<std::string, CatalogueEntry>* catalogue,
@@ -315,7 +310,7 @@
     }
   }
   Adopt(engine, inventory, asked_at, now);
-  DropAbsent(engine, inventory, asked_at, now);
+  DropAbsent(engine, inventory, asked_at);
   if (engine.model_order) {
     OpenOrder& order = *engine.model_order;
     // The report counts the order (an older one was put aside above), so it
@@ -369,7 +364,7 @@
 }
 
 void FleetPlanner::DropAbsent(Engine& engine, const Inventory& inventory,
-                              TimePoint asked_at, TimePoint now) {
+                              TimePoint asked_at) {
   std::set<std::string> present;
   for (const Replica& replica : inventory.replicas) {
     present.insert(replica.name);
@@ -395,8 +390,6 @@
     return !item.second.base.empty() &&
            !engine.holdings.contains(item.second.base);
   });
-  std::erase_if(engine.stray_adapters,
-                [now](TimePoint until) { return until < now; });
 }
 
 void FleetPlanner::EndModelOrder(Engine& engine, TimePoint now) {
@@ -446,7 +439,11 @@
   order.base = entry.base;
   order.bytes = entry.bytes;
   order.send_by = now + kSendWithin;
-  if (is_model) order.after_orders = engine.accepted_orders;
+  // Guards against a report that lags: loads of an earlier owner, or ones that
+  // were never answered, would be loaded on top of, and the engine would crash.
+  // An order that was decided on another count than the engine's is refused,
+  // so what was known at the decision is all that the engine holds.
+  order.after_orders = engine.accepted_orders;
 
   OpenOrder open;
   open.id = order.id;
@@ -478,8 +475,7 @@
   orders.push_back({engine.listed.id, engine.listed.address, std::move(order)});
 }
 
-void FleetPlanner::Accept(Engine& engine, const OpenOrder& call,
-                          TimePoint now) {
+void FleetPlanner::Accept(Engine& engine, const OpenOrder& call) {
   ++engine.accepted_orders;
   if (engine.model_order && engine.model_order->id == call.id) {
     engine.model_order->is_accepted = true;
@@ -492,7 +488,6 @@
     engine.holdings.erase(it);
   }
   Changed(engine);
-  (void)now;
 }
 
 void FleetPlanner::DropCall(Engine& engine, const OpenOrder& call,
@@ -527,15 +522,18 @@
   }
   switch (result) {
     case OrderResult::kAccepted:
-      Accept(engine, call, now);
+      Accept(engine, call);
       return;
     case OrderResult::kDone:
       // Nothing had to be done, or it is done already; whether the engine
       // counts it, its next report says.
+      if (!is_model && call.kind == OrderKind::kUnload) {
+        // The usual answer: an adapter that nobody uses is gone at once.
+        Accept(engine, call);
+        return;
+      }
       if (is_model) {
         engine.model_order->is_accepted = true;
-      } else if (call.kind == OrderKind::kUnload) {
-        engine.holdings.erase(call.name);
       } else if (const auto holding = engine.holdings.find(call.name);
                  holding != engine.holdings.end()) {
         holding->second.state = State::kReady;
@@ -550,7 +548,6 @@
         engine.model_order->is_unanswered = true;
       } else {
         DropCall(engine, call, now);
-        engine.stray_adapters.push_back(now + kLateOrders);
       }
       engine.report_at = now + kReportLag;
       return;
@@ -566,6 +563,8 @@
       // Refused: the count differs, or another order is under way.
       DropCall(engine, call, now);
       engine.is_known = false;
+      // Whatever the next report counts is taken, be it less.
+      engine.accepted_orders = 0;
       engine.report_at = now + kReportLag;
       return;
   }
@@ -779,15 +778,11 @@
   return true;
 }
 
-int FleetPlanner::AdapterSlotsTaken(const Engine& engine, TimePoint now) const {
+int FleetPlanner::AdapterSlotsTaken(const Engine& engine) {
   const auto held =
       std::count_if(engine.holdings.begin(), engine.holdings.end(),
                     [](const auto& item) { return !item.second.base.empty(); });
-  // Loads that an earlier owner ordered and that were never answered may
-  // still be carried out.
-  const int strays = static_cast<int>(engine.stray_adapters.size()) +
-                     (now - started_at_ < kLateOrders ? 1 : 0);
-  return static_cast<int>(held) + strays;
+  return static_cast<int>(held);
 }
 
 // Unloads the adapter that was asked for least, if one may go.
@@ -849,7 +844,7 @@
   if (loading >= kAdaptersAtOnce) return;
   const EngineClass* engine_class = ClassOf(*best);
   if (engine_class == nullptr) return;
-  if (AdapterSlotsTaken(*best, now) >= engine_class->adapter_slots) {
+  if (AdapterSlotsTaken(*best) >= engine_class->adapter_slots) {
     MakeAdapterRoom(*best, now, orders);
     return;
   }
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -22,15 +22,15 @@
 // lease for them.
 //
 // For engines that carry out one model order at a time and count the orders
-// they accepted. Each model order names the count it was decided on, so an
-// order that is carried out late, or twice, changes nothing once another one
-// was accepted: what the planner counts as held is never less than what the
+// they accepted. Each order names the count it was decided on, so an order that
+// is carried out late, or twice, changes nothing once another one was
+// accepted: what the planner counts as held is never less than what the
 // engine holds. Memory is reserved before an order is sent and is free again
 // only when a report, asked for after the order ended, says so.
 class FleetPlanner {
  public:
   // `token` and `self` make order ids unique.
-  FleetPlanner(Incarnation self, FencingToken token, TimePoint now);
+  FleetPlanner(Incarnation self, FencingToken token);
 
   // Both must outlive the planner. Not thread-safe.
   void SetCatalogue(const std::map<std::string, CatalogueEntry>* catalogue,
@@ -96,8 +96,6 @@
     std::string reserved_for;
     TimePoint reserved_until;
     uint64_t version = 1;
-    // Adapter loads without an answer may still happen until then.
-    std::deque<TimePoint> stray_adapters;
   };
   // A way to bring a model onto one engine.
   struct Option {
@@ -147,7 +145,7 @@
                     std::vector<OrderToSend>& orders);
   bool MakeAdapterRoom(Engine& engine, TimePoint now,
                        std::vector<OrderToSend>& orders);
-  int AdapterSlotsTaken(const Engine& engine, TimePoint now) const;
+  static int AdapterSlotsTaken(const Engine& engine);
   void ServeWaiting(TimePoint now, std::vector<OrderToSend>& orders);
   static double Unmet(double rate, int replicas);
   void ReplicateBusy(bool is_overloaded, TimePoint now,
@@ -160,13 +158,13 @@
                  std::vector<OrderToSend>& orders);
   void GiveUpCalls(TimePoint now);
   void AskForReports(TimePoint now, std::vector<OrderToSend>& orders);
-  void Accept(Engine& engine, const OpenOrder& call, TimePoint now);
+  void Accept(Engine& engine, const OpenOrder& call);
   void DropCall(Engine& engine, const OpenOrder& call, TimePoint now);
   void EndModelOrder(Engine& engine, TimePoint now);
   void Adopt(Engine& engine, const Inventory& inventory, TimePoint asked_at,
              TimePoint now);
   void DropAbsent(Engine& engine, const Inventory& inventory,
-                  TimePoint asked_at, TimePoint now);
+                  TimePoint asked_at);
   void LearnStoreWidth(const OpenOrder& order, TimePoint now);
   void Note(std::string event, const std::string& engine,
             const std::string& target, std::string reason,
@@ -174,7 +172,6 @@
 
   Incarnation self_;
   FencingToken token_;
-  TimePoint started_at_;
   const std::map<std::string, CatalogueEntry>* catalogue_ = nullptr;
   const std::map<std::string, EngineClass>* classes_ = nullptr;
   std::map<std::string, Engine> engines_;
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -245,6 +245,37 @@
   EXPECT_EQ(token_, 1u);
 }
 
+// A host, or a whole data centre, is cut off for some seconds and comes back.
+// It has heard nothing of the owner meanwhile and took the lease from it at
+// once, though the owner had served all others: nothing was loaded anywhere for
+// the time of a takeover, after each cut that healed.
+TEST_F(FleetTest, HostThatWasCutOffHearsTheOwnerBeforeItClaims) {
+  for (const char* name : {"a", "b", "c"}) Add(name);
+  Run(seconds(3));
+  const std::string holder = Holders()[0];
+  for (auto& [name, host] : hosts_) {
+    if (name == holder) continue;
+    host.is_cut_from_store = true;
+    host.is_cut_from_hosts = true;
+  }
+  for (int i = 0; i < 20; ++i) {
+    Run(milliseconds(250));
+    for (auto& [name, host] : hosts_) {
+      if (name != holder) Handle(name, LogFailed{});
+    }
+  }
+  for (auto& [name, host] : hosts_) {
+    host.is_cut_from_store = false;
+    Handle(name, StoreReached{});
+  }
+  // The links between hosts are opened again a moment later.
+  Run(milliseconds(750));
+  for (auto& [name, host] : hosts_) host.is_cut_from_hosts = false;
+  Run(seconds(5));
+  EXPECT_EQ(Holders(), std::vector<std::string>{holder});
+  EXPECT_EQ(token_, 1u) << "nobody else claimed";
+}
+
 // While the store is away, listings of live servers lapse with it. Without
 // them every request was refused for two seconds after each outage.
 TEST_F(FleetTest, ServersThatLapseWithTheStoreStayForAWhile) {
--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -49,8 +49,7 @@
       engines_[id] = std::make_unique<FakeCountedEngine>(
           id, kService, kEngineBytes, /*adapter_slots=*/8);
     }
-    planner_ =
-        std::make_unique<FleetPlanner>(Incarnation{"entry", 1}, token_, now_);
+    planner_ = std::make_unique<FleetPlanner>(Incarnation{"entry", 1}, token_);
     planner_->SetCatalogue(&catalogue_, &classes_);
     List();
   }
@@ -340,6 +339,59 @@
   EXPECT_FALSE(engine.was_overcommitted());
 }
 
+// The owner before has just loaded two adapters when another host takes over.
+// Reports lag by some hundred ms, so the new owner's first one shows neither.
+// It filled the two places again, and the engine crashed with all it ran.
+TEST_F(FleetPlannerTest, AdaptersOfAnEarlierOwnerAreNotLoadedOnTopOf) {
+  Use(1, 1, /*adapters=*/12);
+  FakeCountedEngine& engine = *engines_.at("e0");
+  engine.Hold(ModelName(0), kModelBytes);
+  const auto adapter = [](int i) {
+    return ModelName(0) + "/a" + std::to_string(i);
+  };
+  const auto load_earlier = [&](int i) {
+    EngineOrder earlier;
+    earlier.kind = OrderKind::kLoad;
+    earlier.name = adapter(i);
+    earlier.base = ModelName(0);
+    earlier.bytes = 66'000'000;
+    earlier.fence = {token_ - 1, 1};
+    ASSERT_EQ(engine.Take(earlier, now_), OrderResult::kAccepted);
+  };
+  for (int i = 1; i <= 5; ++i) load_earlier(i);
+  const Inventory lagging = engine.Report();
+  load_earlier(6);
+  load_earlier(7);
+  planner_->TakeInventory(lagging, now_, now_);
+  for (int i = 8; i <= 12; ++i) {
+    Report(adapter(i), 1);
+    Run(milliseconds(200));
+    ASSERT_FALSE(engine.was_overcommitted()) << adapter(i);
+  }
+  Run(seconds(2));
+  EXPECT_FALSE(engine.was_overcommitted());
+  EXPECT_TRUE(IsReady(adapter(12))) << "it goes on with what is true";
+}
+
+// Engines with all places for adapters taken: each further one needs the place
+// of another. While an engine waited for a report after each unload, adapters
+// took half a second in place of some ms.
+TEST_F(FleetPlannerTest, AdapterTakesAnothersPlaceAtOnce) {
+  Use(1, 1, /*adapters=*/12);
+  engines_.at("e0")->Hold(ModelName(0), kModelBytes);
+  Run(milliseconds(100));
+  for (int i = 1; i <= 8; ++i) {
+    Report(ModelName(0) + "/a" + std::to_string(i), 1, 1);
+    Run(milliseconds(100));
+  }
+  Run(seconds(1));
+  const std::string wanted = ModelName(0) + "/a9";
+  Report(wanted, 1, 1);
+  Run(milliseconds(200));
+  EXPECT_TRUE(IsReady(wanted));
+  EXPECT_FALSE(engines_.at("e0")->was_overcommitted());
+}
+
 // The driver's answer to an order gets lost in the process. The engine would
 // take no order again, and a drain would wait for it until it is killed.
 TEST_F(FleetPlannerTest, OrderWhoseAnswerNeverComesIsGivenUp) {
