Explain a request from the logs; histograms; dropped log lines are counted

Durations are served as histograms with fixed buckets, which add up over hosts; the quantiles stay under names of their own. A reader of standard output that stands still costs lines, and log_lines_dropped_total tells how many.

--- a/core/event_log.cc
+++ b/core/event_log.cc
@@ -5,7 +5,6 @@
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -21,9 +20,23 @@
 
 constexpr std::size_t kMostQueuedLines = 4096;
 
+std::atomic<uint64_t> g_dropped_lines{0};
+
+// Like Boost.Log's own strategy to drop, but counted: an engineer who misses a
+// line must be able to tell that lines are missing.
+struct CountedDrop {
+  template <typename LockT>
+  static bool on_overflow(const boost::log::record_view&, LockT&) {
+    ++g_dropped_lines;
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
 using LineSink = sinks::asynchronous_sink<
     sinks::text_ostream_backend,
-    sinks::bounded_fifo_queue<kMostQueuedLines, sinks::drop_on_overflow>>;
+    sinks::bounded_fifo_queue<kMostQueuedLines, CountedDrop>>;
 
 std::atomic<bool> g_started{false};
 std::atomic<int> g_least_level{0};
@@ -68,6 +81,8 @@
 
 }  // namespace
 
+uint64_t DroppedLogLines() { return g_dropped_lines; }
+
 void StartEventLog(LogLevel least, const std::string& host) {
   g_least_level = static_cast<int>(least);
   g_host = host;
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -19,6 +19,9 @@
 // Writes what is queued and stops the log thread. Not thread-safe.
 void StopEventLog();
 
+// Lines that were dropped because the queue was full. Thread-safe.
+uint64_t DroppedLogLines();
+
 // One line of the log; written when the object goes out of scope.
 //   LogEvent(LogLevel::kInfo, "load_ordered").With("model", name);
 class LogEvent {
--- a/core/metrics.cc
+++ b/core/metrics.cc
@@ -1,5 +1,7 @@
 #include "core/metrics.h"
 
+#include <algorithm>
+#include <numeric>
 #include <sstream>
 
 namespace applehall {
@@ -17,6 +19,19 @@
   p50_(seconds);
   p95_(seconds);
   p99_(seconds);
+  const auto bucket = std::lower_bound(kDurationBuckets.begin(),
+                                       kDurationBuckets.end(), seconds);
+  // What is longer than all bounds stands in the count alone.
+  if (bucket != kDurationBuckets.end()) {
+    ++buckets_[bucket - kDurationBuckets.begin()];
+  }
+}
+
+std::array<uint64_t, kDurationBuckets.size()> DurationSummary::Cumulated()
+    const {
+  auto cumulated = buckets_;
+  std::partial_sum(cumulated.begin(), cumulated.end(), cumulated.begin());
+  return cumulated;
 }
 
 double DurationSummary::p50() const { return acc::p_square_quantile(p50_); }
@@ -35,11 +50,18 @@
   }
   for (const auto& [name, summary] : summaries_) {
     const std::string base = "applehall_" + name + "_seconds";
-    text << base << "{quantile=\"0.5\"} " << summary.p50() << '\n'
-         << base << "{quantile=\"0.95\"} " << summary.p95() << '\n'
-         << base << "{quantile=\"0.99\"} " << summary.p99() << '\n'
+    text << "# TYPE " << base << " histogram\n";
+    const auto cumulated = summary.Cumulated();
+    for (size_t i = 0; i < cumulated.size(); ++i) {
+      text << base << "_bucket{le=\"" << kDurationBuckets[i] << "\"} "
+           << cumulated[i] << '\n';
+    }
+    text << base << "_bucket{le=\"+Inf\"} " << summary.count() << '\n'
          << base << "_sum " << summary.sum() << '\n'
-         << base << "_count " << summary.count() << '\n';
+         << base << "_count " << summary.count() << '\n'
+         << base << "_quantile{quantile=\"0.5\"} " << summary.p50() << '\n'
+         << base << "_quantile{quantile=\"0.95\"} " << summary.p95() << '\n'
+         << base << "_quantile{quantile=\"0.99\"} " << summary.p99() << '\n';
   }
   return text.str();
 }
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -1,6 +1,7 @@
 #ifndef APPLEHALL_CORE_METRICS_H_
 #define APPLEHALL_CORE_METRICS_H_
 
+#include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/max.hpp>
@@ -14,7 +15,14 @@
 
 namespace applehall {
 
-// A running summary of durations: count, sum, max and three quantiles.
+// Upper bounds of the histograms' buckets, in seconds: from what a request
+// takes through a host, over the latencies that callers hope for (0.1 to 4 s),
+// to the longest load and the longest deadline.
+inline constexpr std::array<double, 14> kDurationBuckets = {
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.6, 1, 1.5, 2.5, 4, 8, 15, 30};
+
+// A running summary of durations: a histogram, count, sum, max and three
+// quantiles. Histograms of several hosts can be added up, quantiles cannot.
 class DurationSummary {
  public:
   DurationSummary();
@@ -28,6 +36,8 @@
   double max() const;
   double sum() const;
   uint64_t count() const;
+  // Durations up to the bound of each bucket, shorter ones included.
+  std::array<uint64_t, kDurationBuckets.size()> Cumulated() const;
 
  private:
   using Quantile = boost::accumulators::accumulator_set<
@@ -41,6 +51,7 @@
   Quantile p50_;
   Quantile p95_;
   Quantile p99_;
+  std::array<uint64_t, kDurationBuckets.size()> buckets_{};
 };
 
 // Named counters and summaries of one process, owned by one thread.
--- a/main/applehall.cc
+++ b/main/applehall.cc
@@ -3,6 +3,8 @@
 #include <CLI/CLI.hpp>
 #include <functional>
 #include <map>
+#include <string>
+#include <vector>
 
 #include "main/operator_commands.h"
 
@@ -94,6 +96,16 @@
     run = [&] { return applehall::ShowDecisions(host, request, format); };
   });
 
+  std::vector<std::string> log_files;
+  CLI::App* why = app.add_subcommand(
+      "explain", "What happened to a request, from the logs of all hosts");
+  why->add_option("REQUEST", request, "The request's id")->required();
+  why->add_option("--logs", log_files, "Log files; standard input without them")
+      ->check(CLI::ExistingFile);
+  why->callback([&] {
+    run = [&] { return applehall::ExplainRequest(request, log_files, format); };
+  });
+
   CLI::App* loads = app.add_subcommand("loads", "What each engine holds");
   loads->add_option("HOST", host, "Operator address IP:PORT")->required();
   loads->callback(
--- a/main/operator_commands.cc
+++ b/main/operator_commands.cc
@@ -3,14 +3,18 @@
 #include <absl/strings/str_cat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <thread>
 
 #include "core/json.h"
 #include "core/uuid.h"
 #include "drivers/http_client.h"
 #include "drivers/platform_client.h"
+#include "main/request_story.h"
 #include "node/control_fold.h"
 #include "rules/rule_checker.h"
 #include "rules/rule_explainer.h"
@@ -390,6 +394,44 @@
   return CommandExit::kOk;
 }
 
+CommandExit ExplainRequest(const std::string& request,
+                           const std::vector<std::string>& log_files,
+                           OutputFormat format) {
+  std::vector<LogLine> lines;
+  if (log_files.empty()) lines = ReadLogLines(std::cin);
+  for (const std::string& path : log_files) {
+    std::ifstream file(path);
+    if (!file) {
+      return Fail(CommandExit::kBadInput, absl::StrCat(path, ": cannot read"));
+    }
+    std::vector<LogLine> more = ReadLogLines(file);
+    std::move(more.begin(), more.end(), std::back_inserter(lines));
+  }
+  const std::vector<LogLine> story = RequestStory(std::move(lines), request);
+  if (story.empty()) {
+    return Fail(CommandExit::kFailed,
+                absl::StrCat("no line names request ", request,
+                             "; are the logs of all hosts there?"));
+  }
+  const TimePoint end = story.back().at;
+  for (const LogLine& line : story) {
+    const int64_t before_end_ms = ToMillis(end - line.at);
+    if (format == OutputFormat::kJson) {
+      std::cout << Json{{"time_ms", ToUnixMillis(line.at)},
+                        {"before_end_ms", before_end_ms},
+                        {"host", line.host},
+                        {"event", line.event},
+                        {"keys", line.keys}}
+                       .dump()
+                << "\n";
+    } else {
+      std::cout << "-" << before_end_ms << " ms  " << line.host << "  "
+                << line.Text() << "\n";
+    }
+  }
+  return CommandExit::kOk;
+}
+
 CommandExit ShowLoads(const std::string& host, OutputFormat format) {
   const absl::StatusOr<Json> state = FetchJson(host, "/state");
   if (!state.ok()) return FailWith(state.status());
--- a/main/operator_commands.h
+++ b/main/operator_commands.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace applehall {
 
@@ -33,6 +34,10 @@
 CommandExit ShowState(const std::string& host, OutputFormat format);
 CommandExit ShowDecisions(const std::string& host, const std::string& request,
                           OutputFormat format);
+// From the log files named, or from standard input.
+CommandExit ExplainRequest(const std::string& request,
+                           const std::vector<std::string>& log_files,
+                           OutputFormat format);
 CommandExit ShowLoads(const std::string& host, OutputFormat format);
 CommandExit ShowHosts(const std::string& host, OutputFormat format);
 
--- /dev/null
+++ b/tests/core/event_log_test.cc
@@ -0,0 +1,63 @@
+#include "core/event_log.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <iostream>
+#include <string>
+#include <thread>
+
+#include "core/metrics.h"
+
+namespace applehall {
+namespace {
+
+// Whoever reads the log stands still, and the pipe between is full. Decisions
+// are logged by the thread that serves requests; if writing waited, all would.
+TEST(EventLogTest, StalledReaderCostsLinesAndNoTime) {
+  int ends[2];
+  ASSERT_EQ(pipe(ends), 0);
+  std::cout.flush();
+  const int standard_output = dup(STDOUT_FILENO);
+  ASSERT_GE(dup2(ends[1], STDOUT_FILENO), 0);
+  StartEventLog(LogLevel::kInfo, "host");
+  constexpr int kLines = 50000;
+  for (int i = 0; i < kLines; ++i) {
+    LogEvent(LogLevel::kInfo, "test").With("number", i);
+  }
+  const uint64_t dropped = DroppedLogLines();
+  std::thread reader([&] {
+    char buffer[4096];
+    while (read(ends[0], buffer, sizeof(buffer)) > 0) {
+    }
+  });
+  StopEventLog();
+  std::cout.flush();
+  dup2(standard_output, STDOUT_FILENO);
+  close(standard_output);
+  close(ends[1]);
+  reader.join();
+  close(ends[0]);
+  EXPECT_GT(dropped, 0u);
+  EXPECT_LT(dropped, static_cast<uint64_t>(kLines)) << "the queue kept some";
+}
+
+TEST(MetricsTest, HistogramsCountWhatIsUpToEachBound) {
+  Metrics metrics;
+  for (const int ms : {3, 70, 100, 3000, 60000}) {
+    metrics.Observe("request", std::chrono::milliseconds(ms));
+  }
+  const std::string text = metrics.ToPrometheusText();
+  for (const char* line : {"# TYPE applehall_request_seconds histogram",
+                           "applehall_request_seconds_bucket{le=\"0.005\"} 1",
+                           "applehall_request_seconds_bucket{le=\"0.1\"} 3",
+                           "applehall_request_seconds_bucket{le=\"4\"} 4",
+                           "applehall_request_seconds_bucket{le=\"30\"} 4",
+                           "applehall_request_seconds_bucket{le=\"+Inf\"} 5",
+                           "applehall_request_seconds_count 5"}) {
+    EXPECT_NE(text.find(std::string(line) + "\n"), std::string::npos) << line;
+  }
+}
+
+}  // namespace
+}  // namespace applehall
--- /dev/null
+++ b/tests/main/request_story_test.cc
@@ -0,0 +1,68 @@
+#include "main/request_story.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace applehall {
+namespace {
+
+// A request that came late for a cold model, in the logs of two hosts: its own
+// and the placement owner's. The cause is a change of the owner just before.
+constexpr char kLogs[] =
+    R"(time_ms=1000 level=info host=a event=rules_in_force version=4 name=routes-4 rules=8
+time_ms=90000 level=info host=a event=rules_in_force version=9 name=routes-9 rules=8
+time_ms=95000 level=info host=b event=lease_held token=2 orders_in_ms=3000
+time_ms=95500 level=info host=b event=load_ordered engine=e1 target=llm/other token=2 reason=busy took_ms=0
+time_ms=98440 level=info host=b event=load_ordered engine=e1 target=llm/m token=2 reason="1 waiting, worth 1.2" took_ms=0
+  12.5 b time_ms=100190 level=info host=b event=load_ready engine=e1 target=llm/m token=2 reason=disk took_ms=1750
+not a line of the log
+time_ms=99000 level=warning host=c event=store_lost
+time_ms=99001 level=warning host=a event=store_lost
+time_ms=102000 level=info host=a event=request_end request=42 caller=x rule=9/r-1 target=llm/m/a7 waited_ms=8286 model_state=cold action=answered verdict=ran backend=e1 reason="" attempts=1 took_ms=10175
+time_ms=102000 level=info host=a event=request_end request=43 rule=9/r-1 target=llm/m took_ms=5
+time_ms=110000 level=info host=b event=unloaded engine=e1 target=llm/m token=2 reason="" took_ms=80
+)";
+
+std::vector<std::string> Events(const std::vector<LogLine>& story) {
+  std::vector<std::string> events;
+  for (const LogLine& line : story) events.push_back(line.event);
+  return events;
+}
+
+TEST(RequestStoryTest, ShowsWhatDecidedTheRequestInOrder) {
+  std::istringstream logs(kLogs);
+  const std::vector<LogLine> story = RequestStory(ReadLogLines(logs), "42");
+  const std::vector<std::string> expected = {"rules_in_force", "lease_held",
+                                             "load_ordered",   "store_lost",
+                                             "load_ready",     "request_end"};
+  EXPECT_EQ(Events(story), expected);
+  EXPECT_EQ(story[0].Value("version"), "9") << "the version of its rule";
+  EXPECT_EQ(story[2].Value("target"), "llm/m") << "its model, not another";
+  EXPECT_EQ(story[3].host, "a") << "its own host";
+}
+
+TEST(RequestStoryTest, UnknownRequestHasNoStory) {
+  std::istringstream logs(kLogs);
+  EXPECT_TRUE(RequestStory(ReadLogLines(logs), "44").empty());
+}
+
+TEST(RequestStoryTest, ReadsQuotedValues) {
+  const auto line = ParseLogLine(
+      R"(time_ms=5 level=info host=a event=x reason="he said \"no\" = y" next=1)");
+  ASSERT_TRUE(line);
+  EXPECT_EQ(line->Value("reason"), R"(he said "no" = y)");
+  EXPECT_EQ(line->Value("next"), "1");
+  EXPECT_EQ(line->at, TimePoint(std::chrono::milliseconds(5)));
+}
+
+TEST(RequestStoryTest, WhatIsNoLogLineIsLeftOut) {
+  for (const char* text : {"", "hello", "time_ms=x event=y", "time_ms=5 host=a",
+                           "time_ms=", "time_ms=5 event=y reason=\"open"}) {
+    const auto line = ParseLogLine(text);
+    EXPECT_TRUE(!line || line->event == "y") << text;
+  }
+}
+
+}  // namespace
+}  // namespace applehall
