A late load is not promised for now

Change: a load that is late by some time is taken to need as much again, so its callers are told when to come back. The test fails without it.

--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -53,8 +53,8 @@
 // An engine is kept for the model its victim was unloaded for this long.
 constexpr Duration kReservation = seconds(3);
 // Loads at once that the weight store is taken to bring at full speed until
-// load times show otherwise: doubled as long as loads are as fast as told, up to
-// the most. Four from the start took 53 s each where the store brings one in
+// load times show otherwise: doubled as long as loads are as fast as told, up
+// to the most. Four from the start took 53 s each where the store brings one in
 // 13 s, and each kept an engine from all other loads meanwhile.
 constexpr double kFirstStoreWidth = 2.0;
 constexpr double kMostStoreWidth = 4.0;
@@ -1046,8 +1046,11 @@
     }
     answer.status = DemandStatus::kLoading;
     if (engine.model_order && engine.model_order->name == target) {
-      answer.expected =
-          std::max(Duration{0}, engine.model_order->expected_end - now);
+      // A load that is late by some time is taken to need as much again. Taken
+      // for due at any moment, it kept its callers waiting until they left,
+      // 12 s, where a slowed store brought the model after 50 s.
+      const Duration left = engine.model_order->expected_end - now;
+      answer.expected = std::chrono::abs(left);
     }
     return answer;
   }
--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -413,6 +413,21 @@
   EXPECT_EQ(planner_->ToJson(now_)["store_width"], 1.0) << "and stays so";
 }
 
+// The weight store is slow: a load takes far longer than told. Callers were
+// told for all that time that their model is due at once, and waited until they
+// left, instead of being told when to come back.
+TEST_F(FleetPlannerTest, LateLoadIsNotPromisedForNow) {
+  Use(1, 1);
+  engines_.at("e0")->load_from_store = seconds(60);
+  Report(ModelName(0), 1);
+  Run(seconds(4));
+  EXPECT_LE(planner_->Answer(ModelName(0), now_).expected, seconds(3));
+  Run(seconds(8));
+  const DemandAnswer answer = planner_->Answer(ModelName(0), now_);
+  EXPECT_EQ(answer.status, DemandStatus::kLoading);
+  EXPECT_GE(answer.expected, seconds(5));
+}
+
 // The driver's answer to an order gets lost in the process. The engine would
 // take no order again, and a drain would wait for it until it is killed.
 TEST_F(FleetPlannerTest, OrderWhoseAnswerNeverComesIsGivenUp) {
