Hosts save only their part of the fleet's retries

Cause (by arithmetic): ten saved retries a host are 720 for 72 hosts and 3,000 for 300, where all together may make 184 beside a fifth of the requests in 10 s. Change: the platform's slack, divided by the hosts the owner counts, bounds what each saves; before the owner tells, eight hosts are assumed.

--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -471,6 +471,7 @@
   std::erase_if(peers_, [this](const auto& item) {
     return context_.now - item.second.heard_at > kPeerLife;
   });
+  context_.fleet_hosts = static_cast<int>(peers_.size()) + 1;
   for (auto& [host, peer] : peers_) {
     const bool has_news = peer.sent_news < last_news_;
     const Duration interval = peer.is_urgent ? kNewsInterval
@@ -552,6 +553,7 @@
   const PeerAddress reader = ReaderOf(peer.data_centre);
   body["r"] = Json::array({reader.host, reader.address});
   body["l"] = busy_engines_;
+  body["n"] = context_.fleet_hosts;
   for (const auto& [id, applied] : applied_) {
     if (applied.news <= peer.sent_news) continue;
     body["e"].push_back(Json::array({id, announced_[id]}));
@@ -576,6 +578,7 @@
   }
   if (lease_ && lease_->holder.host == host) beat_at_ = context_.now;
   TakeLoads(body.value("l", Json::array()));
+  context_.fleet_hosts = std::max(1, FieldOr<int>(body, "n", 1));
   const Json reader = body.value("r", Json::array());
   if (reader.is_array() && reader.size() == 2 && reader[0].is_string() &&
       reader[1].is_string()) {
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -39,6 +39,8 @@
   DecisionLog decisions;
   bool is_draining = false;
   TimePoint drain_began;
+  // Entry hosts that share the placement owner; at least this many until told.
+  int fleet_hosts = 8;
 
   // Whether the log service answered lately.
   TimePoint log_answered_at;
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -580,7 +580,12 @@
 }
 
 bool RequestFlow::MaySpendRetry(Request& request) {
-  if (IsFleet()) return backend_retries_[request.service].TrySpend();
+  if (IsFleet()) {
+    RetryBudget& of_service = backend_retries_[request.service];
+    of_service.SetMostSaved(static_cast<double>(context_.settings.retry_slack) /
+                            context_.fleet_hosts);
+    return of_service.TrySpend();
+  }
   RetryBudget& of_caller = callers_[request.arrival.facts.caller].retries;
   return of_caller.TrySpend() && backend_retries_[request.backend].TrySpend();
 }
--- a/routing/retry_budget.h
+++ b/routing/retry_budget.h
@@ -11,7 +11,14 @@
  public:
   // Requires: nothing. Not thread-safe.
   void RecordFirstAttempt() {
-    saved_ = std::min(kMostSaved, saved_ + kRetriesPerAttempt);
+    saved_ = std::min(most_saved_, saved_ + kRetriesPerAttempt);
+  }
+  // Where many hosts share one bound, each may save its part of it only: when
+  // all engines of a service fail at once, all hosts spend what they saved.
+  // Requires: `most` is not negative. Not thread-safe.
+  void SetMostSaved(double most) {
+    most_saved_ = std::min(most, kMostSaved);
+    saved_ = std::min(saved_, most_saved_);
   }
   // Spends one retry. False if the budget is spent. Not thread-safe.
   bool TrySpend() {
@@ -25,6 +32,7 @@
   static constexpr double kRetriesPerAttempt = 0.1;
   static constexpr double kMostSaved = 10.0;
 
+  double most_saved_ = kMostSaved;
   double saved_ = kMostSaved;
 };
 
--- a/tests/routing/engine_view_test.cc
+++ b/tests/routing/engine_view_test.cc
@@ -151,5 +151,25 @@
   EXPECT_GE(retries, 100);
 }
 
+// All engines of a service turn everything away for ten seconds. Each of 72
+// hosts had saved ten retries and spent them at once: 720 where all together
+// may make 184 beside a fifth of the requests.
+TEST(RetryBudgetTest, ManyHostsTogetherStayWithinTheBound) {
+  constexpr int kHosts = 72;
+  constexpr int kSlack = 184;
+  constexpr int kRequestsOfAHost = 32;
+  int retries = 0;
+  for (int host = 0; host < kHosts; ++host) {
+    RetryBudget budget;
+    budget.SetMostSaved(static_cast<double>(kSlack) / kHosts);
+    for (int i = 0; i < kRequestsOfAHost; ++i) {
+      budget.RecordFirstAttempt();
+      while (budget.TrySpend()) ++retries;
+    }
+  }
+  EXPECT_LE(retries, kSlack + kHosts * kRequestsOfAHost / 5);
+  EXPECT_GE(retries, kHosts) << "and each host has some";
+}
+
 }  // namespace
 }  // namespace applehall
