Loads of a placement owner that is not heard are forgotten

Cause (by reading): a data centre that is cut off kept the last loads it was told, and would refuse by them for as long as the cut lasts. The test fails without the change (nothing is sent after 4 s).

--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -299,8 +299,8 @@
   // Listings come to all hosts at about the same time; counted from the lease
   // alone, whoever saw the first one claimed, with however little processor.
   // A host that was cut off has heard nobody for reasons of its own; it listens
-  // first. Claims at the end of each cut stopped all loads for a takeover's 2
-  // s.
+  // first. Claims at the end of each cut stopped all loads for the two seconds
+  // of a takeover.
   const TimePoint heard =
       std::max({beat_at_, lease_since_, listed_at_, context_.log_back_at});
   const Duration silence = is_free ? Duration{0} : kOwnerSilence;
@@ -577,6 +577,7 @@
     lease_asked_at_ = TimePoint{};  // There is a newer holder: read who.
   }
   if (lease_ && lease_->holder.host == host) beat_at_ = context_.now;
+  loads_at_ = context_.now;
   TakeLoads(body.value("l", Json::array()));
   context_.fleet_hosts = std::max(1, FieldOr<int>(body, "n", 1));
   const Json reader = body.value("r", Json::array());
@@ -633,6 +634,8 @@
     SendPlans();
   } else {
     ReportToOwner();
+    // Cut off from the owner, a host would go on refusing by loads of long ago.
+    if (context_.now - loads_at_ > kPlanLife) TakeLoads(Json::array());
   }
   waiting_.clear();
   return answers;
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -283,6 +283,29 @@
   EXPECT_EQ(readers().size(), 2u);
 }
 
+// A data centre is cut off while its engines are said to be full. Its hosts
+// hear no more of the placement owner; going by the last loads they heard of,
+// they would refuse every request for as long as the cut lasts.
+TEST_F(FleetTest, LoadsOfAnOwnerThatIsNotHeardAreForgotten) {
+  for (const char* name : {"a", "b"}) Add(name);
+  Run(seconds(3));
+  const std::string owner = Holders()[0];
+  const std::string other = owner == "a" ? "b" : "a";
+  hosts_.at(other).is_cut_from_hosts = true;
+  hosts_.at(other).is_cut_from_store = true;
+  const Json body = *ParseJson(R"({"l": [["llm-1", 99, 50], ["llm-2", 99, 50]],
+                                   "n": 2})");
+  Json plan = body;
+  plan["k"] = token_;
+  Handle(other,
+         PeerMessageReceived{owner, {PeerMessageType::kFleetPlan, plan}});
+  Arrive(other, 1, "/rare/x", "m0");
+  Run(milliseconds(100));
+  EXPECT_TRUE(Done<DispatchRequest>(other).empty()) << "its engines are full";
+  Run(seconds(4));
+  EXPECT_FALSE(Done<DispatchRequest>(other).empty());
+}
+
 // The holder is cut off from the store, as one host in a data centre may be.
 // It is heard by the others, and goes on.
 TEST_F(FleetTest, HolderWithoutStoreGoesOn) {
