--- a/node/fleet_keeper.h
+++ b/node/fleet_keeper.h
@@ -113,7 +113,7 @@
   uint64_t last_news_ = 0;
   std::map<std::string, int> loads_;   // Requests of all hosts, by engine.
   Json busy_engines_ = Json::array();  // The same, as plans tell it.
-  TimePoint loads_at_;  // When they were told or summed up.
+  TimePoint loads_at_;                 // When they were told or summed up.
   uint64_t digest_count_ = 0;
 
   // The lease.
