A broken stream goes on at engines that are full for new requests

Cause (by reading): a stream that broke amid its events waited for a free place like a new request, while its caller leaves after the next pause. The test fails without the change.

--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -351,9 +351,12 @@
   preference.data_centre = context_.settings.data_centre;
   const auto target = targets_.find(request.target);
   if (IsService(request) || target == targets_.end()) return preference;
+  // A broken stream goes on at once: its caller leaves after the next pause.
+  if (request.has_started) return preference;
   preference.most_load = kMostEngineLoad;
   preference.service_time = target->second.unloaded_time;
-  preference.luck = request.luck;
+  // What was let through once counts already.
+  preference.luck = request.attempt > 0 ? 0 : request.luck;
   return preference;
 }
 
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -306,6 +306,39 @@
   EXPECT_FALSE(Done<DispatchRequest>(other).empty());
 }
 
+// An engine dies amid a stream while all others run as much as they can. The
+// stream's caller has part of it and leaves after the next pause, so it does
+// not wait for a free place as new requests do.
+TEST_F(FleetTest, BrokenStreamGoesOnAtFullEngines) {
+  for (const char* name : {"a", "b"}) Add(name);
+  Run(seconds(3));
+  const std::string owner = Holders()[0];
+  const std::string other = owner == "a" ? "b" : "a";
+  hosts_.at(other).is_cut_from_hosts = true;
+  Arrive(other, 1, "/stream/x", "m0");
+  const DispatchRequest first = Done<DispatchRequest>(other)[0];
+  Handle(other, AttemptStarted{1});
+  const Json loads = *ParseJson(R"([["llm-1", 99, 50], ["llm-2", 99, 50]])");
+  Handle(other,
+         PeerMessageReceived{owner,
+                             {PeerMessageType::kFleetPlan,
+                              Json{{"k", token_}, {"l", loads}, {"n", 2}}}});
+  AttemptEnded broken;
+  broken.handle = 1;
+  broken.attempt = first.attempt;
+  broken.result = AttemptResult::kBroken;
+  broken.has_delivered = true;
+  broken.can_resume = true;
+  hosts_.at(other).done.clear();
+  Handle(other, broken);
+  Arrive(other, 2, "/rare/x", "m0");
+  Run(milliseconds(200));
+  const std::vector<DispatchRequest> sent = Done<DispatchRequest>(other);
+  ASSERT_EQ(sent.size(), 1u) << "the stream, and not the new request";
+  EXPECT_EQ(sent[0].handle, 1u);
+  EXPECT_TRUE(sent[0].resume);
+}
+
 // The holder is cut off from the store, as one host in a data centre may be.
 // It is heard by the others, and goes on.
 TEST_F(FleetTest, HolderWithoutStoreGoesOn) {
