Both clients of backend servers share one way to pass answers on

Found on reading the change again: the platform's client had written again what the product's own had, and each process its own coroutine sleep (eight copies). Now one piece each: Sleep, TakeWholeEvents and CountEvents, EndOf, and of the caller's session AwaitRoom, PushChunk, PushEnd, PushRefusal and CallerLeft, which both daemons and both clients call. PushAlways is private again, PauseBackend with its condition on threads is gone.

--- a/drivers/backend_client.cc
+++ b/drivers/backend_client.cc
@@ -6,6 +6,9 @@
 
 #include <boost/asio.hpp>
 
+#include "drivers/event_stream.h"
+#include "drivers/sleep.h"
+
 namespace applehall {
 
 namespace asio = boost::asio;
@@ -17,9 +20,7 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(1000);
 // Between pieces of a stream; past it the engine counts as broken.
 constexpr Duration kStreamSilence = std::chrono::seconds(15);
-constexpr Duration kSlowCallerPause = std::chrono::milliseconds(2);
 constexpr Duration kFullChannelWait = std::chrono::milliseconds(1);
-constexpr char kEventEnd[] = "\n\n";
 
 // What the backend server says about a request that it did not answer.
 AttemptResult RefusalResult(const HttpResponse& response) {
@@ -40,16 +41,6 @@
   return status == 404 || status == 409 || status == 429 || status >= 500;
 }
 
-AttemptEnded EndOf(const DispatchRequest& action, AttemptResult result,
-                   std::string detail) {
-  AttemptEnded ended;
-  ended.handle = action.handle;
-  ended.attempt = action.attempt;
-  ended.result = result;
-  ended.detail = std::move(detail);
-  return ended;
-}
-
 // The body with the model that the rule chose instead of the one asked for.
 std::string BodyFor(const std::string& body, const std::string& model) {
   absl::StatusOr<Json> json = ParseJson(body);
@@ -87,8 +78,7 @@
 
 asio::awaitable<void> BackendClient::Deliver(const Event& event) {
   while (!decisions_.TryPush(event)) {
-    asio::steady_timer timer(thread_.io(), kFullChannelWait);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await Sleep(thread_.io(), kFullChannelWait);
   }
 }
 
@@ -213,28 +203,16 @@
   }
   std::string partial;
   while (!stream.is_whole()) {
-    while (session.is_full() && !session.is_closed()) {
-      asio::steady_timer pause(thread_.io(), kSlowCallerPause);
-      co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
+    co_await session.AwaitRoom(thread_.io());
     if (session.is_closed()) {
       stream.Cancel();
       co_return EndOf(action, AttemptResult::kBroken, "the caller closed");
     }
     partial += co_await stream.ReadSome(kStreamSilence);
-    // Only whole events go on, so that a broken stream can be resumed at one.
-    const auto end = partial.rfind(kEventEnd);
-    if (end != std::string::npos) {
-      const size_t size = end + 2;
-      ReplyPart chunk;
-      chunk.kind = ReplyPart::Kind::kChunk;
-      chunk.data = partial.substr(0, size);
-      partial.erase(0, size);
-      for (auto at = chunk.data.find(kEventEnd); at != std::string::npos;
-           at = chunk.data.find(kEventEnd, at + 2)) {
-        ++session.delivered_events;
-      }
-      session.Push(std::move(chunk));
+    std::string events = TakeWholeEvents(partial);
+    if (!events.empty()) {
+      session.delivered_events += CountEvents(events);
+      session.PushChunk(std::move(events));
     }
     if (stream.is_whole() || stream.error().empty()) continue;
     AttemptEnded broken = EndOf(action, AttemptResult::kBroken, stream.error());
@@ -242,15 +220,8 @@
     broken.can_resume = stream.head().headers.contains("applehall-can-resume");
     co_return broken;
   }
-  if (!partial.empty()) {
-    ReplyPart rest;
-    rest.kind = ReplyPart::Kind::kChunk;
-    rest.data = std::move(partial);
-    session.Push(std::move(rest));
-  }
-  ReplyPart end_part;
-  end_part.kind = ReplyPart::Kind::kEnd;
-  session.Push(std::move(end_part));
+  if (!partial.empty()) session.PushChunk(std::move(partial));
+  session.PushEnd();
   co_return EndOf(action, AttemptResult::kCompleted, "");
 }
 
--- a/drivers/caller_session.cc
+++ b/drivers/caller_session.cc
@@ -2,10 +2,19 @@
 
 #include <boost/asio.hpp>
 
+#include "drivers/sleep.h"
+
 namespace applehall {
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Between looks at a caller that takes its answer slower than it comes.
+constexpr Duration kSlowCallerPause = std::chrono::milliseconds(2);
+
+}  // namespace
+
 void CallerSession::Push(ReplyPart part) {
   if (is_closed_) return;
   PushAlways(std::move(part));
@@ -31,9 +40,39 @@
   co_return part;
 }
 
-asio::awaitable<void> CallerSession::PauseBackend(Duration duration) {
-  asio::steady_timer pause(io_, duration);
-  co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+asio::awaitable<void> CallerSession::AwaitRoom(asio::io_context& backend_io) {
+  while (is_full() && !is_closed()) {
+    co_await Sleep(backend_io, kSlowCallerPause);
+  }
+}
+
+void CallerSession::PushChunk(std::string data) {
+  ReplyPart part;
+  part.kind = ReplyPart::Kind::kChunk;
+  part.data = std::move(data);
+  Push(std::move(part));
+}
+
+void CallerSession::PushEnd() {
+  ReplyPart part;
+  part.kind = ReplyPart::Kind::kEnd;
+  Push(std::move(part));
+}
+
+void CallerSession::PushRefusal(Refusal refusal, std::string rule) {
+  ReplyPart part;
+  part.kind = ReplyPart::Kind::kRefusal;
+  part.refusal = std::move(refusal);
+  part.rule = std::move(rule);
+  Push(std::move(part));
+}
+
+void CallerSession::CallerLeft() {
+  Close();
+  // Wakes whoever waits in Next(); a refusal is what it takes for the end.
+  ReplyPart gone;
+  gone.kind = ReplyPart::Kind::kRefusal;
+  PushAlways(std::move(gone));
 }
 
 }  // namespace applehall
--- a/drivers/caller_session.h
+++ b/drivers/caller_session.h
@@ -37,19 +37,22 @@
 
   // Thread-safe. Parts after the end of an answer are ignored.
   void Push(ReplyPart part);
-  // Also after Close(), to wake whoever waits in Next(). Thread-safe.
-  void PushAlways(ReplyPart part);
+  void PushChunk(std::string data);
+  void PushEnd();
+  void PushRefusal(Refusal refusal, std::string rule);
   // True while the caller has too much waiting already. Thread-safe.
   bool is_full() const { return bytes_waiting_ > kMostBytesWaiting; }
   bool is_closed() const { return is_closed_; }
 
   // The next part; waits for it. Thread: the callers'.
   boost::asio::awaitable<ReplyPart> Next();
-  // Lets a slow caller catch up. Thread: the callers', which must be the
-  // backend's too.
-  boost::asio::awaitable<void> PauseBackend(Duration duration);
+  // Waits until a slow caller has caught up, or closed. Thread: the backend's,
+  // which runs `backend_io`.
+  boost::asio::awaitable<void> AwaitRoom(boost::asio::io_context& backend_io);
   // The caller is gone or has its answer. Thread: the callers'.
   void Close() { is_closed_ = true; }
+  // Close(), and whoever waits in Next() is told. Thread: the callers'.
+  void CallerLeft();
 
   uint64_t handle() const { return handle_; }
   const HttpRequest& request() const { return request_; }
@@ -60,6 +63,9 @@
   bool has_begun = false;
 
  private:
+  // Also after Close(), to wake whoever waits in Next(). Thread-safe.
+  void PushAlways(ReplyPart part);
+
   static constexpr size_t kMostBytesWaiting = 256 * 1024;
 
   boost::asio::io_context& io_;
--- a/drivers/platform_client.cc
+++ b/drivers/platform_client.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 
+#include "drivers/sleep.h"
+
 namespace applehall {
 
 namespace asio = boost::asio;
@@ -97,13 +99,9 @@
   return call;
 }
 
-asio::awaitable<void> PlatformClient::Sleep(Duration duration) {
-  asio::steady_timer timer(thread_.io(), duration);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 asio::awaitable<void> PlatformClient::Deliver(const Event& event) {
-  while (!decisions_.TryPush(event)) co_await Sleep(kFullChannelWait);
+  while (!decisions_.TryPush(event))
+    co_await Sleep(thread_.io(), kFullChannelWait);
 }
 
 asio::awaitable<void> PlatformClient::FollowStream(std::string stream) {
@@ -112,7 +110,7 @@
   while (true) {
     if (is_control) {
       if (!decisions_.wants_control_reads()) {
-        co_await Sleep(kNotReaderWait);
+        co_await Sleep(thread_.io(), kNotReaderWait);
         continue;
       }
       // Peers may have told more than this host read itself.
@@ -128,7 +126,7 @@
     if (!batch) {
       const Event failed = LogFailed{};
       co_await Deliver(failed);
-      co_await Sleep(kRetryInterval);
+      co_await Sleep(thread_.io(), kRetryInterval);
       continue;
     }
     from = std::max(from, batch->first_offset);
@@ -161,7 +159,7 @@
         co_await Deliver(read);
       }
     }
-    co_await Sleep(kHostInterval);
+    co_await Sleep(thread_.io(), kHostInterval);
   }
 }
 
@@ -174,7 +172,8 @@
       const Event read = CatalogueRead{ParseCatalogue(result.response.body)};
       co_await Deliver(read);
     }
-    co_await Sleep(result.is_ok() ? kCatalogueInterval : kRetryInterval);
+    co_await Sleep(thread_.io(),
+                   result.is_ok() ? kCatalogueInterval : kRetryInterval);
   }
 }
 
--- a/drivers/platform_client.h
+++ b/drivers/platform_client.h
@@ -38,7 +38,6 @@
   Task RunAppend(AppendRecord action);
   // Hands an event over; waits while the channel is full.
   Task Deliver(const Event& event);
-  Task Sleep(Duration duration);
   HttpCall MakeCall(const Address& address, const std::string& method,
                     const std::string& target, std::string body,
                     Duration timeout) const;
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -8,6 +8,7 @@
 
 #include "core/hash.h"
 #include "core/uuid.h"
+#include "drivers/sleep.h"
 
 namespace applehall {
 
@@ -251,8 +252,7 @@
       main_io_,
       [this]() -> Task {
         while (!decisions_.TryPush(DrainRequested{})) {
-          asio::steady_timer timer(main_io_, kFullChannelWait);
-          co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+          co_await Sleep(main_io_, kFullChannelWait);
         }
       },
       asio::detached);
@@ -284,11 +284,7 @@
 void Daemon::On(const RefuseRequest& action) {
   const std::shared_ptr<CallerSession> session = FindSession(action.handle);
   if (!session) return;
-  ReplyPart part;
-  part.kind = ReplyPart::Kind::kRefusal;
-  part.refusal = action.refusal;
-  part.rule = action.rule;
-  session->Push(std::move(part));
+  session->PushRefusal(action.refusal, action.rule);
 }
 
 void Daemon::On(const SendOrder& action) { backends_.SendEngineOrder(action); }
@@ -360,11 +356,7 @@
     sessions_[handle] = session;
   }
   exchange.SetOnPeerGone([this, session, handle] {
-    session->Close();
-    // Wakes PassAnswer(); a refusal is what it takes for the end.
-    ReplyPart gone;
-    gone.kind = ReplyPart::Kind::kRefusal;
-    session->PushAlways(std::move(gone));
+    session->CallerLeft();
     (void)decisions_.TryPush(CallerGone{handle});
   });
   if (decisions_.TryPush(std::move(event))) {
--- a/node/messages.h
+++ b/node/messages.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -180,6 +181,17 @@
   TimePoint deadline;
 };
 
+// How the attempt that `sent` began has ended.
+inline AttemptEnded EndOf(const DispatchRequest& sent, AttemptResult result,
+                          std::string detail) {
+  AttemptEnded ended;
+  ended.handle = sent.handle;
+  ended.attempt = sent.attempt;
+  ended.result = result;
+  ended.detail = std::move(detail);
+  return ended;
+}
+
 struct CancelAttempt {
   RequestHandle handle = 0;
   int attempt = 0;
--- a/soak/platform_standin.cc
+++ b/soak/platform_standin.cc
@@ -6,6 +6,8 @@
 
 #include <boost/asio.hpp>
 
+#include "drivers/sleep.h"
+
 namespace applehall {
 
 namespace asio = boost::asio;
@@ -76,11 +78,6 @@
   return {kLoopback, store_.port()};
 }
 
-asio::awaitable<void> PlatformStandin::Pause(Duration duration) {
-  asio::steady_timer timer(io_, duration);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 // ---- The store ----
 
 void PlatformStandin::Put(const std::string& topic, const std::string& key,
@@ -118,7 +115,7 @@
 asio::awaitable<void> PlatformStandin::ServeStore(HttpExchange& exchange) {
   const HttpRequest& request = exchange.request();
   if (store_mode_ == StoreMode::kSilent) {
-    co_await Pause(kSilence);
+    co_await Sleep(io_, kSilence);
     exchange.Abort();
     co_return;
   }
@@ -145,7 +142,7 @@
                          &wait_ms);
   const TimePoint until = clock_.Now() + milliseconds(wait_ms);
   while (topics_[topic].size() <= from && clock_.Now() < until) {
-    co_await Pause(kPoll);
+    co_await Sleep(io_, kPoll);
   }
   const std::vector<Record>& records = topics_[topic];
   std::string body = BigEndian(records.size(), 8) + BigEndian(0, 8);
@@ -358,7 +355,7 @@
       co_await ServeStream(*server, exchange);
       co_return;
     }
-    co_await Pause(milliseconds(5));
+    co_await Sleep(io_, milliseconds(5));
     response = Stamped(attempt, absl::StrCat("answer to ", attempt));
   }
   co_await exchange.Respond(std::move(response));
@@ -374,7 +371,7 @@
   const bool breaks = break_every_ > 0 && ++streams_ % break_every_ == 0;
   bool is_ok = co_await exchange.BeginStream(200, head.headers);
   for (int event = from + 1; event <= kEvents && is_ok; ++event) {
-    co_await Pause(kEventGap);
+    co_await Sleep(io_, kEventGap);
     if (server.is_stopped || (breaks && event == kEvents / 2)) {
       exchange.Abort();
       co_return;
--- a/soak/platform_standin.h
+++ b/soak/platform_standin.h
@@ -79,7 +79,6 @@
   void Put(const std::string& topic, const std::string& key,
            const std::string& value);
   void List(const std::string& id);
-  Awaitable<void> Pause(Duration duration);
   std::string Start(std::unique_ptr<FakeCountedEngine> engine,
                     const std::string& service);
 
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 
+#include "drivers/sleep.h"
+
 namespace applehall {
 
 namespace asio = boost::asio;
@@ -61,11 +63,6 @@
   }
 }
 
-asio::awaitable<void> Soak::Pause(Duration duration) {
-  asio::steady_timer timer(io_, duration);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 std::vector<std::string> Soak::Run() {
   ends_at_ = clock_.Now() + kWarmUp + options_.length;
   for (int host = 0; host < hosts_.count(); ++host) {
@@ -94,7 +91,7 @@
 
 asio::awaitable<void> Soak::Caller(int host, uint64_t seed) {
   Random random(seed);
-  co_await Pause(kWarmUp);
+  co_await Sleep(io_, kWarmUp);
   while (clock_.Now() < ends_at_) {
     const std::string id = absl::StrCat("a", seed, "-", random.Next());
     CallerView& view = asked_[id];
@@ -129,7 +126,7 @@
       if (stamp != result.response.headers.end()) view.stamp = stamp->second;
     }
     if (view.sent_at < disturbed_until_) is_calm_[id] = false;
-    co_await Pause(milliseconds(5 + random.Below(40)));
+    co_await Sleep(io_, milliseconds(5 + random.Below(40)));
   }
   --callers_running_;
 }
@@ -140,22 +137,23 @@
 }
 
 asio::awaitable<void> Soak::Faults() {
-  co_await Pause(kWarmUp + seconds(1));
+  co_await Sleep(io_, kWarmUp + seconds(1));
   while (clock_.Now() + seconds(8) < ends_at_) {
     co_await OneFault();
     // Some come at once, others after things have settled.
     const bool overlaps = random_.Below(3) > 0;
-    co_await Pause(milliseconds(overlaps ? 300 + random_.Below(900) : 7000));
+    co_await Sleep(io_,
+                   milliseconds(overlaps ? 300 + random_.Below(900) : 7000));
   }
 }
 
 asio::awaitable<void> Soak::Restart(int host, int signal) {
   hosts_.Signal(host, signal);
   for (int i = 0; i < 500 && hosts_.IsRunning(host); ++i) {
-    co_await Pause(milliseconds(10));
+    co_await Sleep(io_, milliseconds(10));
   }
   if (hosts_.IsRunning(host)) hosts_.Signal(host, SIGKILL);
-  co_await Pause(milliseconds(100 + random_.Below(500)));
+  co_await Sleep(io_, milliseconds(100 + random_.Below(500)));
   hosts_.Start(host);
   Disturb();
 }
@@ -176,14 +174,14 @@
     case 2:
       Note(absl::StrCat("freeze ", host));
       hosts_.Signal(host, SIGSTOP);
-      co_await Pause(span);
+      co_await Sleep(io_, span);
       hosts_.Signal(host, SIGCONT);
       break;
     case 3: {
       const auto mode = static_cast<FaultProxy::Mode>(1 + random_.Below(3));
       Note(absl::StrCat("store link ", host, " mode ", static_cast<int>(mode)));
       proxy.SetMode(mode);
-      co_await Pause(span);
+      co_await Sleep(io_, span);
       proxy.SetMode(FaultProxy::Mode::kPass);
       break;
     }
@@ -196,7 +194,7 @@
       Note(is_silent ? "store silent" : "store refuses");
       platform_.SetStoreMode(is_silent ? PlatformStandin::StoreMode::kSilent
                                        : PlatformStandin::StoreMode::kRefusing);
-      co_await Pause(span);
+      co_await Sleep(io_, span);
       platform_.SetStoreMode(PlatformStandin::StoreMode::kUp);
       break;
     }
@@ -220,7 +218,7 @@
       const std::string& id = servers[random_.Below(servers.size())];
       Note(absl::StrCat("crash ", id));
       platform_.Stop(id, /*is_delisted=*/false);
-      co_await Pause(seconds(1));
+      co_await Sleep(io_, seconds(1));
       platform_.Stop(id, /*is_delisted=*/true);
       platform_.StartEngine({});
       break;
@@ -233,13 +231,13 @@
     case 9:
       Note("streams break");
       platform_.SetBreakEvery(4);
-      co_await Pause(span);
+      co_await Sleep(io_, span);
       platform_.SetBreakEvery(0);
       break;
     default:
       Note("kill all");
       for (int i = 0; i < hosts_.count(); ++i) hosts_.Signal(i, SIGKILL);
-      co_await Pause(milliseconds(300));
+      co_await Sleep(io_, milliseconds(300));
       for (int i = 0; i < hosts_.count(); ++i) hosts_.Start(i);
       break;
   }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -56,7 +56,6 @@
   Awaitable<void> Faults();
   Awaitable<void> OneFault();
   Awaitable<void> Restart(int host, int signal);
-  Awaitable<void> Pause(Duration duration);
   void Note(const std::string& fault);
   // Faults stretch into the time after them: leases, reads, takeover.
   void Disturb() { disturbed_until_ = clock_.Now() + std::chrono::seconds(6); }
--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 
+#include "drivers/sleep.h"
 #include "standins/answer_text.h"
 
 namespace applehall {
@@ -215,11 +216,6 @@
   return json;
 }
 
-asio::awaitable<void> StandinServer::Sleep(Duration duration) {
-  asio::steady_timer timer(io_, duration);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 asio::awaitable<bool> StandinServer::PassFaults(const std::string& name,
                                                 HttpExchange& exchange) {
   const std::string from = exchange.request().Header(kDataCentreHeader);
@@ -230,10 +226,10 @@
   }
   if (faults.is_frozen) {
     while (faults_[name].is_frozen && !exchange.is_peer_gone()) {
-      co_await Sleep(std::chrono::milliseconds(20));
+      co_await Sleep(io_, std::chrono::milliseconds(20));
     }
   }
-  if (faults.slow > Duration::zero()) co_await Sleep(faults.slow);
+  if (faults.slow > Duration::zero()) co_await Sleep(io_, faults.slow);
   co_return !exchange.is_peer_gone();
 }
 
@@ -249,7 +245,7 @@
   if (faults.reorder > 0) {
     // Held back long enough for the answers after it to overtake it.
     --faults.reorder;
-    co_await Sleep(std::chrono::milliseconds(150));
+    co_await Sleep(io_, std::chrono::milliseconds(150));
   }
   co_await exchange.Respond(std::move(response));
 }
@@ -309,7 +305,7 @@
       std::min<Duration>(std::chrono::milliseconds(wait_ms), kMostLogWait);
   LogBatch batch = log_.Read(stream, from, kMostRecordsPerRead, Now());
   while (batch.records.empty() && Now() < until && !exchange.is_peer_gone()) {
-    co_await Sleep(kLogPoll);
+    co_await Sleep(io_, kLogPoll);
     if (faults_["log"].is_down) {
       exchange.Abort();
       co_return;
@@ -537,13 +533,13 @@
     co_return;
   }
   ++engine.requests_begun;
-  co_await Sleep(engine.first_token);
+  co_await Sleep(io_, engine.first_token);
   if (FieldOr<bool>(*body, "stream", false)) {
     co_await StreamAnswer(engine, exchange, model, prompt, tokens, resume_from);
     engine.fake.EndRequest(model, Now());
     co_return;
   }
-  co_await Sleep(engine.per_token * tokens);
+  co_await Sleep(io_, engine.per_token * tokens);
   engine.fake.EndRequest(model, Now());
   ++engine.requests_done;
   co_await Answer(name, exchange, WholeCompletion(model, prompt, tokens));
@@ -567,7 +563,7 @@
       exchange.Abort();
       co_return;
     }
-    co_await Sleep(engine.per_token);
+    co_await Sleep(io_, engine.per_token);
     const Json chunk = ChunkJson(model, AnswerToken(model, prompt, i));
     if (!co_await exchange.Write("data: " + chunk.dump() + "\n\n")) co_return;
   }
@@ -584,7 +580,7 @@
   const std::string key = exchange.request().Header("idempotency-key");
   ++service.calls;
   if (!key.empty()) ++service.runs[key];
-  co_await Sleep(service.took);
+  co_await Sleep(io_, service.took);
   co_await Answer(
       service.name, exchange,
       ServiceAnswer(service.service, service.name, exchange.request()));
--- a/standins/standin_server.h
+++ b/standins/standin_server.h
@@ -57,7 +57,6 @@
   // Sends, unless the answer is to be lost.
   Reply Answer(const std::string& name, HttpExchange& exchange,
                HttpResponse&& response);
-  boost::asio::awaitable<void> Sleep(Duration duration);
   HostList ListedHosts();
   // The list for one data centre; empty body if the caller has it already.
   HttpResponse HostsAnswer(const HttpRequest& request);
