--- a/main/applehalld.cc
+++ b/main/applehalld.cc
@@ -1,17 +1,10 @@
 // The one daemon, the same on every entry host.
 
 #include <CLI/CLI.hpp>
-#include <iostream>
 
 #include "main/daemon.h"
 #include "main/daemon_settings.h"
-
-namespace {
-
-constexpr int kExitBadSettings = 2;
-constexpr int kExitCannotStart = 3;
-
-}  // namespace
+#include "main/run_daemon.h"
 
 int main(int argc, char** argv) {
   CLI::App app{"applehall entry host: routes requests for rarely used models"};
@@ -22,22 +15,10 @@
   app.add_flag("--check", check_only, "Check the settings and exit");
   CLI11_PARSE(app, argc, argv);
 
-  const absl::StatusOr<applehall::DaemonSettings> settings =
-      applehall::LoadDaemonSettings(config_path);
-  if (!settings.ok()) {
-    std::cerr << settings.status().message() << "\n";
-    return kExitBadSettings;
-  }
-  if (check_only) return 0;
-  applehall::StartEventLog(settings->log_level, settings->node.self.host);
-  int exit_code = 0;
-  try {
-    applehall::Daemon daemon(*settings);
-    daemon.Run();
-  } catch (const std::exception& error) {
-    std::cerr << "cannot start: " << error.what() << "\n";
-    exit_code = kExitCannotStart;
-  }
-  applehall::StopEventLog();
-  return exit_code;
+  return applehall::RunDaemon(applehall::LoadDaemonSettings(config_path),
+                              check_only,
+                              [](const applehall::DaemonSettings& settings) {
+                                applehall::Daemon daemon(settings);
+                                daemon.Run();
+                              });
 }
--- /dev/null
+++ b/main/run_daemon.h
@@ -0,0 +1,42 @@
+#ifndef APPLEHALL_MAIN_RUN_DAEMON_H_
+#define APPLEHALL_MAIN_RUN_DAEMON_H_
+
+#include <absl/status/statusor.h>
+
+#include <exception>
+#include <iostream>
+
+#include "core/event_log.h"
+
+namespace applehall {
+
+inline constexpr int kExitBadSettings = 2;
+inline constexpr int kExitCannotStart = 3;
+
+// Runs a daemon with its log to its end, or only checks its settings; the
+// result is the process's exit code. `run` gets the settings and returns when
+// the daemon has stopped; what it throws is why it could not start. Thread: the
+// main one, before any other has started.
+template <typename Settings, typename Run>
+int RunDaemon(const absl::StatusOr<Settings>& settings, bool check_only,
+              const Run& run) {
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << "\n";
+    return kExitBadSettings;
+  }
+  if (check_only) return 0;
+  StartEventLog(settings->log_level, settings->node.self.host);
+  int exit_code = 0;
+  try {
+    run(*settings);
+  } catch (const std::exception& error) {
+    std::cerr << "cannot start: " << error.what() << "\n";
+    exit_code = kExitCannotStart;
+  }
+  StopEventLog();
+  return exit_code;
+}
+
+}  // namespace applehall
+
+#endif  // APPLEHALL_MAIN_RUN_DAEMON_H_
