Loads of engines are kept once, as a type

Cause: the owner kept them as JSON for plans and again as a map, and read its own JSON back. Now one map of EngineLoad, written to and read from a plan at its edge. A host without an owner clears them once per plan life, not each tick.

--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -143,7 +143,7 @@
   digest.base_sequence = digest.sequence;
   digest.slots = std::max(1, server.slots);
   const auto load = loads_.find(id);
-  digest.running = load == loads_.end() ? 0 : load->second;
+  digest.running = load == loads_.end() ? 0 : load->second.running;
   digest.is_leaving = server.is_leaving;
   const auto announced = announced_.find(id);
   if (!server.is_engine) {
@@ -464,9 +464,7 @@
 
 void FleetKeeper::SendPlans() {
   if (context_.now - loads_at_ >= kLoadInterval) {
-    loads_at_ = context_.now;
-    busy_engines_ = BusyEngines();
-    TakeLoads(busy_engines_);
+    TakeLoads(SumLoads());
   }
   std::erase_if(peers_, [this](const auto& item) {
     return context_.now - item.second.heard_at > kPeerLife;
@@ -487,37 +485,50 @@
 
 // Each of many hosts has a request or two at an engine and cannot see that
 // together they have several times what it can run.
-Json FleetKeeper::BusyEngines() const {
-  Json busy = Json::array();
+FleetKeeper::EngineLoads FleetKeeper::SumLoads() const {
+  EngineLoads busy;
   for (const auto& [id, server] : servers_) {
-    const int count = planner_->RequestsAt(id);
-    const double arrivals = planner_->ArrivalsAt(id, context_.now);
-    if (count < kToldLoad * server.slots &&
-        arrivals < kToldArrivals * server.slots) {
-      continue;
+    const EngineLoad load{planner_->RequestsAt(id),
+                          planner_->ArrivalsAt(id, context_.now)};
+    if (load.running >= kToldLoad * server.slots ||
+        load.arrivals >= kToldArrivals * server.slots) {
+      busy[id] = load;
     }
-    busy.push_back(Json::array({id, count, arrivals}));
   }
   return busy;
 }
 
-void FleetKeeper::TakeLoads(const Json& loads) {
-  std::map<std::string, int> told;
-  if (loads.is_array()) {
-    for (const Json& row : loads) {
-      const bool is_row = row.is_array() && row.size() == 3 &&
-                          row[0].is_string() && row[1].is_number_integer() &&
-                          row[2].is_number();
-      if (!is_row) continue;
-      const std::string id = row[0].get<std::string>();
-      told[id] = row[1].get<int>();
-      context_.view.SetLoad(id, told[id], row[2].get<double>());
-    }
+void FleetKeeper::TakeLoads(EngineLoads loads) {
+  for (const auto& [id, load] : loads) {
+    context_.view.SetLoad(id, load.running, load.arrivals);
   }
-  for (const auto& [id, count] : loads_) {
-    if (!told.contains(id)) context_.view.SetLoad(id, 0, 0);
+  for (const auto& [id, load] : loads_) {
+    if (!loads.contains(id)) context_.view.SetLoad(id, 0, 0);
   }
-  loads_ = std::move(told);
+  loads_ = std::move(loads);
+  loads_at_ = context_.now;
+}
+
+Json FleetKeeper::LoadsToJson() const {
+  Json json = Json::array();
+  for (const auto& [id, load] : loads_) {
+    json.push_back(Json::array({id, load.running, load.arrivals}));
+  }
+  return json;
+}
+
+FleetKeeper::EngineLoads FleetKeeper::LoadsFromJson(const Json& json) {
+  EngineLoads loads;
+  if (!json.is_array()) return loads;
+  for (const Json& row : json) {
+    const bool is_row = row.is_array() && row.size() == 3 &&
+                        row[0].is_string() && row[1].is_number_integer() &&
+                        row[2].is_number();
+    if (!is_row) continue;
+    loads[row[0].get<std::string>()] = {row[1].get<int>(),
+                                        row[2].get<double>()};
+  }
+  return loads;
 }
 
 // The host that reads the store for `data_centre`: the owner for its own, as it
@@ -552,7 +563,7 @@
   Json body{{"k", token_}, {"e", Json::array()}, {"w", Json::array()}};
   const PeerAddress reader = ReaderOf(peer.data_centre);
   body["r"] = Json::array({reader.host, reader.address});
-  body["l"] = busy_engines_;
+  body["l"] = LoadsToJson();
   body["n"] = context_.fleet_hosts;
   for (const auto& [id, applied] : applied_) {
     if (applied.news <= peer.sent_news) continue;
@@ -577,8 +588,7 @@
     lease_asked_at_ = TimePoint{};  // There is a newer holder: read who.
   }
   if (lease_ && lease_->holder.host == host) beat_at_ = context_.now;
-  loads_at_ = context_.now;
-  TakeLoads(body.value("l", Json::array()));
+  TakeLoads(LoadsFromJson(body.value("l", Json::array())));
   context_.fleet_hosts = std::max(1, FieldOr<int>(body, "n", 1));
   const Json reader = body.value("r", Json::array());
   if (reader.is_array() && reader.size() == 2 && reader[0].is_string() &&
@@ -635,7 +645,7 @@
   } else {
     ReportToOwner();
     // Cut off from the owner, a host would go on refusing by loads of long ago.
-    if (context_.now - loads_at_ > kPlanLife) TakeLoads(Json::array());
+    if (context_.now - loads_at_ > kPlanLife) TakeLoads({});
   }
   waiting_.clear();
   return answers;
--- a/node/fleet_keeper.h
+++ b/node/fleet_keeper.h
@@ -89,10 +89,17 @@
   // True if a request here waits for what the last report did not say.
   bool HasNewWaiting() const;
   HostReport MakeReport();
-  // What all hosts have under way where it is much: for the view, and for
-  // plans.
-  void TakeLoads(const Json& loads);
-  Json BusyEngines() const;
+  // What all hosts have under way at one engine.
+  struct EngineLoad {
+    int running = 0;
+    double arrivals = 0;  // Requests a second for what it holds.
+  };
+  using EngineLoads = std::map<std::string, EngineLoad>;  // Busy ones, by id.
+
+  EngineLoads SumLoads() const;
+  void TakeLoads(EngineLoads loads);
+  Json LoadsToJson() const;
+  static EngineLoads LoadsFromJson(const Json& json);
   // Shows in the routing view what may be sent to a server.
   void Apply(const std::string& id);
   void Forget(const std::string& id);
@@ -111,9 +118,8 @@
   };
   std::map<std::string, Applied> applied_;
   uint64_t last_news_ = 0;
-  std::map<std::string, int> loads_;   // Requests of all hosts, by engine.
-  Json busy_engines_ = Json::array();  // The same, as plans tell it.
-  TimePoint loads_at_;                 // When they were told or summed up.
+  EngineLoads loads_;
+  TimePoint loads_at_;  // When they were told or summed up.
   uint64_t digest_count_ = 0;
 
   // The lease.
