Service times are smoothed by one function

Cause: the time without waiting was learnt beside the smoothed one by a second copy of the same step. The first sample is taken whole in both, as before.

--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -87,6 +87,16 @@
   return "broken";
 }
 
+// Moves `known` by `share` of the way to `sample`; the first sample is taken
+// whole.
+void Smooth(Duration sample, double share, Duration& known) {
+  if (known == Duration{0}) {
+    known = sample;
+    return;
+  }
+  known += FromSeconds(share * ToSeconds(sample - known));
+}
+
 }  // namespace
 
 RequestFlow::RequestFlow(NodeContext& context, GroupKeeper& groups,
@@ -499,14 +509,7 @@
   request->has_started = request->has_started || event.has_delivered;
   if (event.result == AttemptResult::kCompleted) {
     TargetState& state = targets_[request->target];
-    const Duration took = context_.now - request->sent_at;
-    state.service_time =
-        state.service_time == Duration{0}
-            ? took
-            : state.service_time +
-                  FromSeconds(kServiceTimeSmoothing *
-                              ToSeconds(took - state.service_time));
-    LearnUnloadedTime(*request, state);
+    LearnServiceTime(context_.now - request->sent_at, state);
     if (!IsFleet()) backend_retries_[backend].RecordFirstAttempt();
     Settle(event.handle, "answered", Verdict::kRan, "");
   } else {
@@ -526,13 +529,10 @@
   if (was_local) PumpEngine(backend);
 }
 
-void RequestFlow::LearnUnloadedTime(const Request& request,
-                                    TargetState& state) const {
-  const Duration took = context_.now - request.sent_at;
-  Duration& known = state.unloaded_time;
-  if (known == Duration{0}) known = took;
-  const double weight = took < known ? kQuickerShare : kSlowerShare;
-  known += FromSeconds(weight * ToSeconds(took - known));
+void RequestFlow::LearnServiceTime(Duration took, TargetState& state) {
+  Smooth(took, kServiceTimeSmoothing, state.service_time);
+  const bool is_quicker = took < state.unloaded_time;
+  Smooth(took, is_quicker ? kQuickerShare : kSlowerShare, state.unloaded_time);
 }
 
 // Decides what follows an attempt that brought no whole answer.
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -123,7 +123,7 @@
                    const std::string& backend, const std::string& address);
 
   // Ends.
-  void LearnUnloadedTime(const Request& request, TargetState& state) const;
+  static void LearnServiceTime(Duration took, TargetState& state);
   void Retry(Request& request, AttemptResult result);
   void Backoff(Request& request);
   TimePoint LastStart(const Request& request) const;
