--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -919,6 +919,19 @@
   return true;
 }
 
+// Those that wait in a target's queue and fulfil `condition`, in the order of
+// their arrival: a queue's own order differs from run to run.
+template <typename Condition>
+std::vector<RequestHandle> RequestFlow::SelectWaiting(
+    const TargetState& state, const Condition& condition) const {
+  std::vector<RequestHandle> selected;
+  for (const auto& [handle, entry] : state.queue.entries()) {
+    if (condition(*requests_.at(handle))) selected.push_back(handle);
+  }
+  std::sort(selected.begin(), selected.end());
+  return selected;
+}
+
 // Requests that cannot be met are told so now, while their caller can still
 // do something else; first, other models and other data centres are tried.
 void RequestFlow::RefuseEarly(const std::string& target, TargetState& state) {
@@ -932,13 +945,10 @@
   const bool is_hopeless =
       status == DemandStatus::kNoPlace || status == DemandStatus::kFailed;
   const TimePoint ready_at = state.answered_at + state.answer.expected;
-  std::vector<RequestHandle> late;
-  for (const auto& [handle, entry] : state.queue.entries()) {
-    if (is_hopeless || entry.request.deadline < ready_at) {
-      late.push_back(handle);
-    }
-  }
-  std::sort(late.begin(), late.end());
+  const std::vector<RequestHandle> late =
+      SelectWaiting(state, [&](const Request& request) {
+        return is_hopeless || request.deadline < ready_at;
+      });
   for (const RequestHandle handle : late) {
     Request* request = Find(handle);
     if (request == nullptr) continue;
@@ -983,18 +993,17 @@
   const TimePoint ready_at = state.answered_at + expected;
   const bool is_dated =
       status == DemandStatus::kLoading || status == DemandStatus::kQueued;
-  std::vector<RequestHandle> hopeless;
-  for (const auto& [handle, entry] : state.queue.entries()) {
-    const Request& request = *requests_.at(handle);
-    const TimePoint last_start = LastStart(request);
-    const Duration span = last_start - request.arrived_at;
-    const bool is_late = is_dated && ready_at > last_start;
-    const bool is_due = context_.now - request.arrived_at >
-                        FromSeconds(ToSeconds(span) * kPatienceShare);
-    const bool may_still_come = status == DemandStatus::kLoading && !is_late;
-    if (is_late || (is_due && !may_still_come)) hopeless.push_back(handle);
-  }
-  std::sort(hopeless.begin(), hopeless.end());
+  const std::vector<RequestHandle> hopeless =
+      SelectWaiting(state, [&](const Request& request) {
+        const TimePoint last_start = LastStart(request);
+        const Duration span = last_start - request.arrived_at;
+        const bool is_late = is_dated && ready_at > last_start;
+        const bool is_due = context_.now - request.arrived_at >
+                            FromSeconds(ToSeconds(span) * kPatienceShare);
+        const bool may_still_come =
+            status == DemandStatus::kLoading && !is_late;
+        return is_late || (is_due && !may_still_come);
+      });
   for (const RequestHandle handle : hopeless) {
     Refuse(handle,
            NotRun(RefusalReason::kCannotMeetDeadline,
@@ -1009,19 +1018,15 @@
 // under lasting overload makes all late.
 void RequestFlow::RefuseOverflow(const std::string& target,
                                  TargetState& state) {
-  std::vector<RequestHandle> overflow;
-  for (const auto& [handle, entry] : state.queue.entries()) {
-    const Request& request = *requests_.at(handle);
-    const Duration hoped_for = request.rule().then.target_latency;
-    if (hoped_for == Duration::zero() || request.has_started) continue;
-    const Duration waited = context_.now - request.arrived_at;
-    if (waited > FromSeconds(ToSeconds(hoped_for) * kFullWaitShare) &&
-        context_.view.IsSaturated(target, PreferenceOf(request),
-                                  context_.now)) {
-      overflow.push_back(handle);
-    }
-  }
-  std::sort(overflow.begin(), overflow.end());
+  const std::vector<RequestHandle> overflow =
+      SelectWaiting(state, [&](const Request& request) {
+        const Duration hoped_for = request.rule().then.target_latency;
+        if (hoped_for == Duration::zero() || request.has_started) return false;
+        const Duration waited = context_.now - request.arrived_at;
+        return waited > FromSeconds(ToSeconds(hoped_for) * kFullWaitShare) &&
+               context_.view.IsSaturated(target, PreferenceOf(request),
+                                         context_.now);
+      });
   for (const RequestHandle handle : overflow) {
     const Duration retry_after =
         kRetryFull +
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -128,6 +128,9 @@
   void Backoff(Request& request);
   TimePoint LastStart(const Request& request) const;
   void RefuseHopeless(const std::string& target, TargetState& state);
+  template <typename Condition>
+  std::vector<RequestHandle> SelectWaiting(const TargetState& state,
+                                           const Condition& condition) const;
   void RefuseOverflow(const std::string& target, TargetState& state);
   void RefuseEarly(const std::string& target, TargetState& state);
   bool TryNextModel(Request& request);
