Log values are written by one function, and read as they were written

Cause: explain had quoting of its own, which did not escape quotes, and its reader turned a line break into the letter n. It now calls the log's own writer. The test of values there and back fails without the change.

--- a/core/event_log.cc
+++ b/core/event_log.cc
@@ -62,7 +62,11 @@
          value.find_first_of(" \t\r\n\"=\\") != std::string_view::npos;
 }
 
-void AppendValue(std::string_view value, std::string& line) {
+}  // namespace
+
+uint64_t DroppedLogLines() { return g_dropped_lines; }
+
+void AppendLogValue(std::string_view value, std::string& line) {
   if (!NeedsQuotes(value)) {
     line += value;
     return;
@@ -79,10 +83,6 @@
   line += '"';
 }
 
-}  // namespace
-
-uint64_t DroppedLogLines() { return g_dropped_lines; }
-
 void StartEventLog(LogLevel least, const std::string& host) {
   g_least_level = static_cast<int>(least);
   g_host = host;
@@ -126,7 +126,7 @@
   line_ += ' ';
   line_ += key;
   line_ += '=';
-  AppendValue(value, line_);
+  AppendLogValue(value, line_);
   return *this;
 }
 
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -22,6 +22,11 @@
 // Lines that were dropped because the queue was full. Thread-safe.
 uint64_t DroppedLogLines();
 
+// Appends a value as it stands in a line: quoted and escaped if it has spaces,
+// quotes, backslashes, "=" or line breaks, or is empty. Requires: nothing.
+// Thread-safe.
+void AppendLogValue(std::string_view value, std::string& line);
+
 // One line of the log; written when the object goes out of scope.
 //   LogEvent(LogLevel::kInfo, "load_ordered").With("model", name);
 class LogEvent {
--- a/main/request_story.cc
+++ b/main/request_story.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <set>
 
+#include "core/event_log.h"
+
 namespace applehall {
 namespace {
 
@@ -34,7 +36,8 @@
   return kEvents;
 }
 
-// The value that starts at `at`, quoted or not; `at` moves behind it.
+// The value that starts at `at`, quoted or not, as AppendLogValue() wrote it;
+// `at` moves behind it.
 std::string TakeValue(std::string_view text, size_t& at) {
   std::string value;
   if (at >= text.size() || text[at] != '"') {
@@ -44,8 +47,12 @@
     return value;
   }
   for (++at; at < text.size() && text[at] != '"'; ++at) {
-    if (text[at] == '\\' && at + 1 < text.size()) ++at;
-    value += text[at];
+    if (text[at] != '\\' || at + 1 == text.size()) {
+      value += text[at];
+      continue;
+    }
+    ++at;
+    value += text[at] == 'n' ? '\n' : text[at];
   }
   ++at;
   return value;
@@ -123,10 +130,8 @@
 std::string LogLine::Text() const {
   std::string text = absl::StrCat("event=", event);
   for (const auto& [key, value] : keys) {
-    const bool is_plain =
-        !value.empty() && value.find_first_of(" \"=") == std::string::npos;
-    absl::StrAppend(&text, " ", key, "=", is_plain ? "" : "\"", value,
-                    is_plain ? "" : "\"");
+    absl::StrAppend(&text, " ", key, "=");
+    AppendLogValue(value, text);
   }
   return text;
 }
--- a/tests/main/request_story_test.cc
+++ b/tests/main/request_story_test.cc
@@ -4,6 +4,8 @@
 
 #include <sstream>
 
+#include "core/event_log.h"
+
 namespace applehall {
 namespace {
 
@@ -56,6 +58,20 @@
   EXPECT_EQ(line->at, TimePoint(std::chrono::milliseconds(5)));
 }
 
+TEST(RequestStoryTest, ValuesReadAsTheyWereWritten) {
+  for (const char* value : {"", "plain", "two words", "a=b", "she said \"no\"",
+                            "back\\slash", "two\nlines", "ends with \\"}) {
+    std::string text = "time_ms=5 event=x reason=";
+    AppendLogValue(value, text);
+    const auto line = ParseLogLine(text + " next=1");
+    ASSERT_TRUE(line) << text;
+    EXPECT_EQ(line->Value("reason"), value) << text;
+    EXPECT_EQ(line->Value("next"), "1") << text;
+    EXPECT_EQ(ParseLogLine("time_ms=5 " + line->Text())->Value("reason"),
+              value);
+  }
+}
+
 TEST(RequestStoryTest, WhatIsNoLogLineIsLeftOut) {
   for (const char* text : {"", "hello", "time_ms=x event=y", "time_ms=5 host=a",
                            "time_ms=", "time_ms=5 event=y reason=\"open"}) {
