Orders end with the trust in the lease, and given-up requests are taken back

Two ways were found in the code: (1) an HTTP call that timed out was closed politely, so the kernel went on delivering the order and sent it again when the path was back; (2) the trust in the lease was counted from when its answer was taken in, and an answer also cleared the doubt after a standstill, however old it was. Ruled out: the new owner orders too early (it waits the order lease of 3 s from its own reading). Change: the trust counts from the question; older answers are dropped; each order says until when it may arrive (question + 2.5 s), is checked again before it is written, and a call without an answer's head is closed by a reset, which discards what is not acknowledged. Tests, each seen to fail without the change: AnswerThatWasLongUnderWayRenewsNoTrust, OrdersArriveWithinTheTrustInTheLease, GivenUpRequestIsTakenBack.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 
+#include "core/clock.h"
 #include "drivers/socket_options.h"
 
 namespace applehall {
@@ -86,7 +87,8 @@
       : io_(io),
         idle_(std::move(idle)),
         call_(std::move(call)),
-        address_(call_.address.ToString()) {
+        address_(call_.address.ToString()),
+        begun_at_(clock_.Now()) {
     parser_.header_limit(kMostHeaderBytes);
     parser_.body_limit(boost::none);
   }
@@ -137,15 +139,30 @@
       if (!is_connected) co_return;
     }
     if (is_cancelled_) co_return;
+    if (IsOver()) {
+      error_ = "too late to send";
+      co_return;
+    }
     const bool is_sent = co_await Send(call);
     if (!is_sent) co_return;
     co_await ReadHead(call);
   }
 
  private:
+  // The part of `timeout` that the whole call still has.
+  Duration Within(Duration timeout) const {
+    if (!call_.whole_timeout) return timeout;
+    const Duration left = begun_at_ + *call_.whole_timeout - clock_.Now();
+    return std::clamp(left, Duration{0}, timeout);
+  }
+  bool IsOver() const {
+    return call_.whole_timeout &&
+           clock_.Now() >= begun_at_ + *call_.whole_timeout;
+  }
+
   asio::awaitable<bool> Connect(asio::io_context& io, const HttpCall& call) {
     stream_ = std::make_unique<beast::tcp_stream>(io);
-    stream_->expires_after(call.connect_timeout);
+    stream_->expires_after(Within(call.connect_timeout));
     const asio::ip::tcp::endpoint endpoint(
         asio::ip::make_address(call.address.ip), call.address.port);
     const auto [error] = co_await stream_->async_connect(endpoint, kToken);
@@ -172,7 +189,13 @@
     message.prepare_payload();
     // From here on the peer may have read it.
     state_ = SendState::kMayBeSent;
-    stream_->expires_after(call.header_timeout);
+    // Guards against a request that outlives its sender's decision. Sent into a
+    // cut and closed politely after its timeout, its bytes stay with the kernel,
+    // which delivers them when the path is back, seconds later: an order of an
+    // owner that was superseded meanwhile, or work for a caller that has left.
+    // A reset discards them. Once the answer's head is here, so were they.
+    DiscardOnClose(stream_->socket().native_handle(), true);
+    stream_->expires_after(Within(call.header_timeout));
     const auto [error, size] =
         co_await http::async_write(*stream_, message, kToken);
     if (!error) co_return true;
@@ -181,7 +204,7 @@
   }
 
   asio::awaitable<void> ReadHead(const HttpCall& call) {
-    stream_->expires_after(call.header_timeout);
+    stream_->expires_after(Within(call.header_timeout));
     const auto [error, size] =
         co_await http::async_read_header(*stream_, buffer_, parser_, kToken);
     if (error) {
@@ -189,6 +212,7 @@
       co_return;
     }
     state_ = SendState::kAnswered;
+    DiscardOnClose(stream_->socket().native_handle(), false);
     head_.status = static_cast<int>(parser_.get().result_int());
     for (const auto& field : parser_.get()) {
       head_.headers[absl::AsciiStrToLower(absl::string_view(
@@ -201,6 +225,8 @@
   std::shared_ptr<IdleConnections> idle_;
   const HttpCall call_;
   std::string address_;
+  const SystemClock clock_;
+  const TimePoint begun_at_;
   StreamPtr stream_;
   beast::flat_buffer buffer_;
   http::response_parser<http::string_body> parser_;
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/clock.h"
@@ -44,6 +45,10 @@
   // Never a kept connection: the peer may have closed it unseen, and then it
   // is not known whether the request was read.
   bool fresh_connection = false;
+  // From here to the head of the answer, at most; counts the time in which the
+  // machine was suspended. Nothing is sent after it, and what was sent and not
+  // yet received is taken back.
+  std::optional<Duration> whole_timeout = std::nullopt;
 };
 
 struct HttpResult {
--- a/drivers/socket_options.cc
+++ b/drivers/socket_options.cc
@@ -27,4 +27,10 @@
   Set(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMillis);
 }
 
+void DiscardOnClose(int socket, bool discard) {
+  const linger option{discard ? 1 : 0, 0};
+  // Refused by the kernel, the close is an ordinary one.
+  (void)setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 }  // namespace applehall
--- a/drivers/socket_options.h
+++ b/drivers/socket_options.h
@@ -10,6 +10,11 @@
 // lost packet takes to be sent again, shorter than callers wait. Thread-safe.
 void NoticeSilence(int socket);
 
+// Decides what closing the connection does with bytes that the peer has not
+// acknowledged: the kernel discards them, or goes on delivering them for
+// minutes. Thread-safe.
+void DiscardOnClose(int socket, bool discard);
+
 }  // namespace applehall
 
 #endif  // APPLEHALL_DRIVERS_SOCKET_OPTIONS_H_
--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -38,8 +38,11 @@
 constexpr Duration kReaderSilence = milliseconds(1250);
 // The holder reads its lease this often, to learn that it was superseded.
 constexpr Duration kLeaseCheck = seconds(1);
-// A holder that has not read its lease for this long may be superseded; where
-// engines do not check fences it stops.
+// A lease that stood at one moment is not taken over by another holder's orders
+// for this long, where engines do not check fences: a new holder waits out the
+// order lease, 3 s, from when it has read its own record, which stands after
+// that moment. The half second between is for hosts whose timers are late. The
+// last order must have arrived by then, not only have been sent.
 constexpr Duration kLeaseTrust = milliseconds(2500);
 constexpr Duration kLeaseTimeout = milliseconds(1500);
 constexpr Duration kLeaseRetry = milliseconds(300);
@@ -174,7 +177,10 @@
   if (!planner_) return;
   planner_->TakeOrderResult(event.engine, event.order_id, event.result,
                             context_.now);
-  if (planner_->is_superseded()) is_unsure_ = true;
+  if (planner_->is_superseded()) {
+    is_unsure_ = true;
+    unsure_since_ = context_.now;
+  }
 }
 
 // ---- Lease ----
@@ -188,7 +194,7 @@
   if (!planner_ || is_unsure_ || context_.is_draining) return false;
   if (context_.now < orders_from_) return false;
   return context_.settings.engines_check_fences ||
-         context_.now - lease_read_at_ < kLeaseTrust;
+         context_.now < lease_asked_of_ + kLeaseTrust;
 }
 
 // A process that stood still believes what was true before: another host may
@@ -198,6 +204,7 @@
       last_tick_ != TimePoint{} && context_.now - last_tick_ > kStandstill;
   if (stood_still) {
     is_unsure_ = true;
+    unsure_since_ = context_.now;
     lease_asked_at_ = TimePoint{};
     beat_at_ = context_.now;
     LogEvent(LogLevel::kWarning, "stood_still")
@@ -208,9 +215,15 @@
 
 void FleetKeeper::TakeLease(const LeaseRead& event) {
   if (!event.is_answered) return;
+  if (event.asked_at < lease_asked_of_) return;  // Crossed by a later one.
   lease_read_at_ = context_.now;
-  is_unsure_ =
-      planner_ && planner_->is_superseded() && event.token == planner_->token();
+  // Guards against an answer that lay in a socket while this host stood still
+  // or was cut off: another host may hold the lease since. The record stood
+  // when it was asked for; when the answer was taken in proves nothing.
+  lease_asked_of_ = event.asked_at;
+  const bool is_behind = planner_ && planner_->is_superseded() &&
+                         event.token == planner_->token();
+  is_unsure_ = is_behind || (is_unsure_ && event.asked_at < unsure_since_);
   lease_end_ = event.end;
   const bool is_changed = !is_lease_known_ || event.token != token_;
   is_lease_known_ = true;
@@ -272,7 +285,7 @@
     is_appending_ = false;
     lease_asked_at_ = TimePoint{};
   }
-  const bool is_waiting = lease_asked_at_ > lease_read_at_ &&
+  const bool is_waiting = lease_asked_at_ > lease_asked_of_ &&
                           context_.now - lease_asked_at_ < kLeaseRetry;
   if (is_appending_ || is_waiting) return;
   const bool must_read =
@@ -281,7 +294,7 @@
       lease_asked_at_ == TimePoint{};
   if (must_read) {
     lease_asked_at_ = context_.now;
-    context_.Emit(ReadLease{});
+    context_.Emit(ReadLease{context_.now});
     return;
   }
   if (context_.is_draining) {
@@ -415,6 +428,9 @@
   std::vector<OrderToSend> orders;
   planner_->Decide(MayOrder(), context_.now, orders);
   for (OrderToSend& order : orders) {
+    if (!context_.settings.engines_check_fences) {
+      order.order.arrive_by = lease_asked_of_ + kLeaseTrust;
+    }
     std::string service = servers_[order.engine].service;
     context_.Emit(SendOrder{std::move(order.engine), std::move(order.address),
                             std::move(order.order), std::move(service)});
@@ -657,6 +673,7 @@
             {"is_holder", IsHolder()},
             {"may_order", MayOrder()},
             {"lease_read_ms_ago", ToMillis(context_.now - lease_read_at_)},
+            {"lease_proven_ms_ago", ToMillis(context_.now - lease_asked_of_)},
             {"sign_of_life_ms_ago", ToMillis(context_.now - beat_at_)},
             {"servers", Json::object()},
             {"departing", departing_.size()}};
--- a/node/fleet_keeper.h
+++ b/node/fleet_keeper.h
@@ -128,6 +128,7 @@
   FencingToken token_ = 0;
   LogOffset lease_end_ = 0;
   TimePoint lease_read_at_;   // Last answer.
+  TimePoint lease_asked_of_;  // The question to that answer.
   TimePoint lease_asked_at_;  // Last question.
   TimePoint lease_since_;     // When this holder was first seen.
   TimePoint listed_at_;       // When the first servers were listed.
@@ -135,6 +136,7 @@
   TimePoint claimed_at_;
   bool is_appending_ = false;
   bool is_unsure_ = false;  // Time passed unseen; read the lease first.
+  TimePoint unsure_since_;  // An answer to an older question does not help.
   TimePoint orders_from_;
   TimePoint last_tick_;
   std::unique_ptr<FleetPlanner> planner_;
--- a/node/messages.h
+++ b/node/messages.h
@@ -129,6 +129,7 @@
   std::optional<LeaseRecord> record;  // Nothing: never claimed.
   FencingToken token = 0;             // Of the record.
   LogOffset end = 0;  // Where the next record of the lease must stand.
+  TimePoint asked_at;  // Of the question; the record stood then or later.
 };
 
 // The answer to AppendLease, or that there was none: the record may stand.
@@ -224,7 +225,9 @@
 };
 
 // Reads the newest record of the placement lease.
-struct ReadLease {};
+struct ReadLease {
+  TimePoint asked_at;  // Comes back with the answer.
+};
 
 // Appends a record of the lease, if it would stand at `end`.
 struct AppendLease {
--- a/placement/engine_types.h
+++ b/placement/engine_types.h
@@ -46,6 +46,9 @@
   // Must not be put on the wire later than this. Guards against a paused
   // process that sends what it decided long ago.
   TimePoint send_by;
+  // Must not reach the engine later than this, however long its way is: the
+  // sender takes back what has not arrived. Nothing: whenever it arrives.
+  std::optional<TimePoint> arrive_by;
 
   Json ToJson() const;
   static EngineOrder FromJson(const Json& json);
--- a/tests/drivers/http_test.cc
+++ b/tests/drivers/http_test.cc
@@ -102,6 +102,40 @@
   }
 }
 
+// A request goes into a connection whose peer is cut off; the caller gives up
+// after its timeout. Closed politely, the kernel would deliver the bytes when
+// the path is back, and the peer would act on what nobody stands for any more.
+// A peer that sees a reset has been told to discard them.
+TEST(HttpClientTest, GivenUpRequestIsTakenBack) {
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(
+      io, {asio::ip::make_address("127.0.0.1"), 0});
+  HttpCall call;
+  call.address = {"127.0.0.1", acceptor.local_endpoint().port()};
+  call.request.method = "POST";
+  call.request.target = "/order";
+  call.whole_timeout = std::chrono::milliseconds(50);
+  const HttpResult result = FetchBlocking(call);
+  EXPECT_EQ(result.state, SendState::kMayBeSent);
+  boost::system::error_code error;
+  asio::ip::tcp::socket peer = acceptor.accept();
+  std::string bytes;
+  asio::read(peer, asio::dynamic_buffer(bytes), error);
+  EXPECT_EQ(error, asio::error::connection_reset) << error.message();
+}
+
+// The time for a whole call has passed before anything was sent: the peer must
+// not see it.
+TEST(HttpClientTest, NothingIsSentAfterTheWholeTimeout) {
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(
+      io, {asio::ip::make_address("127.0.0.1"), 0});
+  HttpCall call;
+  call.address = {"127.0.0.1", acceptor.local_endpoint().port()};
+  call.whole_timeout = Duration{0};
+  EXPECT_EQ(FetchBlocking(call).state, SendState::kNotSent);
+}
+
 // A caller opens a connection and never sends its header. It must not hold
 // the connection for ever.
 TEST_F(HttpTest, SlowHeaderIsCutOff) {
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -62,6 +62,7 @@
     settings.drain_least = seconds(1);
     settings.drain_bound = seconds(6);
     settings.log_down_after = seconds(5);
+    settings.engines_check_fences = engines_check_fences_;
     Host& host = hosts_[name];
     host.node = std::make_unique<Node>(settings);
     Handle(name, RuleSetRead{1, *ParseJson(kRules)});
@@ -93,9 +94,10 @@
 
   void Perform(const std::string& name, Action action) {
     Host& host = hosts_.at(name);
-    if (std::holds_alternative<ReadLease>(action)) {
+    if (const auto* read = std::get_if<ReadLease>(&action)) {
       if (host.is_cut_from_store) return;
-      pending_.push_back({name, LeaseRead{true, lease_, token_, end_}});
+      pending_.push_back(
+          {name, LeaseRead{true, lease_, token_, end_, read->asked_at}});
     } else if (const auto* append = std::get_if<AppendLease>(&action)) {
       if (host.is_cut_from_store) return;
       const bool is_granted = append->end == end_;
@@ -171,6 +173,7 @@
   }
 
   TimePoint now_{std::chrono::hours(500000)};
+  bool engines_check_fences_ = true;
   std::map<std::string, Host> hosts_;
   std::vector<std::pair<std::string, Event>> pending_;
   std::optional<LeaseRecord> lease_;
@@ -215,6 +218,50 @@
   EXPECT_GE(now_ - taken, seconds(3));
 }
 
+// The owner's path to the store hangs for seconds, with an answer to its
+// question about the lease on it. Another host takes over meanwhile and loads.
+// When the path is back, the old answer says that the lease is still held, and
+// the old owner orders once more: engines that check no tokens see two owners
+// by turns.
+TEST_F(FleetTest, AnswerThatWasLongUnderWayRenewsNoTrust) {
+  engines_check_fences_ = false;
+  for (const char* name : {"a", "b"}) Add(name);
+  Run(seconds(3));
+  const std::string first = Holders()[0];
+  const LeaseRead old{true, lease_, token_, end_, now_};
+  hosts_.at(first).is_cut_from_store = true;
+  hosts_.at(first).is_cut_from_hosts = true;
+  Run(seconds(6));
+  ASSERT_EQ(token_, 2u) << "another host has taken over";
+  EXPECT_EQ(hosts_.at(first).node->StateDump()["fleet"]["may_order"], false);
+  Handle(first, old);
+  EXPECT_EQ(hosts_.at(first).node->StateDump()["fleet"]["may_order"], false);
+}
+
+// An order leaves the owner in the last moment of its trust and is held up by a
+// cut. Engines that check no tokens would carry it out after the next owner's
+// orders, so each order says until when it may arrive.
+TEST_F(FleetTest, OrdersArriveWithinTheTrustInTheLease) {
+  engines_check_fences_ = false;
+  for (const char* name : {"a", "b"}) Add(name);
+  Run(seconds(3));
+  const std::string holder = Holders()[0];
+  hosts_.at(holder).is_cut_from_store = true;
+  const TimePoint proven = now_;
+  Run(seconds(2));
+  Arrive(holder, 1, "/rare/x", "m1");
+  Run(milliseconds(300));
+  const std::vector<SendOrder> orders = Done<SendOrder>(holder);
+  ASSERT_FALSE(orders.empty());
+  ASSERT_TRUE(orders.back().order.arrive_by.has_value());
+  EXPECT_LE(*orders.back().order.arrive_by, proven + milliseconds(2500));
+  Run(seconds(1));
+  hosts_.at(holder).done.clear();
+  Arrive(holder, 2, "/rare/x", "m1");
+  Run(seconds(1));
+  EXPECT_TRUE(Done<SendOrder>(holder).empty());
+}
+
 // A host that holds the lease is frozen and wakes after another took over. It
 // still believes that it may order; engines that do not check tokens would
 // obey both.
