Engines' lives are told apart; entries that cannot be read name no server

Cause: an engine may start again under its id; nothing read the time of its start, so its reports (count of orders anew) were put aside as old and it got no order again, and requests went on to it for what its earlier life held. A damaged entry was skipped, so what it had said before stayed in force; a report or page of another shape threw. Change: the start is read once in the adapter (server_entry, split from operator_config), compared only with the same id's; news and reports of an earlier life are dropped, a later life drops what was known. Entries with unknown state, missing or mistyped fields name no server; the others hold; one log line and a counter.

--- a/membership/engine_list.h
+++ b/membership/engine_list.h
@@ -12,7 +12,10 @@
 // One backend server, model engine or plain service, as the platform lists it.
 // Models and adapters stand under the names of the catalogue.
 struct ListedServer {
-  std::string id;  // Of this incarnation; a restart has another.
+  std::string id;  // A restart may keep it; `started_at` tells them apart.
+  // By the server's own time of day, so compared with the same id's alone;
+  // the epoch if it is not told.
+  TimePoint started_at;
   std::string service;
   std::string address;
   std::string data_centre;
@@ -26,6 +29,12 @@
   std::vector<std::string> on_disk;
 };
 
+// `a` is of a later life than `b` of one server; false if either is not told.
+// Thread-safe.
+inline bool StartedAfter(TimePoint a, TimePoint b) {
+  return b != TimePoint{} && a > b;
+}
+
 // The listed backend servers by id.
 using EngineList = std::map<std::string, ListedServer>;
 
--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -78,7 +78,12 @@
       if (!listed.contains(id)) gone.push_back(id);
     }
   }
+  for (const std::string& id : event.unusable) {
+    context_.metrics.Count("server_entries_unusable_total");
+    if (servers_.contains(id)) Forget(id);
+  }
   for (const ListedServer& server : event.listed) {
+    if (!IsLaterLife(server)) continue;
     const bool is_new = !servers_.contains(server.id);
     const bool was_leaving = !is_new && servers_[server.id].is_leaving;
     servers_[server.id] = server;
@@ -112,6 +117,23 @@
   if (planner_) planner_->SetServers(servers_, context_.now);
 }
 
+// False if `server` is news of a life before the one that is known. A server
+// that started again under its id holds nothing and knows nothing of what is
+// under way: what was known of it is dropped first, or its counts of requests,
+// its failures and the models of its earlier life would be believed in.
+bool FleetKeeper::IsLaterLife(const ListedServer& server) {
+  const auto known = servers_.find(server.id);
+  if (known == servers_.end()) return true;
+  const TimePoint before = known->second.started_at;
+  if (StartedAfter(before, server.started_at)) return false;
+  if (!StartedAfter(server.started_at, before)) return true;
+  LogEvent(LogLevel::kInfo, "server_restarted")
+      .With("server", server.id)
+      .With("after_ms", ToMillis(server.started_at - before));
+  Forget(server.id);
+  return true;
+}
+
 void FleetKeeper::DropDeparted() {
   // Counted from the store's return: a server that leaves in the two seconds
   // after it must be left as fast as at any other time.
--- a/node/fleet_keeper.h
+++ b/node/fleet_keeper.h
@@ -104,6 +104,7 @@
   void Apply(const std::string& id);
   void Forget(const std::string& id);
   void DropDeparted();
+  bool IsLaterLife(const ListedServer& server);
 
   NodeContext& context_;
   EngineList servers_;
--- a/node/messages.h
+++ b/node/messages.h
@@ -109,6 +109,8 @@
   bool is_whole = false;  // `listed` are all there are.
   std::vector<ListedServer> listed;
   std::vector<std::string> gone;
+  // Their entries cannot be read or make no sense: nothing is sent there.
+  std::vector<std::string> unusable = {};
 };
 
 // The platform's store answered.
--- a/placement/engine_types.h
+++ b/placement/engine_types.h
@@ -85,6 +85,8 @@
 struct Inventory {
   std::string engine;
   uint64_t incarnation = 0;
+  // Where engines tell that in place of an incarnation; the epoch if not.
+  TimePoint started_at;
   uint64_t sequence = 0;  // Ascends with each answer of one incarnation.
   Fence highest_fence;
   uint64_t memory_bytes = 0;
--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -259,8 +259,13 @@
   for (const auto& [id, server] : servers) {
     if (!server.is_engine) continue;
     Engine& engine = engines_[id];
+    const TimePoint started_at = engine.listed.started_at;
+    // A report may have told of a later life than the listing does.
+    if (StartedAfter(started_at, server.started_at)) continue;
+    if (StartedAfter(server.started_at, started_at)) StartAnew(engine);
     const bool was_leaving = engine.listed.is_leaving;
     engine.listed = server;
+    engine.listed.started_at = std::max(started_at, server.started_at);
     if (was_leaving != server.is_leaving) Changed(engine);
     if (!engine.is_known || !engine.model_order) continue;
     // The listing follows an order's end faster than the next report.
@@ -273,6 +278,20 @@
   }
 }
 
+// The engine has started again: it holds nothing, counts its orders anew and
+// knows of none that is under way. Held against it, its earlier life's count
+// would make each report look old, and no order would be given again.
+void FleetPlanner::StartAnew(Engine& engine) {
+  Note("engine_restarted", engine.listed.id, "", "it tells a later start");
+  Engine fresh;
+  fresh.listed = std::move(engine.listed);
+  fresh.listed.models.clear();
+  fresh.listed.in_host_memory.clear();
+  fresh.version = engine.version;
+  engine = std::move(fresh);
+  Changed(engine);
+}
+
 void FleetPlanner::TakeReport(const HostReport& report, TimePoint now) {
   usage_.Take(report, now);
   IndexHoldings();
@@ -298,6 +317,10 @@
   const auto it = engines_.find(inventory.engine);
   if (it == engines_.end()) return;
   Engine& engine = it->second;
+  const TimePoint started_at = engine.listed.started_at;
+  if (StartedAfter(started_at, inventory.started_at)) return;
+  if (StartedAfter(inventory.started_at, started_at)) StartAnew(engine);
+  engine.listed.started_at = std::max(started_at, inventory.started_at);
   if (asked_at < engine.report_sent_at) return;  // Crossed by a later one.
   engine.report_sent_at = TimePoint{};
   engine.report_at = now + kIdleReport;
@@ -615,6 +638,7 @@
       Changed(engine);
     }
     if (engine.report_at > now || engine.is_rejecting) continue;
+    if (ClassOf(engine) == nullptr) continue;  // Of no service that is known.
     const bool is_under_way = engine.report_sent_at != TimePoint{} &&
                               now - engine.report_sent_at < kReportTimeout;
     if (is_under_way) continue;
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -130,6 +130,7 @@
   int StoreLoads() const;
 
   void Changed(Engine& engine);
+  void StartAnew(Engine& engine);
   void SumUsage(TimePoint now);
   double BlockedAdapterLoss(const Engine& engine, Duration duration) const;
   double LossOf(const Engine& engine, const std::string& model,
--- a/standins/fake_counted_engine.cc
+++ b/standins/fake_counted_engine.cc
@@ -21,6 +21,14 @@
       [](const auto& item) { return !item.second.base.empty(); }));
 }
 
+void FakeCountedEngine::Restart(TimePoint now) {
+  held_.clear();
+  open_.reset();
+  accepted_ = 0;
+  highest_token_ = 0;
+  started_at_ = now;
+}
+
 OrderResult FakeCountedEngine::Take(const EngineOrder& order, TimePoint now) {
   if (order.fence.token < highest_token_) return OrderResult::kStaleFence;
   highest_token_ = order.fence.token;
@@ -72,6 +80,7 @@
 Inventory FakeCountedEngine::Report() const {
   Inventory inventory;
   inventory.engine = id_;
+  inventory.started_at = started_at_;
   inventory.accepted_orders = accepted_;
   inventory.is_busy = open_.has_value();
   for (const auto& [name, held] : held_) {
@@ -87,6 +96,7 @@
 ListedServer FakeCountedEngine::Listing() const {
   ListedServer server;
   server.id = id_;
+  server.started_at = started_at_;
   server.service = service_;
   server.address = "10.0.0.1:80";
   server.data_centre = "hall";
--- a/standins/fake_counted_engine.h
+++ b/standins/fake_counted_engine.h
@@ -30,6 +30,8 @@
   // Puts a model there, as at the start of a day.
   void Hold(const std::string& model, uint64_t bytes);
   OrderResult Take(const EngineOrder& order, TimePoint now);
+  // It starts again under its id: empty but for its disk, with counts anew.
+  void Restart(TimePoint now);
   // Ends what is due. Call it before each question.
   void Advance(TimePoint now);
   Inventory Report() const;
@@ -61,6 +63,7 @@
   std::map<std::string, bool> on_disk_;
   std::optional<Open> open_;
   uint64_t accepted_ = 0;
+  TimePoint started_at_;
   FencingToken highest_token_ = 0;
   bool was_overcommitted_ = false;
   int model_loads_ = 0;
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -483,6 +483,51 @@
   EXPECT_TRUE(Done<DispatchRequest>("a").empty());
 }
 
+// An engine crashes and starts again under its id, empty. Requests went on to
+// it for the model of its earlier life, and its requests of then counted
+// against it.
+TEST_F(FleetTest, ServerThatStartsAgainHoldsNothingOfBefore) {
+  Add("a");
+  const auto list = [&](TimePoint started_at, const std::string& model) {
+    ServersListed listed;
+    ListedServer engine = Server("llm-1", "llm", "llm/m0");
+    if (model.empty()) engine.models.clear();
+    engine.started_at = started_at;
+    listed.listed = {engine};
+    listed.gone = {"llm-2"};
+    Handle("a", listed);
+  };
+  list(now_, "m0");
+  Arrive("a", 1, "/rare/x", "m0");
+  ASSERT_EQ(Done<DispatchRequest>("a").size(), 1u);
+  list(now_ + seconds(1), "");
+  const Json engine = hosts_.at("a").node->StateDump()["engines"]["llm-1"];
+  EXPECT_EQ(engine["in_flight_here"], 0);
+  Arrive("a", 2, "/rare/x", "m0");
+  EXPECT_EQ(Done<DispatchRequest>("a").size(), 1u);
+  // Older news arrive later.
+  list(now_, "m0");
+  EXPECT_EQ(Done<DispatchRequest>("a").size(), 1u);
+}
+
+// A writer of another version, or a fault, overwrites a server's entry with one
+// that cannot be read. The server was used on by what the entry said before;
+// the others must not be touched by it.
+TEST_F(FleetTest, ServerWithAnUnusableEntryGetsNothing) {
+  Add("a");
+  ServersListed damaged;
+  damaged.unusable = {"app-1", "never-seen"};
+  Handle("a", damaged);
+  for (RequestHandle handle = 1; handle <= 8; ++handle) {
+    Arrive("a", handle, "/once/x");
+  }
+  const auto sent = Done<DispatchRequest>("a");
+  ASSERT_FALSE(sent.empty());
+  for (const DispatchRequest& request : sent) {
+    EXPECT_EQ(request.backend, "app-2");
+  }
+}
+
 // A payment is sent and its connection breaks. Sent once more, the caller might
 // pay twice; "not run" would be a lie.
 TEST_F(FleetTest, RequestThatMayNotBeRepeatedIsSentOnce) {
--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -443,6 +443,41 @@
   EXPECT_TRUE(planner_->IsQuiet());
 }
 
+// An engine crashes and starts again under its id: empty, with its count of
+// orders anew. Held against the count before, each of its reports looked old,
+// and it got no order for the rest of the day.
+TEST_F(FleetPlannerTest, EngineThatStartsAgainUnderItsIdIsUsedAgain) {
+  Use(1, 2);  // Both are brought without being asked for.
+  engines_.at("e0")->Restart(now_);
+  List();
+  Run(seconds(15));
+  ASSERT_TRUE(IsReady(ModelName(0)));
+  engines_.at("e0")->Restart(now_);
+  List();
+  EXPECT_FALSE(IsReady(ModelName(0)));
+  Report(ModelName(0), 1);
+  Run(seconds(3));  // Its disk has a copy.
+  EXPECT_TRUE(IsReady(ModelName(0)));
+}
+
+// A report written before an engine's crash arrives after the news of its new
+// life. It names models that are gone; requests would be sent for them.
+TEST_F(FleetPlannerTest, ReportOfAnEarlierLifeIsIgnored) {
+  Use(1, 4);
+  engines_.at("e0")->Restart(now_);
+  engines_.at("e0")->Hold(ModelName(2), kModelBytes);
+  List();
+  Run(milliseconds(100));
+  ASSERT_TRUE(IsReady(ModelName(2)));
+  const Inventory old = engines_.at("e0")->Report();
+  engines_.at("e0")->Restart(now_ + seconds(1));
+  // Its report is ahead of the listing.
+  planner_->TakeInventory(engines_.at("e0")->Report(), now_, now_);
+  EXPECT_FALSE(IsReady(ModelName(2)));
+  planner_->TakeInventory(old, now_, now_);
+  EXPECT_FALSE(IsReady(ModelName(2)));
+}
+
 // An order that nobody answered may be carried out seconds later, after newer
 // ones; an engine that is then ordered to load more than fits crashes with all
 // it runs. The count in each order makes the late one void.
@@ -478,5 +513,42 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, FleetPlannerChaosTest, testing::Range(1, 41));
 
+// Engines crash and start again under their ids while orders of their earlier
+// lives are still on the way, to be carried out by the new ones.
+class FleetPlannerRestartTest : public FleetPlannerTest,
+                                public testing::WithParamInterface<int> {};
+
+TEST_P(FleetPlannerRestartTest, MemoryIsNeverOvercommitted) {
+  SCOPED_TRACE(testing::Message() << "seed " << GetParam());
+  random_ = Random(static_cast<uint64_t>(GetParam()));
+  lost_ = 0.1;
+  late_ = 0.2;
+  answer_lost_ = 0.1;
+  Use(4, 14, /*adapters=*/12);
+  for (auto& [id, engine] : engines_) engine->Restart(now_);
+  int loads_at_half = 0;
+  for (int step = 0; step < 1500; ++step) {
+    if (random_.Unit() < 0.005) {
+      engines_.at("e" + std::to_string(random_.Below(4)))->Restart(now_);
+    }
+    if (random_.Unit() < 0.2) {
+      std::string target = ModelName(static_cast<int>(random_.Below(14)));
+      if (random_.Unit() < 0.5) {
+        target += "/a" + std::to_string(1 + random_.Below(12));
+      }
+      Report(target, IsReady(target) ? 0 : 1, 1);
+    }
+    Step();
+    if (step == 750) loads_at_half = Loads();
+    for (const auto& [id, engine] : engines_) {
+      ASSERT_FALSE(engine->was_overcommitted()) << id << " at step " << step;
+    }
+  }
+  EXPECT_GT(loads_at_half, 1);
+  EXPECT_GT(Loads(), loads_at_half);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FleetPlannerRestartTest, testing::Range(1, 41));
+
 }  // namespace
 }  // namespace applehall
--- a/tests/platform/operator_config_test.cc
+++ b/tests/platform/operator_config_test.cc
@@ -107,31 +107,5 @@
   }
 }
 
-TEST(OperatorConfig, ListedServers) {
-  const auto server = ReadServer("i-1", *ParseJson(R"({"service": "llm",
-    "address": "10.0.0.9:80", "zone": "hall", "capacity": 64,
-    "state": "draining", "models": [{"name": "m", "version": 1,
-    "adapters": ["a3@2"]}], "at_hand": {"in_memory": ["x"],
-    "on_disk": ["x", "m"]}})"));
-  ASSERT_TRUE(server.ok());
-  EXPECT_TRUE(server->is_leaving);
-  EXPECT_TRUE(server->is_engine);
-  EXPECT_EQ(server->models.at("llm/m"), std::vector<std::string>{"llm/m/a3"});
-  EXPECT_EQ(server->on_disk, (std::vector<std::string>{"llm/x", "llm/m"}));
-  EXPECT_FALSE(ReadServer("i-2", *ParseJson(R"({"service": "llm"})")).ok());
-}
-
-TEST(OperatorConfig, Reports) {
-  const Inventory inventory = ReadReport("i-1", "llm", *ParseJson(R"({
-    "models": [{"name": "m", "version": 1, "adapters": ["a1"]}],
-    "loading": ["m/a2@1"], "busy": true, "seq": 12})"));
-  EXPECT_EQ(inventory.accepted_orders, 12u);
-  EXPECT_TRUE(inventory.is_busy);
-  ASSERT_EQ(inventory.replicas.size(), 3u);
-  EXPECT_EQ(inventory.replicas[1].name, "llm/m/a1");
-  EXPECT_EQ(inventory.replicas[2].state, ReplicaState::kLoading);
-  EXPECT_EQ(inventory.replicas[2].base, "llm/m");
-}
-
 }  // namespace
 }  // namespace applehall
--- /dev/null
+++ b/tests/platform/server_entry_test.cc
@@ -0,0 +1,156 @@
+// Listed servers and engines' reports as the platform brings them, and what
+// becomes of those that are damaged or from another writer.
+
+#include "platform/server_entry.h"
+
+#include <gtest/gtest.h>
+
+#include "core/random.h"
+#include "core/settings_reader.h"
+#include "platform/operator_config.h"
+
+namespace applehall {
+namespace {
+
+constexpr char kEntry[] = R"({"service": "llm", "address": "10.0.0.9:80",
+    "zone": "hall", "version": "v1", "capacity": 64, "state": "ready",
+    "born": 1764720000123, "seq": 4, "cold_ms": 0,
+    "models": [{"name": "m", "version": 1, "adapters": ["a3@2"]}],
+    "at_hand": {"in_memory": ["x"], "on_disk": ["x", "m"]}})";
+constexpr char kReport[] = R"({"models": [{"name": "m", "version": 1,
+    "adapters": ["a1"]}], "loading": ["m/a2@1"], "busy": true, "seq": 12,
+    "born": 1764720000123, "queued": 1, "in_flight": 2})";
+constexpr char kConfig[] = R"({"version": 7, "routes": [{"name": "r", "host":
+    "h", "path_prefix": "/p/", "kind": "streaming", "timeout_ms": 100,
+    "backends": [{"service": "llm", "weight": 9}], "max_attempts": 2}],
+    "services": [{"name": "llm", "engine": {"weights_mb": 5.5, "models":
+    [{"name": "m", "adapters": 2, "load_s": 6.9}]}}], "limits": {}})";
+
+TEST(ServerEntry, IsRead) {
+  const auto server = ReadServer("i-1", *ParseJson(R"({"service": "llm",
+    "address": "10.0.0.9:80", "zone": "hall", "capacity": 64,
+    "state": "draining", "models": [{"name": "m", "version": 1,
+    "adapters": ["a3@2"]}], "at_hand": {"in_memory": ["x"],
+    "on_disk": ["x", "m"]}})"));
+  ASSERT_TRUE(server.ok());
+  EXPECT_TRUE(server->is_leaving);
+  EXPECT_TRUE(server->is_engine);
+  EXPECT_EQ(server->models.at("llm/m"), std::vector<std::string>{"llm/m/a3"});
+  EXPECT_EQ(server->on_disk, (std::vector<std::string>{"llm/x", "llm/m"}));
+  EXPECT_FALSE(ReadServer("i-2", *ParseJson(R"({"service": "llm"})")).ok());
+}
+
+TEST(ServerEntry, ReportIsRead) {
+  const absl::StatusOr<Inventory> read = ReadReport("i-1", "llm", *ParseJson(R"({
+    "models": [{"name": "m", "version": 1, "adapters": ["a1"]}],
+    "loading": ["m/a2@1"], "busy": true, "seq": 12})"));
+  ASSERT_TRUE(read.ok()) << read.status();
+  const Inventory& inventory = *read;
+  EXPECT_EQ(inventory.accepted_orders, 12u);
+  EXPECT_TRUE(inventory.is_busy);
+  ASSERT_EQ(inventory.replicas.size(), 3u);
+  EXPECT_EQ(inventory.replicas[1].name, "llm/m/a1");
+  EXPECT_EQ(inventory.replicas[2].state, ReplicaState::kLoading);
+  EXPECT_EQ(inventory.replicas[2].base, "llm/m");
+}
+
+// A server that starts again may keep its id; the time of its start tells.
+TEST(ServerEntry, StartIsRead) {
+  const auto server = ReadServer("i-1", *ParseJson(kEntry));
+  ASSERT_TRUE(server.ok()) << server.status();
+  EXPECT_EQ(ToUnixMillis(server->started_at), 1764720000123);
+  const auto report = ReadReport("i-1", "llm", *ParseJson(kReport));
+  ASSERT_TRUE(report.ok()) << report.status();
+  EXPECT_EQ(report->started_at, server->started_at);
+}
+
+// Entries of other writers: each names no server to use.
+TEST(ServerEntry, UnusableOnesAreRefused) {
+  const auto changed = [](const char* key, const char* value) {
+    Json json = *ParseJson(kEntry);
+    json[key] = *ParseJson(value);
+    return json;
+  };
+  EXPECT_FALSE(ReadServer("i-1", Json::array()).ok());
+  EXPECT_FALSE(ReadServer("", *ParseJson(kEntry)).ok());
+  EXPECT_FALSE(ReadServer("i\xff", *ParseJson(kEntry)).ok());
+  for (const char* key : {"service", "address", "state", "capacity"}) {
+    Json json = *ParseJson(kEntry);
+    json.erase(key);
+    EXPECT_FALSE(ReadServer("i-1", json).ok()) << key;
+    EXPECT_FALSE(ReadServer("i-1", changed(key, "[]")).ok()) << key;
+  }
+  EXPECT_FALSE(ReadServer("i-1", changed("state", "\"resting\"")).ok());
+  EXPECT_FALSE(ReadServer("i-1", changed("address", "\"elsewhere\"")).ok());
+  EXPECT_FALSE(ReadServer("i-1", changed("capacity", "0")).ok());
+  EXPECT_FALSE(ReadServer("i-1", changed("born", "\"noon\"")).ok());
+  EXPECT_FALSE(ReadServer("i-1", changed("born", "-3")).ok());
+  EXPECT_FALSE(ReadServer("i-1", changed("models", "{}")).ok());
+  EXPECT_FALSE(ReadServer("i-1", changed("models", "[3]")).ok());
+}
+
+// Reports that cannot be relied on: counted as zero, orders would be repeated.
+TEST(ServerEntry, UnusableReportsAreRefused) {
+  for (const char* text :
+       {"[]", "{}", R"({"models": [], "busy": true})",
+        R"({"models": [], "busy": 1, "seq": 1})",
+        R"({"models": [], "busy": true, "seq": -1})",
+        R"({"models": [{}], "busy": true, "seq": 1})",
+        R"({"models": [], "busy": true, "seq": 1, "born": 1.5})"}) {
+    EXPECT_FALSE(ReadReport("i-1", "llm", *ParseJson(text)).ok()) << text;
+  }
+}
+
+// Replaces, drops or doubles one place anywhere in a document.
+Json Mutate(const Json& json, Random& random) {
+  static const Json kStrange = *ParseJson(
+      R"([null, true, -1, 0, 1e300, 18446744073709551615, "", "x", [], {},
+          [[]], {"name": 3}, [null], "10.0.0.1:99999"])");
+  if (json.is_structured() && !json.empty() && random.Unit() < 0.8) {
+    Json copy = json;
+    auto it = copy.begin();
+    std::advance(it, static_cast<int>(random.Below(copy.size())));
+    if (random.Unit() < 0.2) {
+      copy.erase(it);
+      return copy;
+    }
+    *it = Mutate(*it, random);
+    return copy;
+  }
+  return kStrange[random.Below(kStrange.size())];
+}
+
+// Whatever stands in the store or comes from an engine, reading it neither
+// throws nor lets a server pass that cannot be addressed.
+TEST(ServerEntry, ReadersEndureMutatedDocuments) {
+  constexpr uint64_t kSeed = 20261203;
+  SCOPED_TRACE(testing::Message() << "seed " << kSeed);
+  Random random(kSeed);
+  const Json entry = *ParseJson(kEntry);
+  const Json report = *ParseJson(kReport);
+  const Json config = *ParseJson(kConfig);
+  int accepted = 0;
+  for (int i = 0; i < 20000; ++i) {
+    const auto mutate = [&](Json json) {
+      for (uint64_t n = 1 + random.Below(4); n > 0; --n) {
+        json = Mutate(json, random);
+      }
+      return json;
+    };
+    const auto server = ReadServer("i-1", mutate(entry));
+    if (server.ok()) {
+      ++accepted;
+      EXPECT_FALSE(server->service.empty());
+      EXPECT_TRUE(ParseAddress(server->address).ok());
+      EXPECT_GE(server->slots, 1);
+    }
+    const auto inventory = ReadReport("i-1", "llm", mutate(report));
+    if (inventory.ok()) EXPECT_EQ(inventory->engine, "i-1");
+    const auto read = ReadOperatorConfig(mutate(config));
+    if (read.ok()) EXPECT_GT(read->rules.version, 0u);
+  }
+  EXPECT_GT(accepted, 100);
+}
+
+}  // namespace
+}  // namespace applehall
