Engines that do not answer are not believed to serve or to load

Cause: a model whose load was under way at an engine that crashed counted as loading until its listing lapsed, 13 s with the store away; a model whose only engine crashed counted as ready as long. Change: an engine with a question unanswered for 600 ms is silent: its models count neither as ready nor as loading, nothing is ordered there, its place in the store's pipe is free; memory stays reserved. Engines that load are asked each 500 ms. Logged as engine_silent / engine_answers. Tests that failed first: LoadAtASilentEngineHoldsNoOtherBack, ModelAtASilentEngineIsNotReady.

--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -25,6 +25,12 @@
 constexpr Duration kFirstEndPoll = milliseconds(100);
 // A report that has not come by then was lost.
 constexpr Duration kReportTimeout = milliseconds(1500);
+// While a model is being loaded, to notice in time that its engine has crashed.
+constexpr Duration kLoadPoll = milliseconds(500);
+// Reports take some ms. An engine that has not answered for this long has
+// crashed, or cannot be reached from here: no longer than a lost packet and its
+// first repetition take, and a sixth of the time in which its listing lapses.
+constexpr Duration kSilence = milliseconds(600);
 // Without any order under way, reports only find what was missed.
 constexpr Duration kIdleReport = seconds(10);
 constexpr Duration kSendWithin = milliseconds(500);
@@ -151,6 +157,7 @@
   for (const auto& [id, engine] : engines_) {
     if (engine.listed.is_leaving || engine.is_rejecting) continue;
     for (const auto& [name, holding] : engine.holdings) {
+      if (engine.is_silent) break;
       Whereabouts& where = index_[name];
       if (holding.state == State::kReady) ++where.ready;
       if (holding.state == State::kLoading) ++where.loading;
@@ -177,7 +184,7 @@
   return static_cast<int>(
       std::count_if(engines_.begin(), engines_.end(), [](const auto& item) {
         const std::optional<OpenOrder>& order = item.second.model_order;
-        return order && order->kind == OrderKind::kLoad &&
+        return order && !item.second.is_silent && order->kind == OrderKind::kLoad &&
                order->tier == CheckpointTier::kRemote;
       }));
 }
@@ -195,8 +202,8 @@
 }
 
 bool FleetPlanner::MayOrder(const Engine& engine) const {
-  return engine.is_known && !engine.is_rejecting && !engine.listed.is_leaving &&
-         !engine.call;
+  return engine.is_known && !engine.is_silent && !engine.is_rejecting &&
+         !engine.listed.is_leaving && !engine.call;
 }
 
 bool FleetPlanner::IsQuiet() const {
@@ -321,6 +328,7 @@
   if (StartedAfter(started_at, inventory.started_at)) return;
   if (StartedAfter(inventory.started_at, started_at)) StartAnew(engine);
   engine.listed.started_at = std::max(started_at, inventory.started_at);
+  engine.unanswered_since = TimePoint{};  // Whichever question this answers.
   if (asked_at < engine.report_sent_at) return;  // Crossed by a later one.
   engine.report_sent_at = TimePoint{};
   engine.report_at = now + kIdleReport;
@@ -356,7 +364,8 @@
     if (order.is_accepted && !inventory.is_busy) {
       EndModelOrder(engine, now);
     } else {
-      engine.report_at = std::max(order.expected_end, now + kEndPoll);
+      engine.report_at =
+          std::clamp(order.expected_end, now + kEndPoll, now + kLoadPoll);
     }
   } else if (inventory.is_busy) {
     // An order of an earlier owner; what it does is seen when it is done.
@@ -524,7 +533,8 @@
   ++engine.accepted_orders;
   if (engine.model_order && engine.model_order->id == call.id) {
     engine.model_order->is_accepted = true;
-    engine.report_at = call.expected_end + kFirstEndPoll;
+    engine.report_at = std::min(call.expected_end + kFirstEndPoll,
+                                call.sent_at + kLoadPoll);
     return;
   }
   const auto it = engine.holdings.find(call.name);
@@ -644,6 +654,7 @@
     if (is_under_way) continue;
     engine.report_sent_at = now;
     engine.report_at = now + kReportTimeout;
+    if (engine.unanswered_since == TimePoint{}) engine.unanswered_since = now;
     EngineOrder order;
     order.id = absl::StrCat("report.", ++last_order_);
     order.kind = OrderKind::kInspect;
@@ -653,6 +664,26 @@
   }
 }
 
+// Guards against belief in what a crashed engine was to serve. Its listing
+// stays for three missed heartbeats, for 13 s where the store is away as well;
+// as long as its models counted as ready or being loaded there, nothing else
+// was done for those who asked for them. Only that belief ends: what it holds
+// is kept in mind, as it may be well and cut off from this host alone.
+void FleetPlanner::NoteSilence(TimePoint now) {
+  for (auto& [id, engine] : engines_) {
+    const bool is_silent = engine.unanswered_since != TimePoint{} &&
+                           now - engine.unanswered_since > kSilence;
+    if (is_silent == engine.is_silent) continue;
+    engine.is_silent = is_silent;
+    is_index_stale_ = true;
+    const std::string order =
+        engine.model_order ? engine.model_order->name : std::string();
+    Note(is_silent ? "engine_silent" : "engine_answers", id, order,
+         "reports asked of it",
+         is_silent ? now - engine.unanswered_since : Duration{0});
+  }
+}
+
 // ---- Decisions ----
 
 // Worth a second that is lost while `model` is missing on `engine`.
@@ -718,8 +749,8 @@
   if (engine_class == nullptr || engine.listed.service != entry.service) {
     return std::nullopt;
   }
-  if (!engine.is_known || engine.is_rejecting || engine.listed.is_leaving ||
-      engine.holdings.contains(entry.name)) {
+  if (!engine.is_known || engine.is_silent || engine.is_rejecting ||
+      engine.listed.is_leaving || engine.holdings.contains(entry.name)) {
     return std::nullopt;
   }
   const bool is_reserved = engine.reserved_until > now &&
@@ -910,7 +941,8 @@
   TimePoint store_free_at = now;
   for (const auto& [id, engine] : engines_) {
     const auto& order = engine.model_order;
-    if (!order || order->tier != CheckpointTier::kRemote) continue;
+    if (!order || engine.is_silent) continue;
+    if (order->tier != CheckpointTier::kRemote) continue;
     store_free_at = std::max(store_free_at, order->expected_end);
   }
   for (const UsageTable::Demand& demand : usage_.Waiting()) {
@@ -1030,6 +1062,7 @@
   usage_.Expire(now);
   GiveUpCalls(now);
   AskForReports(now, orders);
+  NoteSilence(now);
   if (!may_order || is_superseded_ || classes_ == nullptr) return;
   IndexHoldings();
   SumUsage(now);
@@ -1062,6 +1095,7 @@
   for (const auto& [id, engine] : engines_) {
     if (engine.listed.service != entry->service) continue;
     if (engine.listed.is_leaving || engine.is_rejecting) continue;
+    if (engine.is_silent) continue;
     has_engine = true;
     tier = std::min(tier, TierOn(engine, target));
     const auto it = engine.holdings.find(target);
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -100,6 +100,9 @@
     std::optional<OpenOrder> call;
     TimePoint report_at;       // When to ask for the next report.
     TimePoint report_sent_at;  // Of the report under way; epoch if none.
+    // The first question since the last answer; epoch if none is open.
+    TimePoint unanswered_since;
+    bool is_silent = false;  // It has not answered for too long.
     std::string reserved_for;
     TimePoint reserved_until;
     uint64_t version = 1;
@@ -165,6 +168,7 @@
                  CheckpointTier tier, const std::string& reason, TimePoint now,
                  std::vector<OrderToSend>& orders);
   void GiveUpCalls(TimePoint now);
+  void NoteSilence(TimePoint now);
   void AskForReports(TimePoint now, std::vector<OrderToSend>& orders);
   void Accept(Engine& engine, const OpenOrder& call);
   void DropCall(Engine& engine, const OpenOrder& call, TimePoint now);
--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 
 #include "core/random.h"
 #include "standins/fake_counted_engine.h"
@@ -90,6 +91,7 @@
 
   void Carry(const OrderToSend& sent) {
     FakeCountedEngine& engine = *engines_.at(sent.engine);
+    if (silent_.contains(sent.engine)) return;
     if (sent.order.kind == OrderKind::kInspect) {
       planner_->TakeInventory(engine.Report(), now_, now_);
       return;
@@ -148,6 +150,7 @@
     OrderToSend sent;
   };
 
+  std::set<std::string> silent_;  // Engines that answer nothing.
   FencingToken token_ = 7;
   TimePoint now_ = kStart;
   std::map<std::string, CatalogueEntry> catalogue_;
@@ -443,6 +446,45 @@
   EXPECT_TRUE(planner_->IsQuiet());
 }
 
+// The busiest model is being loaded onto an engine that crashes. Its listing
+// stays for seconds, 13 where the store was away too, and all that time every
+// other load of the model was held back for the one under way.
+TEST_F(FleetPlannerTest, LoadAtASilentEngineHoldsNoOtherBack) {
+  Use(3, 8);
+  Run(milliseconds(100));
+  Report(ModelName(7), 3);
+  Run(milliseconds(100));
+  ASSERT_EQ(Count(OrderKind::kLoad, ModelName(7)), 1);
+  for (const OrderToSend& sent : sent_) {
+    if (sent.order.name == ModelName(7)) silent_.insert(sent.engine);
+  }
+  for (int i = 0; i < 40; ++i) {
+    Report(ModelName(7), 3);
+    Run(milliseconds(100));
+  }
+  EXPECT_EQ(Count(OrderKind::kLoad, ModelName(7)), 2);
+}
+
+// The only engine with a model crashes. Its listing stays for seconds; while
+// the model counted as ready there, it was loaded nowhere else.
+TEST_F(FleetPlannerTest, ModelAtASilentEngineIsNotReady) {
+  Use(3, 8);
+  engines_.at("e0")->Hold(ModelName(7), kModelBytes);
+  List();
+  Run(milliseconds(500));
+  ASSERT_TRUE(IsReady(ModelName(7)));
+  silent_.insert("e0");
+  for (int i = 0; i < 15; ++i) {
+    Report(ModelName(7), 3);
+    Run(milliseconds(100));
+  }
+  EXPECT_EQ(Count(OrderKind::kLoad, ModelName(7)), 1);
+  // It answers again: what it holds serves at once.
+  silent_.clear();
+  Run(seconds(2));
+  EXPECT_EQ(planner_->Answer(ModelName(7), now_).status, DemandStatus::kReady);
+}
+
 // An engine crashes and starts again under its id: empty, with its count of
 // orders anew. Held against the count before, each of its reports looked old,
 // and it got no order for the rest of the day.
