--- a/node/messages.h
+++ b/node/messages.h
@@ -63,6 +63,8 @@
   // The engine can go on with the stream where it broke.
   bool can_resume = false;
   std::string detail;
+  // Of a stream: the longest time between two pieces of it.
+  Duration longest_pause{0};
 };
 
 // An engine answered an order with its inventory.
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -489,7 +489,10 @@
 // ---- Ends ----
 
 void RequestFlow::Started(const AttemptStarted& event) {
-  if (Request* request = Find(event.handle)) request->has_started = true;
+  Request* request = Find(event.handle);
+  if (request == nullptr) return;
+  if (!request->has_started) request->started_at = context_.now;
+  request->has_started = true;
 }
 
 void RequestFlow::Ended(const AttemptEnded& event) {
@@ -506,6 +509,8 @@
                              context_.now);
   }
   request->detail = event.detail;
+  request->longest_pause =
+      std::max(request->longest_pause, event.longest_pause);
   request->has_started = request->has_started || event.has_delivered;
   if (event.result == AttemptResult::kCompleted) {
     TargetState& state = targets_[request->target];
@@ -660,6 +665,10 @@
       .With("reason", reason)
       .With("key", request->arrival.idempotency_key)
       .With("attempts", request->attempt)
+      .With("first_ms", request->has_started
+                            ? ToMillis(request->started_at - request->arrived_at)
+                            : ToMillis(decision.took))
+      .With("pause_ms", ToMillis(request->longest_pause))
       .With("took_ms", ToMillis(decision.took));
   context_.decisions.Add(std::move(decision));
 }
