Room for a model is made on one engine at a time; refusals say why nothing was ordered

Seen only once the log told why a load was put off. Change: while room is being made, nothing else is done for that model. The planner keeps the reason that stood nearest to an order for each waiting target (load_put_off, one line a change), and it comes with the answer to the demand into the refusal's line. Test that failed first: RoomForAReplicaIsMadeOnOneEngine (5 unloads for 1).

--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -611,7 +611,8 @@
   for (const std::string& target : peer.waiting) {
     const DemandAnswer answer = planner_->Answer(target, context_.now);
     body["w"].push_back(Json::array(
-        {target, static_cast<int>(answer.status), ToMillis(answer.expected)}));
+        {target, static_cast<int>(answer.status), ToMillis(answer.expected),
+         static_cast<int>(answer.put_off)}));
   }
   context_.Emit(SendPeer{
       host, peer.address, {PeerMessageType::kFleetPlan, std::move(body)}});
@@ -647,7 +648,8 @@
     Apply(id);
   }
   for (const Json& row : body.value("w", Json::array())) {
-    if (!row.is_array() || row.size() != 3 || !row[0].is_string() ||
+    // Hosts of an earlier version send no reason.
+    if (!row.is_array() || row.size() < 3 || !row[0].is_string() ||
         !row[1].is_number() || !row[2].is_number()) {
       continue;
     }
@@ -655,9 +657,13 @@
     if (status < 0 || status > static_cast<int>(DemandStatus::kUnknown)) {
       continue;
     }
-    answers.push_back({row[0].get<std::string>(), "",
-                       static_cast<DemandStatus>(status),
-                       milliseconds(row[2].get<int64_t>())});
+    const int told =
+        row.size() > 3 && row[3].is_number_integer() ? row[3].get<int>() : 0;
+    const int put_off =
+        std::clamp(told, 0, static_cast<int>(PutOff::kEngineBusy));
+    answers.push_back(
+        {row[0].get<std::string>(), "", static_cast<DemandStatus>(status),
+         milliseconds(row[2].get<int64_t>()), static_cast<PutOff>(put_off)});
   }
   return answers;
 }
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -1014,10 +1014,12 @@
         return is_late || (is_due && !may_still_come);
       });
   for (const RequestHandle handle : hopeless) {
+    const PutOff put_off = is_fresh ? state.answer.put_off : PutOff::kNone;
     Refuse(handle,
            NotRun(RefusalReason::kCannotMeetDeadline,
                   absl::StrCat(target, " is ", DemandStatusName(status),
-                               ", expected in ", ToMillis(expected), " ms"),
+                               ", expected in ", ToMillis(expected),
+                               " ms, put off: ", PutOffName(put_off)),
                   std::max(expected, kRetrySoon)));
   }
 }
--- a/placement/demand.h
+++ b/placement/demand.h
@@ -46,11 +46,44 @@
   return "unknown";
 }
 
+// Why the owner has ordered nothing yet for what waits. The later a reason
+// stands, the nearer a load was.
+enum class PutOff : uint8_t {
+  kNone,           // An order was given, or nobody looked yet.
+  kNoEngine,       // No engine that answers could hold it.
+  kStoreFull,      // No engine has a copy, and the store brings others.
+  kNothingToDrop,  // All that the engines hold is in use or just came.
+  kWorthLess,      // What would have to go is worth more.
+  kReserved,       // The engines are kept for others that wait.
+  kEngineBusy,     // The best engine carries out another order.
+};
+
+constexpr const char* PutOffName(PutOff reason) {
+  switch (reason) {
+    case PutOff::kNone:
+      return "none";
+    case PutOff::kNoEngine:
+      return "no_engine";
+    case PutOff::kStoreFull:
+      return "store_full";
+    case PutOff::kNothingToDrop:
+      return "nothing_to_drop";
+    case PutOff::kWorthLess:
+      return "worth_less";
+    case PutOff::kReserved:
+      return "reserved";
+    case PutOff::kEngineBusy:
+      return "engine_busy";
+  }
+  return "none";
+}
+
 struct DemandAnswer {
   std::string target;
   std::string group;
   DemandStatus status = DemandStatus::kUnknown;
   Duration expected{0};  // Until it is ready, if it will be.
+  PutOff put_off = PutOff::kNone;
 };
 
 }  // namespace applehall
--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -744,7 +744,7 @@
 
 std::optional<FleetPlanner::Option> FleetPlanner::OptionOn(
     Engine& engine, const CatalogueEntry& entry, double worth,
-    bool is_background, TimePoint now) {
+    bool is_background, TimePoint now, Search& search) {
   const EngineClass* engine_class = ClassOf(engine);
   if (engine_class == nullptr || engine.listed.service != entry.service) {
     return std::nullopt;
@@ -756,7 +756,10 @@
   const bool is_reserved = engine.reserved_until > now &&
                            engine.reserved_for != entry.name &&
                            !engine.reserved_for.empty();
-  if (is_reserved) return std::nullopt;
+  if (is_reserved) {
+    search.Reject(PutOff::kReserved);
+    return std::nullopt;
+  }
   Option option;
   option.engine = &engine;
   option.tier = TierOn(engine, entry.name);
@@ -776,7 +779,10 @@
   if (used + entry.bytes > engine_class->memory_bytes) {
     const uint64_t needed = used + entry.bytes - engine_class->memory_bytes;
     option.victims = ChooseVictims(engine, needed, now);
-    if (option.victims.empty()) return std::nullopt;
+    if (option.victims.empty()) {
+      search.Reject(PutOff::kNothingToDrop);
+      return std::nullopt;
+    }
     for (const std::string& victim : option.victims) {
       loss += LossOf(engine, victim, now);
       ready_in += kUnloadTime;
@@ -788,7 +794,10 @@
   ready_in += LoadTime(entry, option.tier);
   // Nothing is unloaded that earns more a second than what it makes room for
   // is worth in all: demand that has moved on would push out what is asked for.
-  if (loss > worth) return std::nullopt;
+  if (loss > worth) {
+    search.Reject(PutOff::kWorthLess);
+    return std::nullopt;
+  }
   const double blocked = BlockedAdapterLoss(engine, ready_in);
   // Requests that wait choose the engine where they are least in the way of
   // adapters, but are not held back for them, or they would wait for ever where
@@ -802,57 +811,83 @@
 
 void FleetPlanner::TryEngine(Engine& engine, const CatalogueEntry& entry,
                              double worth, bool at_once_only, TimePoint now,
-                             std::optional<Option>& best) {
-  if (at_once_only && (engine.model_order || !MayOrder(engine))) return;
+                             Search& search) {
+  if (at_once_only && (engine.model_order || !MayOrder(engine))) {
+    search.Reject(PutOff::kEngineBusy);
+    return;
+  }
   std::optional<Option> option =
-      OptionOn(engine, entry, worth, at_once_only, now);
-  if (option && (!best || option->cost < best->cost)) best = std::move(option);
+      OptionOn(engine, entry, worth, at_once_only, now, search);
+  if (!option) return;
+  if (search.best && search.best->cost <= option->cost) return;
+  search.best = std::move(option);
 }
 
 // Engines that have a copy are few; all others are the same distance from the
 // weight store and are looked at only when it has room.
-std::optional<FleetPlanner::Option> FleetPlanner::BestOption(
-    const CatalogueEntry& entry, double worth, bool at_once_only,
-    TimePoint now) {
-  std::optional<Option> best;
+FleetPlanner::Search FleetPlanner::BestOption(const CatalogueEntry& entry,
+                                              double worth, bool at_once_only,
+                                              TimePoint now) {
+  Search search;
   for (const std::string& id : WhereIs(entry.name).copies) {
-    TryEngine(engines_.at(id), entry, worth, at_once_only, now, best);
+    TryEngine(engines_.at(id), entry, worth, at_once_only, now, search);
+  }
+  if (!HasStoreRoom(entry.service, now)) {
+    search.Reject(PutOff::kStoreFull);
+    return search;
   }
-  if (!HasStoreRoom(entry.service, now)) return best;
   for (auto& [id, engine] : engines_) {
-    TryEngine(engine, entry, worth, at_once_only, now, best);
+    TryEngine(engine, entry, worth, at_once_only, now, search);
   }
-  return best;
+  return search;
 }
 
-bool FleetPlanner::PlaceModel(const CatalogueEntry& entry, double worth,
+// Guards against room made twice: an unload takes a third of a second, and until
+// it is done the model counts as being loaded nowhere. Decided anew each 25 ms
+// meanwhile, up to nine engines gave up a model for one replica, and the next
+// requests for those found them cold.
+bool FleetPlanner::IsRoomBeingMade(const std::string& model,
+                                   TimePoint now) const {
+  return std::any_of(engines_.begin(), engines_.end(), [&](const auto& item) {
+    const Engine& engine = item.second;
+    return engine.is_making_room && engine.reserved_for == model &&
+           engine.reserved_until > now && !engine.listed.is_leaving &&
+           !engine.is_silent && !engine.is_rejecting &&
+           (engine.model_order || !MayOrder(engine));
+  });
+}
+
+PutOff FleetPlanner::PlaceModel(const CatalogueEntry& entry, double worth,
                               const std::string& reason, bool at_once_only,
                               TimePoint now, std::vector<OrderToSend>& orders) {
-  const std::optional<Option> option =
-      BestOption(entry, worth, at_once_only, now);
-  if (!option) return false;
+  if (IsRoomBeingMade(entry.name, now)) return PutOff::kEngineBusy;
+  const Search search = BestOption(entry, worth, at_once_only, now);
+  const std::optional<Option>& option = search.best;
+  if (!option) return search.put_off;
   Engine& engine = *option->engine;
   if (!MayOrder(engine) || engine.model_order) {
     // Waiting for this engine is quicker than any other way.
     if (!at_once_only) {
+      engine.is_making_room = false;
       engine.reserved_for = entry.name;
       engine.reserved_until = now + kEndPoll;
     }
-    return false;
+    return PutOff::kEngineBusy;
   }
   engine.reserved_for = entry.name;
   engine.reserved_until = now + kReservation;
-  if (!option->victims.empty()) {
+  engine.is_making_room = !option->victims.empty();
+  if (engine.is_making_room) {
     const CatalogueEntry* victim = EntryOf(option->victims.front());
     CatalogueEntry unknown;
     unknown.name = option->victims.front();
     SendOrder(engine, OrderKind::kUnload, victim ? *victim : unknown,
               option->tier, absl::StrCat("room for ", entry.name), now, orders);
-    return true;
+    return PutOff::kNone;
   }
   engine.reserved_for.clear();
   SendOrder(engine, OrderKind::kLoad, entry, option->tier, reason, now, orders);
-  return true;
+  return PutOff::kNone;
 }
 
 int FleetPlanner::AdapterSlotsTaken(const Engine& engine) {
@@ -968,11 +1003,23 @@
       PlaceAdapter(*entry, demand.worth, now, orders);
       continue;
     }
-    PlaceModel(*entry, demand.worth,
-               absl::StrCat(demand.waiting, " waiting, worth ", demand.worth),
-               false, now, orders);
+    const PutOff put_off = PlaceModel(
+        *entry, demand.worth,
+        absl::StrCat(demand.waiting, " waiting, worth ", demand.worth), false,
+        now, orders);
+    NotePutOff(demand.target, put_off);
   }
   if (next_look_.size() > kMostLooks) next_look_.clear();
+  if (put_off_.size() > kMostLooks) put_off_.clear();
+}
+
+// One line for each change of the reason, so that a refusal can be traced to
+// what stood in the way of its model without a line for each look.
+void FleetPlanner::NotePutOff(const std::string& target, PutOff reason) {
+  const auto [known, is_new] = put_off_.try_emplace(target, reason);
+  if (!is_new && known->second == reason) return;
+  known->second = reason;
+  if (reason != PutOff::kNone) Note("load_put_off", "", target, PutOffName(reason));
 }
 
 // Requests for adapters run on their base model's replicas.
@@ -1050,10 +1097,10 @@
     if (!entry.base.empty() || entry.service.empty()) continue;
     const Whereabouts& where = WhereIs(name);
     if (!where.holders.empty() || !where.copies.empty()) continue;
-    const bool is_ordered =
+    const PutOff put_off =
         PlaceModel(entry, kSeedWorth, "no copy at hand", true, now, orders);
     // Nowhere for this one is nowhere for those of its size.
-    if (!is_ordered || StoreLoads() >= most) return;
+    if (put_off != PutOff::kNone || StoreLoads() >= most) return;
   }
 }
 
@@ -1084,6 +1131,8 @@
     answer.status = DemandStatus::kReady;
     return answer;
   }
+  const auto put_off = put_off_.find(target);
+  if (put_off != put_off_.end()) answer.put_off = put_off->second;
   const auto turn = store_turn_.find(target);
   if (turn != store_turn_.end()) {
     answer.status = DemandStatus::kQueued;
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -105,6 +105,7 @@
     bool is_silent = false;  // It has not answered for too long.
     std::string reserved_for;
     TimePoint reserved_until;
+    bool is_making_room = false;  // Something is unloaded for `reserved_for`.
     uint64_t version = 1;
   };
   // A way to bring a model onto one engine.
@@ -140,16 +141,24 @@
                 TimePoint now) const;
   std::vector<std::string> ChooseVictims(const Engine& engine, uint64_t needed,
                                          TimePoint now) const;
+  // The best way found so far, and what stood nearest to one where none is.
+  struct Search {
+    std::optional<Option> best;
+    PutOff put_off = PutOff::kNoEngine;
+
+    void Reject(PutOff reason) { put_off = std::max(put_off, reason); }
+  };
   std::optional<Option> OptionOn(Engine& engine, const CatalogueEntry& entry,
                                  double worth, bool is_background,
-                                 TimePoint now);
-  std::optional<Option> BestOption(const CatalogueEntry& entry, double worth,
-                                   bool at_once_only, TimePoint now);
+                                 TimePoint now, Search& search);
+  Search BestOption(const CatalogueEntry& entry, double worth,
+                    bool at_once_only, TimePoint now);
   void TryEngine(Engine& engine, const CatalogueEntry& entry, double worth,
-                 bool at_once_only, TimePoint now, std::optional<Option>& best);
+                 bool at_once_only, TimePoint now, Search& search);
   bool HasStoreRoom(const std::string& service, TimePoint now) const;
-  // True if an order was given, or the model is worth waiting for.
-  bool PlaceModel(const CatalogueEntry& entry, double worth,
+  bool IsRoomBeingMade(const std::string& model, TimePoint now) const;
+  // What stands in the way; kNone if an order was given.
+  PutOff PlaceModel(const CatalogueEntry& entry, double worth,
                   const std::string& reason, bool at_once_only, TimePoint now,
                   std::vector<OrderToSend>& orders);
   void PlaceAdapter(const CatalogueEntry& entry, double worth, TimePoint now,
@@ -157,6 +166,7 @@
   bool MakeAdapterRoom(Engine& engine, TimePoint now,
                        std::vector<OrderToSend>& orders);
   static int AdapterSlotsTaken(const Engine& engine);
+  void NotePutOff(const std::string& target, PutOff reason);
   void ServeWaiting(TimePoint now, std::vector<OrderToSend>& orders);
   static double Unmet(double rate, int replicas);
   void ReplicateBusy(bool is_overloaded, TimePoint now,
@@ -194,6 +204,8 @@
   // one that no engine has at hand.
   absl::flat_hash_map<std::string, TimePoint> next_look_;
   absl::flat_hash_map<std::string, TimePoint> store_turn_;
+  // Why a waiting target was not ordered when it was last looked at.
+  absl::flat_hash_map<std::string, PutOff> put_off_;
   TimePoint seeds_at_;
   UsageTable usage_;
   // Of each model, with its adapters; summed anew for each decision.
--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -446,6 +446,30 @@
   EXPECT_TRUE(planner_->IsQuiet());
 }
 
+// A model becomes popular while all engines are full. Making room takes a third
+// of a second, and as nothing counted as being loaded until then, each decision
+// of that time, one in 25 ms, emptied a place on one more engine: up to nine
+// models that others would ask for went for one replica.
+TEST_F(FleetPlannerTest, RoomForAReplicaIsMadeOnOneEngine) {
+  Use(8, 24);  // Each has its place: none is brought ahead of requests.
+  int model = 0;
+  for (auto& [id, engine] : engines_) {
+    for (int i = 0; i < 3; ++i) engine->Hold(ModelName(model++), kModelBytes);
+    engine->unload_time = milliseconds(340);
+  }
+  List();
+  Run(seconds(3));
+  for (int i = 0; i < 15; ++i) {
+    Report(ModelName(0), 0, /*arrivals=*/4);
+    Step();
+  }
+  const auto unloads = std::count_if(
+      sent_.begin(), sent_.end(), [](const OrderToSend& sent) {
+        return sent.order.kind == OrderKind::kUnload;
+      });
+  EXPECT_EQ(unloads, 1);
+}
+
 // The busiest model is being loaded onto an engine that crashes. Its listing
 // stays for seconds, 13 where the store was away too, and all that time every
 // other load of the model was held back for the one under way.
