A restarted owner does not wait for its own earlier orders

Change: the wait is for other hosts' orders only. A dead process's connections are closed by resets, so nothing of it is on the way. Test that failed first: RestartedOwnerDoesNotWaitForItself.

--- a/node/placement_lease.cc
+++ b/node/placement_lease.cc
@@ -125,9 +125,13 @@
   const bool is_changed = !is_known_ || event.token != token_;
   is_known_ = true;
   if (!is_changed) return Change::kNone;
-  const bool had_other_holder = record_.has_value() && !record_->is_released &&
-                                record_->holder != context_.settings.self &&
-                                resigned_token_ != token_;
+  // An earlier process of this host is dead, and its connections were closed by
+  // resets. After a power cut of all hosts the former owner claims first; the
+  // wait for itself kept loads from beginning for 3 s more.
+  const bool had_other_holder =
+      record_.has_value() && !record_->is_released &&
+      record_->holder.host != context_.settings.self.host &&
+      resigned_token_ != token_;
   record_ = event.record;
   token_ = event.token;
   since_ = context_.now;
