--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -305,6 +305,34 @@
   EXPECT_NE(Holders()[0], first);
 }
 
+// The owner of engines that check no tokens dies. The next one waits until the
+// last order that the dead one may have sent has arrived or was taken back, and
+// no longer: all that while no model is loaded.
+TEST_F(FleetTest, TakeoverWaitsForTheOrdersOfADeadOwner) {
+  engines_check_fences_ = false;
+  for (const char* name : {"a", "b", "c"}) Add(name);
+  Run(seconds(3));
+  const std::string first = Holders()[0];
+  const TimePoint died = now_;
+  hosts_.at(first).is_down = true;
+  std::string second;
+  while (second.empty()) {
+    Run(milliseconds(25));
+    if (!Holders().empty()) second = Holders()[0];
+    ASSERT_LT(now_ - died, seconds(3));
+  }
+  const auto may_order = [&] {
+    return hosts_.at(second).node->StateDump()["fleet"]["may_order"] == true;
+  };
+  const TimePoint taken = now_;
+  while (!may_order()) {
+    Run(milliseconds(25));
+    ASSERT_LT(now_ - taken, milliseconds(3100));
+  }
+  // The dead owner's trust, from its last question, and half a second.
+  EXPECT_GE(now_ - taken, milliseconds(2900));
+}
+
 // All hosts lose power. The former owner's host claims its own lease; there is
 // nobody whose orders it would have to wait for, but it waited 3 s all the same
 // while every model that was asked for stayed where it was.
