Policies can be switched off one by one by a setting

For the ablation: the real program runs without one policy. Unknown names are refused with the key; nine of the planner's switches run the chaos test, which shows that none of them holds a promise.

--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -196,7 +196,8 @@
 
 void FleetKeeper::StartPlanning() {
   planner_ =
-      std::make_unique<FleetPlanner>(context_.settings.self, lease_.token());
+      std::make_unique<FleetPlanner>(context_.settings.self, lease_.token(),
+                                     context_.settings.policies);
   planner_->SetCatalogue(&context_.catalogue, &context_.engine_classes);
   planner_->SetServers(servers_, context_.now);
   applied_.clear();
@@ -217,7 +218,8 @@
 }
 
 bool FleetKeeper::IsHandingOver() const {
-  if (!lease_.IsUnproven()) return false;
+  const bool may_give_up = context_.settings.policies.Has(Policy::kHandOver);
+  if (!may_give_up || !lease_.IsUnproven()) return false;
   return std::any_of(peers_.begin(), peers_.end(), [this](const auto& item) {
     return item.second.can_read_store &&
            context_.now - item.second.heard_at <= kReaderSilence;
@@ -457,6 +459,7 @@
 // The host that reads the store for `data_centre`: the owner for its own, as it
 // needs the news first; else the one with most processor, as long as it lives.
 PeerAddress FleetKeeper::ReaderOf(const std::string& data_centre) {
+  if (!context_.settings.policies.Has(Policy::kStoreRelay)) return {};
   if (data_centre == context_.settings.data_centre && CanReadStore()) {
     return {context_.settings.self.host, context_.settings.peer_address};
   }
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -23,7 +23,7 @@
   explicit NodeContext(NodeSettings node_settings)
       : settings(std::move(node_settings)),
         hosts(settings.data_centre),
-        view(settings.seed),
+        view(settings.seed, settings.policies),
         random(settings.seed * 31 + 7),
         decisions(settings.decisions_kept) {}
 
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "claims/claim_guard.h"
+#include "core/policy_set.h"
 #include "placement/engine_owner.h"
 #include "placement/ownership_table.h"
 
@@ -62,6 +63,7 @@
   // draining host serves them.
   Duration drain_least{0};
   bool serves_while_draining = false;
+  PolicySet policies;
 };
 
 }  // namespace applehall
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -857,6 +857,7 @@
     const Duration hoped_for = request.rule().then.target_latency;
     const bool is_late =
         hoped_for > Duration::zero() &&
+        context_.settings.policies.Has(Policy::kLateWorth) &&
         context_.now + kUsualLoad > request.arrived_at + hoped_for;
     worth += entry.request.worth * (is_late ? kLateShare : 1.0);
   }
@@ -1001,6 +1002,7 @@
 // what nobody knows anything of when most of the caller's patience is over.
 void RequestFlow::RefuseHopeless(const std::string& target,
                                  TargetState& state) {
+  if (!context_.settings.policies.Has(Policy::kEarlyRefusal)) return;
   const bool is_fresh =
       state.has_answer && context_.now - state.answered_at <= kAnswerLife;
   const DemandStatus status =
@@ -1036,6 +1038,7 @@
 // under lasting overload makes all late.
 void RequestFlow::RefuseOverflow(const std::string& target,
                                  TargetState& state) {
+  if (!context_.settings.policies.Has(Policy::kShortQueues)) return;
   const std::vector<RequestHandle> overflow =
       SelectWaiting(state, [&](const Request& request) {
         const Duration hoped_for = request.rule().then.target_latency;
--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -104,8 +104,13 @@
 
 }  // namespace
 
-FleetPlanner::FleetPlanner(Incarnation self, FencingToken token)
-    : self_(std::move(self)), token_(token), store_width_(kFirstStoreWidth) {}
+FleetPlanner::FleetPlanner(Incarnation self, FencingToken token,
+                           PolicySet policies)
+    : self_(std::move(self)),
+      token_(token),
+      policies_(policies),
+      store_width_(policies.Has(Policy::kStoreWidth) ? kFirstStoreWidth
+                                                     : kMostStoreWidth) {}
 
 void FleetPlanner::SetCatalogue(
     const std::map<std::string, CatalogueEntry>* catalogue,
@@ -459,6 +464,7 @@
 // The store slows every load beyond those it brings at full speed, in
 // proportion; from how slow one was and how many there were follows its width.
 void FleetPlanner::LearnStoreWidth(const OpenOrder& order, TimePoint now) {
+  if (!policies_.Has(Policy::kStoreWidth)) return;
   if (order.tier != CheckpointTier::kRemote) return;
   const CatalogueEntry* entry = EntryOf(order.name);
   if (entry == nullptr) return;
@@ -671,7 +677,8 @@
 // is kept in mind, as it may be well and cut off from this host alone.
 void FleetPlanner::NoteSilence(TimePoint now) {
   for (auto& [id, engine] : engines_) {
-    const bool is_silent = engine.unanswered_since != TimePoint{} &&
+    const bool is_silent = policies_.Has(Policy::kSilence) &&
+                           engine.unanswered_since != TimePoint{} &&
                            now - engine.unanswered_since > kSilence;
     if (is_silent == engine.is_silent) continue;
     engine.is_silent = is_silent;
@@ -698,7 +705,7 @@
   const double rate = busy == busy_.end() ? 0 : busy->second.rate;
   if (others <= 0) return worth;
   const double unmet = Unmet(rate, others);
-  const bool is_last_pair = others < kBusyReplicas && rate >= kBusyRate;
+  const bool is_last_pair = policies_.Has(Policy::kLastPair) && others < kBusyReplicas && rate >= kBusyRate;
   return worth * (unmet + (is_last_pair ? kReplicaLoss : kSpareLoss));
 }
 
@@ -753,7 +760,8 @@
       engine.listed.is_leaving || engine.holdings.contains(entry.name)) {
     return std::nullopt;
   }
-  const bool is_reserved = engine.reserved_until > now &&
+  const bool is_reserved = policies_.Has(Policy::kReservations) &&
+                           engine.reserved_until > now &&
                            engine.reserved_for != entry.name &&
                            !engine.reserved_for.empty();
   if (is_reserved) {
@@ -932,7 +940,10 @@
     if (base->second.state != State::kReady) continue;
     // One engine of the base's takes an adapter as long as it can, so that
     // its requests meet it there again.
-    const uint64_t rank = StableHash(absl::StrCat(entry.name, "|", id));
+    const uint64_t rank =
+        policies_.Has(Policy::kAdapterAffinity)
+            ? StableHash(absl::StrCat(entry.name, "|", id))
+            : static_cast<uint64_t>(AdapterSlotsTaken(engine));
     // An engine takes no adapter while it loads or unloads a model.
     if (engine.model_order) continue;
     if (best != nullptr && rank >= best_rank) continue;
@@ -1042,6 +1053,7 @@
 // model order for `duration`.
 double FleetPlanner::BlockedAdapterLoss(const Engine& engine,
                                         Duration duration) const {
+  if (!policies_.Has(Policy::kBlockedAdapters)) return 0;
   double loss = 0;
   for (const auto& [name, holding] : engine.holdings) {
     if (holding.state != State::kReady) continue;
@@ -1060,6 +1072,9 @@
 
 void FleetPlanner::ReplicateBusy(bool is_overloaded, TimePoint now,
                                  std::vector<OrderToSend>& orders) {
+  const Policy policy =
+      is_overloaded ? Policy::kOverloadReplicas : Policy::kSecondReplica;
+  if (!policies_.Has(policy)) return;
   for (const auto& [model, busy] : busy_) {
     if (busy.rate < kBusyRate) continue;
     const CatalogueEntry* entry = EntryOf(model);
@@ -1088,6 +1103,7 @@
 // store's pipe is kept full but never fuller, as more loads at once only slow
 // each other.
 void FleetPlanner::SeedCopies(TimePoint now, std::vector<OrderToSend>& orders) {
+  if (!policies_.Has(Policy::kSeeding)) return;
   if (catalogue_ == nullptr || seeds_at_ > now) return;
   seeds_at_ = now + kSeedInterval;
   const int most = std::min(static_cast<int>(store_width_),
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/policy_set.h"
 #include "membership/engine_list.h"
 #include "placement/demand.h"
 #include "placement/engine_owner.h"
@@ -30,7 +31,7 @@
 class FleetPlanner {
  public:
   // `token` and `self` make order ids unique.
-  FleetPlanner(Incarnation self, FencingToken token);
+  FleetPlanner(Incarnation self, FencingToken token, PolicySet policies = {});
 
   // Both must outlive the planner. Not thread-safe.
   void SetCatalogue(const std::map<std::string, CatalogueEntry>* catalogue,
@@ -194,6 +195,7 @@
 
   Incarnation self_;
   FencingToken token_;
+  PolicySet policies_;
   const std::map<std::string, CatalogueEntry>* catalogue_ = nullptr;
   const std::map<std::string, EngineClass>* classes_ = nullptr;
   std::map<std::string, Engine> engines_;
--- a/routing/engine_view.cc
+++ b/routing/engine_view.cc
@@ -99,8 +99,10 @@
 }
 
 bool EngineView::MayTake(const EngineEntry& entry, TimePoint now) const {
-  return !entry.is_leaving && !entry.digest.is_leaving &&
-         entry.breaker.Allows(now) && entry.limit.Allows(entry.in_flight);
+  const bool is_trusted =
+      entry.breaker.Allows(now) || !policies_.Has(Policy::kCircuitBreaker);
+  return !entry.is_leaving && !entry.digest.is_leaving && is_trusted &&
+         entry.limit.Allows(entry.in_flight);
 }
 
 // What all hosts have under way is known half a second late; with that bound
@@ -108,10 +110,11 @@
 // Arrivals change slowly, so the share of them that an engine can run is known
 // well, and each host lets just that share through.
 bool EngineView::HasRoom(const EngineEntry& entry,
-                         const Preference& preference) {
+                         const Preference& preference) const {
   if (preference.most_load <= 0) return true;
   const double load = Load(entry);
   if (load >= preference.most_load) return false;
+  if (!policies_.Has(Policy::kEngineShares)) return true;
   const Duration service_time = preference.service_time > Duration{0}
                                     ? preference.service_time
                                     : kAssumedServiceTime;
@@ -128,6 +131,7 @@
   const auto found = by_target_.find(target);
   if (found == by_target_.end()) return nullptr;
   const Ring& ring = found->second;
+  if (!policies_.Has(Policy::kPrefixAffinity)) prefix_hash = 0;
   const uint64_t first_hash = prefix_hash != 0 ? prefix_hash : random_.Next();
   const auto start = static_cast<size_t>(
       std::lower_bound(ring.begin(), ring.end(), RingPoint{first_hash, ""}) -
@@ -149,7 +153,9 @@
     if (is_wanted(entry)) preferred = &entry;
   }
   // Without a prefix to meet again, a near engine comes first.
-  for (size_t i = 0; i < ring.size() && prefix_hash == 0; ++i) {
+  const bool is_near_first =
+      prefix_hash == 0 && policies_.Has(Policy::kNearFirst);
+  for (size_t i = 0; i < ring.size() && is_near_first; ++i) {
     const size_t near = (start + i) % ring.size();
     const EngineEntry& entry = engines_.at(ring[near].engine);
     if (!is_wanted(entry) || distance(entry) > 0) continue;
@@ -164,7 +170,9 @@
     return Choose(target, prefix_hash, rest, now);
   }
   if (preferred == nullptr) return nullptr;
-  if (ring.size() == 1) return &preferred->digest;
+  if (ring.size() == 1 || !policies_.Has(Policy::kTwoChoices)) {
+    return &preferred->digest;
+  }
   // The other is drawn from the rest of the ring.
   const size_t other =
       (position + 1 + random_.Below(ring.size() - 1)) % ring.size();
--- a/routing/engine_view.h
+++ b/routing/engine_view.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/policy_set.h"
 #include "core/random.h"
 #include "routing/circuit_breaker.h"
 #include "routing/concurrency_limit.h"
@@ -24,7 +25,8 @@
 // candidate that the prompt's prefix points to.
 class EngineView {
  public:
-  explicit EngineView(uint64_t seed) : random_(seed) {}
+  explicit EngineView(uint64_t seed, PolicySet policies = {})
+      : random_(seed), policies_(policies) {}
 
   // Takes a digest; false if it is not newer than what is known. Not
   // thread-safe.
@@ -110,7 +112,7 @@
   void IndexTargets(const EngineDigest& before, const EngineDigest& after);
   bool MayTake(const EngineEntry& entry, TimePoint now) const;
   static double Load(const EngineEntry& entry);
-  static bool HasRoom(const EngineEntry& entry, const Preference& preference);
+  bool HasRoom(const EngineEntry& entry, const Preference& preference) const;
   void Drop(const std::string& target, const std::string& engine);
 
   // Ordered, so that every run of the same events is the same.
@@ -118,6 +120,7 @@
   absl::flat_hash_map<std::string, Ring> by_target_;
   uint64_t ready_version_ = 0;
   Random random_;
+  PolicySet policies_;
 };
 
 }  // namespace applehall
--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -50,7 +50,8 @@
       engines_[id] = std::make_unique<FakeCountedEngine>(
           id, kService, kEngineBytes, /*adapter_slots=*/8);
     }
-    planner_ = std::make_unique<FleetPlanner>(Incarnation{"entry", 1}, token_);
+    planner_ = std::make_unique<FleetPlanner>(Incarnation{"entry", 1}, token_,
+                                              policies_);
     planner_->SetCatalogue(&catalogue_, &classes_);
     List();
   }
@@ -150,6 +151,7 @@
     OrderToSend sent;
   };
 
+  PolicySet policies_;
   std::set<std::string> silent_;  // Engines that answer nothing.
   FencingToken token_ = 7;
   TimePoint now_ = kStart;
@@ -616,5 +618,39 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, FleetPlannerRestartTest, testing::Range(1, 41));
 
+// A policy that is switched off makes placement worse, but may not break what it
+// promises.
+class FleetPlannerSwitchTest : public FleetPlannerTest,
+                               public testing::WithParamInterface<const char*> {
+};
+
+TEST_P(FleetPlannerSwitchTest, MemoryIsNeverOvercommitted) {
+  policies_ = *PolicySet::Without(GetParam());
+  lost_ = 0.1;
+  late_ = 0.2;
+  answer_lost_ = 0.1;
+  Use(4, 14, /*adapters=*/12);
+  for (int step = 0; step < 1500; ++step) {
+    if (random_.Unit() < 0.3) {
+      std::string target = ModelName(static_cast<int>(random_.Below(14)));
+      if (random_.Unit() < 0.5) {
+        target += "/a" + std::to_string(1 + random_.Below(12));
+      }
+      Report(target, IsReady(target) ? 0 : 1, 1);
+    }
+    Step();
+    for (const auto& [id, engine] : engines_) {
+      ASSERT_FALSE(engine->was_overcommitted()) << id << " at step " << step;
+    }
+  }
+  EXPECT_GT(Loads(), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Policies, FleetPlannerSwitchTest,
+    testing::Values("overload_replicas", "second_replica", "last_pair",
+                    "seeding", "store_width", "reservations",
+                    "adapter_affinity", "blocked_adapters", "silence"));
+
 }  // namespace
 }  // namespace applehall
--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -29,6 +29,18 @@
   EXPECT_LT(settings->node.drain_bound, std::chrono::seconds(8));
 }
 
+// Policies are switched off by name, one by one, to measure what they are worth.
+TEST(EdgeSettings, PoliciesAreSwitchedOffByName) {
+  const auto settings = ParseEdgeSettings(
+      "node.json",
+      Replaced("\"ip\"", "\"policies_off\": \"seeding, last_pair\", \"ip\""));
+  ASSERT_TRUE(settings.ok()) << settings.status().message();
+  const PolicySet& policies = settings->node.policies;
+  EXPECT_FALSE(policies.Has(Policy::kSeeding));
+  EXPECT_FALSE(policies.Has(Policy::kLastPair));
+  EXPECT_TRUE(policies.Has(Policy::kStoreRelay));
+}
+
 TEST(EdgeSettings, FaultsNameTheKey) {
   const std::pair<std::string, std::string> faults[] = {
       {Replaced("\"10.0.0.2:90\"", "\"store\""), "store"},
@@ -36,7 +48,9 @@
       {Replaced("0123456789abcdef", "short"), "shared_key"},
       {Replaced("\"host\": \"edge-1\"", "\"hots\": 1"), "host"},
       {Replaced("8000", "-1"), "grace_period_ms"},
-      {Replaced("\"ip\"", "\"unknown_key\": 1, \"ip\""), "unknown_key"}};
+      {Replaced("\"ip\"", "\"unknown_key\": 1, \"ip\""), "unknown_key"},
+      {Replaced("\"ip\"", "\"policies_off\": \"seeding,x\", \"ip\""),
+       "policies_off"}};
   for (const auto& [text, key] : faults) {
     const auto settings = ParseEdgeSettings("node.json", text);
     ASSERT_FALSE(settings.ok()) << key;
