News that lay unread are not vouched for as fresh

Change: an answer proves what stood at the last tick before it. Test that failed first: AnswerThatLayUnreadIsNotVouchedForAsFresh.

--- a/node/node.cc
+++ b/node/node.cc
@@ -104,7 +104,13 @@
   context_.log_failed = true;
 }
 
-void Node::On(const StoreReached&) { context_.NoteLogAnswer(context_.now); }
+// Guards against an answer that lay unread while this process was starved of
+// processor: others follow this host's word on how recent its news are. All that
+// had come by the last tick was taken in then, so an answer that is taken in now
+// was written after it, and nothing later is proven.
+void Node::On(const StoreReached&) {
+  context_.NoteLogAnswer(last_tick_ == TimePoint{} ? context_.now : last_tick_);
+}
 
 void Node::On(const RuleSetRead& event) {
   const absl::Status status =
@@ -245,6 +251,7 @@
 }
 
 void Node::On(const Tick&) {
+  last_tick_ = context_.now;
   if (IsFleet()) {
     flow_.RunTick();
     for (const DemandAnswer& answer : fleet_.RunTick()) {
--- a/node/node.h
+++ b/node/node.h
@@ -95,6 +95,7 @@
   uint64_t service_sequence_ = 0;
   bool is_drained_ = false;
   TimePoint started_at_;
+  TimePoint last_tick_;
   TimePoint carried_at_;
 };
 
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -305,6 +305,28 @@
   EXPECT_NE(Holders()[0], first);
 }
 
+// The host that reads the store for its data centre is starved of processor for
+// two seconds. An answer of before lies unread; taken in late it was vouched for
+// as fresh, and a follower refused a route that had been added 3.5 s ago.
+TEST_F(FleetTest, AnswerThatLayUnreadIsNotVouchedForAsFresh) {
+  Add("a");
+  Run(seconds(1));
+  Handle("a", StoreReached{});
+  PeerMessage follow{PeerMessageType::kStoreFollow,
+                     Json{{"p", "b"}, {"t", 0}}};
+  Handle("a", PeerMessageReceived{"b", follow});
+  now_ += seconds(2);  // No tick.
+  hosts_["b"];  // Takes messages, answers nothing.
+  hosts_.at("b").is_down = true;
+  pending_.clear();
+  Handle("a", StoreReached{});
+  Handle("a", StoreNewsRead{"servers", 0, 1, "records"});
+  ASSERT_EQ(pending_.size(), 1u);
+  const auto& told = std::get<PeerMessageReceived>(pending_[0].second);
+  ASSERT_EQ(told.message.type, PeerMessageType::kStoreNews);
+  EXPECT_GE(told.message.body["age"].get<int64_t>(), 1'900'000);
+}
+
 // The owner of engines that check no tokens dies. The next one waits until the
 // last order that the dead one may have sent has arrived or was taken back, and
 // no longer: all that while no model is loaded.
