--- a/core/policy_set.cc
+++ b/core/policy_set.cc
@@ -11,12 +11,12 @@
 
 // In the order of Policy.
 constexpr std::array<std::string_view, static_cast<size_t>(Policy::kCount)>
-    kNames = {"overload_replicas", "second_replica",  "last_pair",
-              "seeding",           "store_width",     "reservations",
+    kNames = {"overload_replicas", "second_replica",   "last_pair",
+              "seeding",           "store_width",      "reservations",
               "adapter_affinity",  "blocked_adapters", "silence",
-              "hand_over",         "prefix_affinity", "two_choices",
-              "near_first",        "engine_shares",   "circuit_breaker",
-              "early_refusal",     "short_queues",    "late_worth",
+              "hand_over",         "prefix_affinity",  "two_choices",
+              "near_first",        "engine_shares",    "circuit_breaker",
+              "early_refusal",     "short_queues",     "late_worth",
               "store_relay"};
 
 }  // namespace
--- a/core/policy_set.h
+++ b/core/policy_set.h
@@ -27,7 +27,7 @@
   kPrefixAffinity,  // Prompts with a shared start meet at one engine.
   kTwoChoices,      // The less busy of two engines.
   kNearFirst,       // Engines of the own data centre first.
-  kEngineShares,    // Each host lets through what an engine can run of its load.
+  kEngineShares,  // Each host lets through what an engine can run of its load.
   kCircuitBreaker,  // Engines that keep failing get single trials only.
   // Waiting.
   kEarlyRefusal,  // What cannot start in time is refused at once.
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -190,10 +190,11 @@
     // From here on the peer may have read it.
     state_ = SendState::kMayBeSent;
     // Guards against a request that outlives its sender's decision. Sent into a
-    // cut and closed politely after its timeout, its bytes stay with the kernel,
-    // which delivers them when the path is back, seconds later: an order of an
-    // owner that was superseded meanwhile, or work for a caller that has left.
-    // A reset discards them. Once the answer's head is here, so were they.
+    // cut and closed politely after its timeout, its bytes stay with the
+    // kernel, which delivers them when the path is back, seconds later: an
+    // order of an owner that was superseded meanwhile, or work for a caller
+    // that has left. A reset discards them. Once the answer's head is here, so
+    // were they.
     DiscardOnClose(stream_->socket().native_handle(), true);
     stream_->expires_after(Within(call.header_timeout));
     const auto [error, size] =
--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -195,9 +195,8 @@
 }
 
 void FleetKeeper::StartPlanning() {
-  planner_ =
-      std::make_unique<FleetPlanner>(context_.settings.self, lease_.token(),
-                                     context_.settings.policies);
+  planner_ = std::make_unique<FleetPlanner>(
+      context_.settings.self, lease_.token(), context_.settings.policies);
   planner_->SetCatalogue(&context_.catalogue, &context_.engine_classes);
   planner_->SetServers(servers_, context_.now);
   applied_.clear();
@@ -501,9 +500,9 @@
   peer.sent_news = last_news_;
   for (const std::string& target : peer.waiting) {
     const DemandAnswer answer = planner_->Answer(target, context_.now);
-    body["w"].push_back(Json::array(
-        {target, static_cast<int>(answer.status), ToMillis(answer.expected),
-         static_cast<int>(answer.put_off)}));
+    body["w"].push_back(Json::array({target, static_cast<int>(answer.status),
+                                     ToMillis(answer.expected),
+                                     static_cast<int>(answer.put_off)}));
   }
   context_.Emit(SendPeer{
       host, peer.address, {PeerMessageType::kFleetPlan, std::move(body)}});
--- a/node/fleet_keeper.h
+++ b/node/fleet_keeper.h
@@ -128,7 +128,7 @@
   std::map<std::string, Peer> peers_;
   std::map<std::string, std::string> readers_;  // By data centre.
 
-  PeerAddress reader_;  // Of this data centre.
+  PeerAddress reader_;    // Of this data centre.
   PeerAddress resigned_;  // The last owner that gave its lease up.
   // This host's own usage.
   std::map<std::string, Demand> waiting_;
--- a/node/messages.h
+++ b/node/messages.h
@@ -132,7 +132,7 @@
   bool is_answered = false;
   std::optional<LeaseRecord> record;  // Nothing: never claimed.
   FencingToken token = 0;             // Of the record.
-  LogOffset end = 0;  // Where the next record of the lease must stand.
+  LogOffset end = 0;   // Where the next record of the lease must stand.
   TimePoint asked_at;  // Of the question; the record stood then or later.
 };
 
--- a/node/node.cc
+++ b/node/node.cc
@@ -105,9 +105,9 @@
 }
 
 // Guards against an answer that lay unread while this process was starved of
-// processor: others follow this host's word on how recent its news are. All that
-// had come by the last tick was taken in then, so an answer that is taken in now
-// was written after it, and nothing later is proven.
+// processor: others follow this host's word on how recent its news are. All
+// that had come by the last tick was taken in then, so an answer that is taken
+// in now was written after it, and nothing later is proven.
 void Node::On(const StoreReached&) {
   context_.NoteLogAnswer(last_tick_ == TimePoint{} ? context_.now : last_tick_);
 }
--- a/node/placement_lease.cc
+++ b/node/placement_lease.cc
@@ -141,7 +141,8 @@
       .With("token", token_)
       .With("released", record_ && record_->is_released ? "yes" : "no");
   const bool was_held = std::exchange(is_held_, false);
-  if (was_held) LogEvent(LogLevel::kWarning, "lease_lost").With("token", token_);
+  if (was_held)
+    LogEvent(LogLevel::kWarning, "lease_lost").With("token", token_);
   if (!IsMine() || context_.is_draining) {
     return was_held ? Change::kLost : Change::kNone;
   }
@@ -180,10 +181,9 @@
   const bool is_waiting =
       asked_at_ > asked_of_ && context_.now - asked_at_ < kLeaseRetry;
   if (is_appending_ || is_waiting) return;
-  const bool must_read =
-      !is_known_ || is_unsure_ ||
-      (is_held_ && context_.now - asked_at_ > kLeaseCheck) ||
-      asked_at_ == TimePoint{};
+  const bool must_read = !is_known_ || is_unsure_ ||
+                         (is_held_ && context_.now - asked_at_ > kLeaseCheck) ||
+                         asked_at_ == TimePoint{};
   if (must_read) {
     asked_at_ = context_.now;
     context_.Emit(ReadLease{context_.now});
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -672,9 +672,9 @@
       .With("reason", reason)
       .With("key", request->arrival.idempotency_key)
       .With("attempts", request->attempt)
-      .With("first_ms", request->has_started
-                            ? ToMillis(request->started_at - request->arrived_at)
-                            : ToMillis(decision.took))
+      .With("first_ms", request->has_started ? ToMillis(request->started_at -
+                                                        request->arrived_at)
+                                             : ToMillis(decision.took))
       .With("pause_ms", ToMillis(request->longest_pause))
       .With("took_ms", ToMillis(decision.took));
   context_.decisions.Add(std::move(decision));
@@ -1024,12 +1024,11 @@
       });
   for (const RequestHandle handle : hopeless) {
     const PutOff put_off = is_fresh ? state.answer.put_off : PutOff::kNone;
-    Refuse(handle,
-           NotRun(RefusalReason::kCannotMeetDeadline,
-                  absl::StrCat(target, " is ", DemandStatusName(status),
-                               ", expected in ", ToMillis(expected),
-                               " ms, put off: ", PutOffName(put_off)),
-                  std::max(expected, kRetrySoon)));
+    Refuse(handle, NotRun(RefusalReason::kCannotMeetDeadline,
+                          absl::StrCat(target, " is ", DemandStatusName(status),
+                                       ", expected in ", ToMillis(expected),
+                                       " ms, put off: ", PutOffName(put_off)),
+                          std::max(expected, kRetrySoon)));
   }
 }
 
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -68,9 +68,9 @@
     TimePoint deadline;
     TimePoint first_sent_at;
     TimePoint sent_at;
-    TimePoint started_at;  // First piece of the answer, if `has_started`.
+    TimePoint started_at;       // First piece of the answer, if `has_started`.
     Duration longest_pause{0};  // Between two pieces of it.
-    TimePoint resume_at;  // In kBackoff.
+    TimePoint resume_at;        // In kBackoff.
     int attempt = 0;
     int retries = 0;
     bool was_cold = false;
--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -191,7 +191,8 @@
   return static_cast<int>(
       std::count_if(engines_.begin(), engines_.end(), [](const auto& item) {
         const std::optional<OpenOrder>& order = item.second.model_order;
-        return order && !item.second.is_silent && order->kind == OrderKind::kLoad &&
+        return order && !item.second.is_silent &&
+               order->kind == OrderKind::kLoad &&
                order->tier == CheckpointTier::kRemote;
       }));
 }
@@ -542,8 +543,8 @@
   if (engine.model_order && engine.model_order->id == call.id) {
     engine.model_order->is_accepted = true;
     engine.refused_loads = 0;
-    engine.report_at = std::min(call.expected_end + kFirstEndPoll,
-                                call.sent_at + kLoadPoll);
+    engine.report_at =
+        std::min(call.expected_end + kFirstEndPoll, call.sent_at + kLoadPoll);
     return;
   }
   const auto it = engine.holdings.find(call.name);
@@ -715,7 +716,8 @@
   const double rate = busy == busy_.end() ? 0 : busy->second.rate;
   if (others <= 0) return worth;
   const double unmet = Unmet(rate, others);
-  const bool is_last_pair = policies_.Has(Policy::kLastPair) && others < kBusyReplicas && rate >= kBusyRate;
+  const bool is_last_pair = policies_.Has(Policy::kLastPair) &&
+                            others < kBusyReplicas && rate >= kBusyRate;
   return worth * (unmet + (is_last_pair ? kReplicaLoss : kSpareLoss));
 }
 
@@ -770,10 +772,9 @@
       engine.listed.is_leaving || engine.holdings.contains(entry.name)) {
     return std::nullopt;
   }
-  const bool is_reserved = policies_.Has(Policy::kReservations) &&
-                           engine.reserved_until > now &&
-                           engine.reserved_for != entry.name &&
-                           !engine.reserved_for.empty();
+  const bool is_reserved =
+      policies_.Has(Policy::kReservations) && engine.reserved_until > now &&
+      engine.reserved_for != entry.name && !engine.reserved_for.empty();
   if (is_reserved) {
     search.Reject(PutOff::kReserved);
     return std::nullopt;
@@ -860,15 +861,15 @@
   return search;
 }
 
-// Guards against room made twice: an unload takes a third of a second, and until
-// it is done the model counts as being loaded nowhere. Decided anew each 25 ms
-// meanwhile, up to nine engines gave up a model for one replica, and the next
-// requests for those found them cold.
+// Guards against room made twice: an unload takes a third of a second, and
+// until it is done the model counts as being loaded nowhere. Decided anew each
+// 25 ms meanwhile, up to nine engines gave up a model for one replica, and the
+// next requests for those found them cold.
 FleetPlanner::Engine* FleetPlanner::EngineMakingRoom(const std::string& model,
                                                      TimePoint now) {
   for (auto& [id, engine] : engines_) {
-    const bool is_usable = !engine.listed.is_leaving && !engine.is_silent &&
-                           !engine.is_rejecting;
+    const bool is_usable =
+        !engine.listed.is_leaving && !engine.is_silent && !engine.is_rejecting;
     const bool is_for_it = engine.is_making_room &&
                            engine.reserved_for == model &&
                            engine.reserved_until > now;
@@ -927,13 +928,14 @@
 }
 
 PutOff FleetPlanner::PlaceModel(const CatalogueEntry& entry, double worth,
-                              const std::string& reason, bool at_once_only,
-                              TimePoint now, std::vector<OrderToSend>& orders) {
+                                const std::string& reason, bool at_once_only,
+                                TimePoint now,
+                                std::vector<OrderToSend>& orders) {
   if (Engine* prepared = EngineMakingRoom(entry.name, now)) {
     if (!MayLoadAfterUnload(*prepared, entry, now)) return PutOff::kEngineBusy;
     prepared->unload_before = prepared->model_order;
-    SendOrder(*prepared, OrderKind::kLoad, entry,
-              TierOn(*prepared, entry.name), reason, now, orders);
+    SendOrder(*prepared, OrderKind::kLoad, entry, TierOn(*prepared, entry.name),
+              reason, now, orders);
     return PutOff::kNone;
   }
   const Search search = BestOption(entry, worth, at_once_only, now);
@@ -1097,7 +1099,8 @@
   const auto [known, is_new] = put_off_.try_emplace(target, reason);
   if (!is_new && known->second == reason) return;
   known->second = reason;
-  if (reason != PutOff::kNone) Note("load_put_off", "", target, PutOffName(reason));
+  if (reason != PutOff::kNone)
+    Note("load_put_off", "", target, PutOffName(reason));
 }
 
 // Requests for adapters run on their base model's replicas.
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -170,8 +170,8 @@
                        OrderResult result, TimePoint now);
   // What stands in the way; kNone if an order was given.
   PutOff PlaceModel(const CatalogueEntry& entry, double worth,
-                  const std::string& reason, bool at_once_only, TimePoint now,
-                  std::vector<OrderToSend>& orders);
+                    const std::string& reason, bool at_once_only, TimePoint now,
+                    std::vector<OrderToSend>& orders);
   void PlaceAdapter(const CatalogueEntry& entry, double worth, TimePoint now,
                     std::vector<OrderToSend>& orders);
   bool MakeAdapterRoom(Engine& engine, TimePoint now,
--- a/tests/drivers/http_test.cc
+++ b/tests/drivers/http_test.cc
@@ -108,8 +108,8 @@
 // A peer that sees a reset has been told to discard them.
 TEST(HttpClientTest, GivenUpRequestIsTakenBack) {
   asio::io_context io;
-  asio::ip::tcp::acceptor acceptor(
-      io, {asio::ip::make_address("127.0.0.1"), 0});
+  asio::ip::tcp::acceptor acceptor(io,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
   HttpCall call;
   call.address = {"127.0.0.1", acceptor.local_endpoint().port()};
   call.request.method = "POST";
@@ -128,8 +128,8 @@
 // not see it.
 TEST(HttpClientTest, NothingIsSentAfterTheWholeTimeout) {
   asio::io_context io;
-  asio::ip::tcp::acceptor acceptor(
-      io, {asio::ip::make_address("127.0.0.1"), 0});
+  asio::ip::tcp::acceptor acceptor(io,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
   HttpCall call;
   call.address = {"127.0.0.1", acceptor.local_endpoint().port()};
   call.whole_timeout = Duration{0};
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -266,8 +266,8 @@
 }
 
 // The owner alone is cut off from the store. Engines that check no tokens get
-// no orders from a host that cannot prove its lease, but the others heard it and
-// waited: for as long as the cut lasted, 8 s, no model was loaded anywhere.
+// no orders from a host that cannot prove its lease, but the others heard it
+// and waited: for as long as the cut lasted, 8 s, no model was loaded anywhere.
 TEST_F(FleetTest, OwnerWithoutItsLeaseHandsOver) {
   engines_check_fences_ = false;
   for (const char* name : {"a", "b", "c"}) Add(name);
@@ -306,17 +306,16 @@
 }
 
 // The host that reads the store for its data centre is starved of processor for
-// two seconds. An answer of before lies unread; taken in late it was vouched for
-// as fresh, and a follower refused a route that had been added 3.5 s ago.
+// two seconds. An answer of before lies unread; taken in late it was vouched
+// for as fresh, and a follower refused a route that had been added 3.5 s ago.
 TEST_F(FleetTest, AnswerThatLayUnreadIsNotVouchedForAsFresh) {
   Add("a");
   Run(seconds(1));
   Handle("a", StoreReached{});
-  PeerMessage follow{PeerMessageType::kStoreFollow,
-                     Json{{"p", "b"}, {"t", 0}}};
+  PeerMessage follow{PeerMessageType::kStoreFollow, Json{{"p", "b"}, {"t", 0}}};
   Handle("a", PeerMessageReceived{"b", follow});
   now_ += seconds(2);  // No tick.
-  hosts_["b"];  // Takes messages, answers nothing.
+  hosts_["b"];         // Takes messages, answers nothing.
   hosts_.at("b").is_down = true;
   pending_.clear();
   Handle("a", StoreReached{});
--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -467,18 +467,20 @@
     Report(ModelName(0), 0, /*arrivals=*/4);
     Step();
   }
-  const auto unloads = std::count_if(
-      sent_.begin(), sent_.end(), [](const OrderToSend& sent) {
+  const auto unloads =
+      std::count_if(sent_.begin(), sent_.end(), [](const OrderToSend& sent) {
         return sent.order.kind == OrderKind::kUnload;
       });
   EXPECT_EQ(unloads, 1);
 }
 
-// A rare model is asked for while all engines are full. Room for it is free after
-// 30 ms, but reports tell so 0.3 s later, and its request waited that long too.
+// A rare model is asked for while all engines are full. Room for it is free
+// after 30 ms, but reports tell so 0.3 s later, and its request waited that
+// long too.
 TEST_F(FleetPlannerTest, LoadFollowsAnUnloadBeforeItsReport) {
   Use(1, 4);
-  for (int i = 0; i < 3; ++i) engines_.at("e0")->Hold(ModelName(i), kModelBytes);
+  for (int i = 0; i < 3; ++i)
+    engines_.at("e0")->Hold(ModelName(i), kModelBytes);
   List();
   Run(seconds(3));
   report_lag_ = milliseconds(300);
@@ -491,7 +493,8 @@
 // as soon as there is room. Nothing is loaded on top of what is still there.
 TEST_F(FleetPlannerTest, LoadThatIsRefusedWaitsForItsRoom) {
   Use(1, 4);
-  for (int i = 0; i < 3; ++i) engines_.at("e0")->Hold(ModelName(i), kModelBytes);
+  for (int i = 0; i < 3; ++i)
+    engines_.at("e0")->Hold(ModelName(i), kModelBytes);
   engines_.at("e0")->unload_time = milliseconds(700);
   List();
   Run(seconds(3));
@@ -651,8 +654,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, FleetPlannerRestartTest, testing::Range(1, 41));
 
-// A policy that is switched off makes placement worse, but may not break what it
-// promises.
+// A policy that is switched off makes placement worse, but may not break what
+// it promises.
 class FleetPlannerSwitchTest : public FleetPlannerTest,
                                public testing::WithParamInterface<const char*> {
 };
@@ -679,11 +682,11 @@
   EXPECT_GT(Loads(), 1);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Policies, FleetPlannerSwitchTest,
-    testing::Values("overload_replicas", "second_replica", "last_pair",
-                    "seeding", "store_width", "reservations",
-                    "adapter_affinity", "blocked_adapters", "silence"));
+INSTANTIATE_TEST_SUITE_P(Policies, FleetPlannerSwitchTest,
+                         testing::Values("overload_replicas", "second_replica",
+                                         "last_pair", "seeding", "store_width",
+                                         "reservations", "adapter_affinity",
+                                         "blocked_adapters", "silence"));
 
 }  // namespace
 }  // namespace applehall
--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -29,7 +29,8 @@
   EXPECT_LT(settings->node.drain_bound, std::chrono::seconds(8));
 }
 
-// Policies are switched off by name, one by one, to measure what they are worth.
+// Policies are switched off by name, one by one, to measure what they are
+// worth.
 TEST(EdgeSettings, PoliciesAreSwitchedOffByName) {
   const auto settings = ParseEdgeSettings(
       "node.json",
--- a/tests/platform/server_entry_test.cc
+++ b/tests/platform/server_entry_test.cc
@@ -41,7 +41,8 @@
 }
 
 TEST(ServerEntry, ReportIsRead) {
-  const absl::StatusOr<Inventory> read = ReadReport("i-1", "llm", *ParseJson(R"({
+  const absl::StatusOr<Inventory> read =
+      ReadReport("i-1", "llm", *ParseJson(R"({
     "models": [{"name": "m", "version": 1, "adapters": ["a1"]}],
     "loading": ["m/a2@1"], "busy": true, "seq": 12})"));
   ASSERT_TRUE(read.ok()) << read.status();
