--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -86,6 +86,19 @@
     if (++steps_ % 20 == 0) List();
   }
 
+  // One step, with a request for one of 14 models or their 12 adapters each
+  // that comes with the probability `chance`.
+  void StepUnderRandomDemand(double chance) {
+    if (random_.Unit() < chance) {
+      std::string target = ModelName(static_cast<int>(random_.Below(14)));
+      if (random_.Unit() < 0.5) {
+        target += "/a" + std::to_string(1 + random_.Below(12));
+      }
+      Report(target, IsReady(target) ? 0 : 1, 1);
+    }
+    Step();
+  }
+
   void Run(Duration duration) {
     for (const TimePoint end = now_ + duration; now_ < end;) Step();
   }
@@ -597,14 +610,7 @@
   Use(4, 14, /*adapters=*/12);
   int loads_at_half = 0;
   for (int step = 0; step < 1500; ++step) {
-    if (random_.Unit() < 0.2) {
-      std::string target = ModelName(static_cast<int>(random_.Below(14)));
-      if (random_.Unit() < 0.5) {
-        target += "/a" + std::to_string(1 + random_.Below(12));
-      }
-      Report(target, IsReady(target) ? 0 : 1, 1);
-    }
-    Step();
+    StepUnderRandomDemand(0.2);
     if (step == 750) loads_at_half = Loads();
     for (const auto& [id, engine] : engines_) {
       ASSERT_FALSE(engine->was_overcommitted()) << id << " at step " << step;
@@ -635,14 +641,7 @@
     if (random_.Unit() < 0.005) {
       engines_.at("e" + std::to_string(random_.Below(4)))->Restart(now_);
     }
-    if (random_.Unit() < 0.2) {
-      std::string target = ModelName(static_cast<int>(random_.Below(14)));
-      if (random_.Unit() < 0.5) {
-        target += "/a" + std::to_string(1 + random_.Below(12));
-      }
-      Report(target, IsReady(target) ? 0 : 1, 1);
-    }
-    Step();
+    StepUnderRandomDemand(0.2);
     if (step == 750) loads_at_half = Loads();
     for (const auto& [id, engine] : engines_) {
       ASSERT_FALSE(engine->was_overcommitted()) << id << " at step " << step;
@@ -667,14 +666,7 @@
   answer_lost_ = 0.1;
   Use(4, 14, /*adapters=*/12);
   for (int step = 0; step < 1500; ++step) {
-    if (random_.Unit() < 0.3) {
-      std::string target = ModelName(static_cast<int>(random_.Below(14)));
-      if (random_.Unit() < 0.5) {
-        target += "/a" + std::to_string(1 + random_.Below(12));
-      }
-      Report(target, IsReady(target) ? 0 : 1, 1);
-    }
-    Step();
+    StepUnderRandomDemand(0.3);
     for (const auto& [id, engine] : engines_) {
       ASSERT_FALSE(engine->was_overcommitted()) << id << " at step " << step;
     }
