Loads that follow unloads keep to the store's width

Room is made on several engines while the store has a turn for one of them; the check at the load was passed by when loads began to follow their unloads at once, and a test shows eight loads from the store where it brings two. Test that failed first: LoadsThatFollowUnloadsKeepToTheStoresWidth (8 against 2).

--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -893,6 +893,11 @@
   if (now < unload.expected_end || now < engine.load_again_at) return false;
   if (engine.refused_loads >= kMostRefusedLoads) return false;
   if (usage_.RunningOn(engine.listed.id, unload.name) > 0) return false;
+  // Room was made on several engines while the store had a turn for one of
+  // them.
+  const bool is_from_store =
+      TierOn(engine, entry.name) == CheckpointTier::kRemote;
+  if (is_from_store && !HasStoreRoom(entry.service, now)) return false;
   const EngineClass* engine_class = ClassOf(engine);
   if (engine_class == nullptr) return false;
   uint64_t freed = 0;
@@ -1099,8 +1104,8 @@
   const auto [known, is_new] = put_off_.try_emplace(target, reason);
   if (!is_new && known->second == reason) return;
   known->second = reason;
-  if (reason != PutOff::kNone)
-    Note("load_put_off", "", target, PutOffName(reason));
+  if (reason == PutOff::kNone) return;
+  Note("load_put_off", "", target, PutOffName(reason));
 }
 
 // Requests for adapters run on their base model's replicas.
--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -502,6 +502,32 @@
   EXPECT_EQ(Count(OrderKind::kLoad, ModelName(3)), 1);
 }
 
+// Many rare models are asked for that no engine has at hand. Room for them is
+// made on several engines at once; loaded as soon as it was free, more came
+// from the store than it brings at full speed, and all of them late.
+TEST_F(FleetPlannerTest, LoadsThatFollowUnloadsKeepToTheStoresWidth) {
+  policies_ = *PolicySet::Without("seeding");  // The store is free at first.
+  Use(8, 40);
+  int model = 0;
+  for (auto& [id, engine] : engines_) {
+    for (int i = 0; i < 3; ++i) engine->Hold(ModelName(model++), kModelBytes);
+  }
+  List();
+  Run(seconds(3));
+  HostReport report;
+  report.host = "entry";
+  for (int cold = 24; cold < 40; ++cold) {
+    report.waiting.push_back({ModelName(cold), 1, 5.0, seconds(20)});
+  }
+  for (int i = 0; i < 100; ++i) {
+    planner_->TakeReport(report, now_);
+    Step();
+    const Json dump = planner_->ToJson(now_);
+    ASSERT_LE(dump["store_loads"].get<double>(),
+              dump["store_width"].get<double>());
+  }
+}
+
 // The same with an unload that takes its time: the load is refused, and goes in
 // as soon as there is room. Nothing is loaded on top of what is still there.
 TEST_F(FleetPlannerTest, LoadThatIsRefusedWaitsForItsRoom) {
