--- a/core/policy_set.h
+++ b/core/policy_set.h
@@ -10,7 +10,7 @@
 
 // Policies that may be switched off one by one, to measure what each is worth
 // with the real program. None of them guards a promise: without it answers come
-// later or fewer, never wrongly. docs/further.md has what each was worth.
+// later or fewer, never wrongly. docs/further.md has what was measured so far.
 enum class Policy : uint8_t {
   // Placement.
   kOverloadReplicas,  // Further replicas of models that are asked for too much.
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -573,9 +573,8 @@
   // would multiply the load on the rest. In a fleet every further send counts,
   // that of a request which was turned away too.
   // What no engine has seen costs none of them anything, and its next send is
-  // its first. Counted, a tenth of what was sent to engines that crashed was
-  // refused while others were free: of 360 refusals of a day with five crashes
-  // 97 were such.
+  // its first. Counted, 97 of the 360 refusals of a day on which eight of 22
+  // engines crashed were for want of budget after a connection was not made.
   const bool has_arrived = result != AttemptResult::kNotSent;
   request.has_arrived = request.has_arrived || has_arrived;
   const bool is_spent = IsFleet() ? request.has_arrived : is_counted;
