Bounds of the platform may be fractions, absent or absurd, and hosts still start

A retry slack of 52.5 met a reader of whole numbers and every host exited; a grace period of 8.5 s became 8.5 ms. Tests: BoundsOfThePlatformMayBeFractions, NoSingleBoundKeepsAHostFromStarting (six figures by eleven odd values, through the template itself).

--- a/core/settings_reader.cc
+++ b/core/settings_reader.cc
@@ -113,6 +113,8 @@
 
 Duration SettingsReader::MillisOr(const std::string& key, Duration fallback,
                                   Duration least, Duration most) {
+  // The fallback may be finer than what the file can say.
+  if (Find(key, false, "") == nullptr) return fallback;
   return std::chrono::milliseconds(
       IntegerOr(key, ToMillis(fallback), ToMillis(least), ToMillis(most)));
 }
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -56,7 +56,7 @@
   Duration order_lease = std::chrono::seconds(3);
   // Further sends that all hosts together may make at once beside a share of
   // the requests, for each service.
-  int retry_slack = 50;
+  double retry_slack = 50;
   // How old the proof may be that another host's news of the store are recent.
   Duration store_relay_trust = std::chrono::seconds(1);
   // The platform takes some time to send callers elsewhere; until then a
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -596,7 +596,7 @@
 bool RequestFlow::MaySpendRetry(Request& request) {
   if (IsFleet()) {
     RetryBudget& of_service = backend_retries_[request.service];
-    of_service.SetMostSaved(static_cast<double>(context_.settings.retry_slack) /
+    of_service.SetMostSaved(context_.settings.retry_slack /
                             context_.fleet_hosts);
     return of_service.TrySpend();
   }
--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace applehall {
 namespace {
 
@@ -60,5 +62,99 @@
   }
 }
 
+// ---- What the platform fills in ----
+
+// As the platform fills in `{{a.b|json}}`, without its other forms.
+std::string FillTemplate(std::string text, const Json& fields) {
+  for (size_t begin = text.find("{{"); begin != std::string::npos;
+       begin = text.find("{{", begin)) {
+    const size_t end = text.find("}}", begin);
+    std::string path = text.substr(begin + 2, end - begin - 2);
+    const size_t bar = path.find('|');
+    const bool is_json = bar != std::string::npos;
+    if (is_json) path.resize(bar);
+    const Json* value = &fields;
+    for (size_t from = 0; from <= path.size();) {
+      const size_t dot = std::min(path.find('.', from), path.size());
+      const std::string key = path.substr(from, dot - from);
+      value = value->is_array() ? &value->at(std::stoul(key)) : &value->at(key);
+      from = dot + 1;
+    }
+    const std::string filled = value->is_string() && !is_json
+                                   ? value->get<std::string>()
+                                   : value->dump();
+    text.replace(begin, end + 2 - begin, filled);
+    begin += filled.size();
+  }
+  return text;
+}
+
+Json PlatformFields() {
+  return *ParseJson(R"({"node_name": "edge-1", "zone": "hall",
+    "ip_addr": "10.0.0.1", "port_range": [7000, 7015],
+    "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+    "platform": {"address": "10.0.0.2:90"},
+    "limits": {"cpu_share": 0.25, "memory_mb": 260},
+    "bounds": {"drain_ms": 2000, "grace_period_s": 8, "retry_slack": 52,
+      "lease_ttl_ms": 3000, "require_fence": true, "seed_lag_s": 3}})");
+}
+
+absl::StatusOr<EdgeSettings> FromPlatform(const Json& fields) {
+  const absl::StatusOr<std::string> file =
+      ReadFile(std::string(APPLEHALL_SOURCE_DIR) +
+               "/deploy/settings.json.tmpl");
+  if (!file.ok()) return file.status();
+  return ParseEdgeSettings("node.json", FillTemplate(*file, fields));
+}
+
+// All hosts of a deployment exited at their start, again and again, and nobody
+// was served. The platform had set a fraction for one of its bounds, where the
+// reader expected a whole number; in another the fraction's digits were taken
+// for milliseconds.
+TEST(EdgeSettings, BoundsOfThePlatformMayBeFractions) {
+  Json fields = PlatformFields();
+  fields["bounds"]["retry_slack"] = 52.5;
+  fields["bounds"]["grace_period_s"] = 8.5;
+  fields["bounds"]["lease_ttl_ms"] = 2999.5;
+  fields["bounds"]["require_fence"] = false;
+  fields["bounds"]["drain_ms"] = 0.5e4;
+  const auto settings = FromPlatform(fields);
+  ASSERT_TRUE(settings.ok()) << settings.status().message();
+  EXPECT_DOUBLE_EQ(settings->node.retry_slack, 52.5);
+  EXPECT_GT(settings->node.drain_bound, std::chrono::seconds(7));
+  EXPECT_LT(settings->node.drain_bound, std::chrono::milliseconds(8500));
+  EXPECT_EQ(settings->node.order_lease, std::chrono::microseconds(2999500));
+  EXPECT_EQ(settings->node.store_relay_trust, std::chrono::milliseconds(2500));
+}
+
+// Whatever stands in one figure, hosts start, and go by sound figures.
+TEST(EdgeSettings, NoSingleBoundKeepsAHostFromStarting) {
+  const Json odd[] = {Json(),      Json(-1),       Json(0),     Json(0.25),
+                      Json(1e300), Json(INT64_MIN), Json("8"),   Json(true),
+                      Json(false), Json::array(),  Json::object()};
+  const std::pair<std::string, std::string> figures[] = {
+      {"bounds", "drain_ms"},     {"bounds", "grace_period_s"},
+      {"bounds", "retry_slack"},  {"bounds", "lease_ttl_ms"},
+      {"bounds", "require_fence"}, {"limits", "cpu_share"}};
+  for (const auto& [table, name] : figures) {
+    for (const Json& value : odd) {
+      Json fields = PlatformFields();
+      fields[table][name] = value;
+      const auto settings = FromPlatform(fields);
+      ASSERT_TRUE(settings.ok()) << name << " " << value << ": "
+                                 << settings.status().message();
+      const NodeSettings& node = settings->node;
+      EXPECT_GT(node.cpu_share, 0) << value;
+      EXPECT_GE(node.retry_slack, 0) << value;
+      EXPECT_GT(node.drain_bound, Duration{0}) << name << " " << value;
+      EXPECT_GT(node.order_lease, Duration{0}) << name << " " << value;
+      EXPECT_GT(node.store_relay_trust, Duration{0}) << name << " " << value;
+    }
+    Json fields = PlatformFields();
+    fields[table].erase(name);
+    EXPECT_TRUE(FromPlatform(fields).ok()) << name;
+  }
+}
+
 }  // namespace
 }  // namespace applehall
