Free memory is filled with models that nobody holds, ahead of requests

Cause: an engine that comes back from a crash is empty; each first caller of its models waited 1.9 s for a load from disk, and an engine loads one at a time. Ruled out: the owner's processor, at 0.15 of 0.5 cores by now. Change: where an engine has free memory and no order, the model that nobody holds, of which it has a copy, and that was asked for most is loaded. Switched off by policies_off free_memory. Test: EngineThatComesBackEmptyIsFilledAheadOfRequests, failed before.

--- a/core/policy_set.cc
+++ b/core/policy_set.cc
@@ -17,7 +17,7 @@
               "hand_over",         "prefix_affinity",  "two_choices",
               "near_first",        "engine_shares",    "circuit_breaker",
               "early_refusal",     "short_queues",     "late_worth",
-              "store_relay"};
+              "store_relay",       "free_memory"};
 
 }  // namespace
 
--- a/core/policy_set.h
+++ b/core/policy_set.h
@@ -34,6 +34,7 @@
   kShortQueues,   // What would be late behind full engines is refused.
   kLateWorth,     // Requests that will be late weigh less in placement.
   kStoreRelay,    // One host reads the store for its data centre.
+  kFreeMemory,    // Free memory is filled with models ahead of requests.
   kCount,
 };
 
--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -53,6 +53,10 @@
 // with hundreds waiting each look costs some microseconds an engine.
 constexpr Duration kLookInterval = milliseconds(40);
 constexpr size_t kMostLooks = 4096;
+// Free memory is looked for this often: a load takes ten times as long. At
+// most so many loads begin each time, as each is a call of the owner's.
+constexpr Duration kFillInterval = milliseconds(100);
+constexpr int kMostFillsAtOnce = 16;
 // Rates follow a window of 4 s; summed up for each of 140 decisions a second,
 // those of 800 models took a third of the owner's half core.
 constexpr Duration kSumInterval = milliseconds(100);
@@ -1269,6 +1273,57 @@
   }
 }
 
+// Of the models that no engine holds and of which `engine` has a copy, the one
+// that was asked for most, if it fits in what is free; null if there is none.
+const CatalogueEntry* FleetPlanner::BestForFreeMemory(const Engine& engine,
+                                                      TimePoint now) const {
+  const EngineClass* engine_class = ClassOf(engine);
+  if (engine_class == nullptr) return nullptr;
+  const uint64_t used = UsedBytes(engine);
+  const CatalogueEntry* best = nullptr;
+  double best_worth = 0;
+  const auto consider = [&](const std::vector<std::string>& names) {
+    for (const std::string& name : names) {
+      const CatalogueEntry* entry = EntryOf(name);
+      if (entry == nullptr || entry->service != engine.listed.service) continue;
+      if (used + entry->bytes > engine_class->memory_bytes) continue;
+      if (!WhereIs(name).holders.empty()) continue;
+      const double worth = usage_.WorthRate(name, now);
+      if (best != nullptr && worth <= best_worth) continue;
+      best = entry;
+      best_worth = worth;
+    }
+  };
+  // From host memory a load is the quicker one.
+  consider(engine.listed.in_host_memory);
+  consider(engine.listed.on_disk);
+  return best;
+}
+
+// An engine that comes back from a crash is empty and has its copies on disk.
+// Left so until a request came for each, it made the first callers of all its
+// models wait for 1.9 s, and those of the second and third one longer, as it
+// loads one at a time. What nobody holds is loaded ahead of them where memory
+// is free and the engine has nothing else to do.
+void FleetPlanner::FillFreeMemory(TimePoint now,
+                                  std::vector<OrderToSend>& orders) {
+  if (!policies_.Has(Policy::kFreeMemory) || fills_at_ > now) return;
+  fills_at_ = now + kFillInterval;
+  int begun = 0;
+  for (auto& [id, engine] : engines_) {
+    if (begun >= kMostFillsAtOnce) return;
+    const bool is_kept_free =
+        engine.reserved_until > now && !engine.reserved_for.empty();
+    if (engine.model_order || is_kept_free || !MayOrder(engine)) continue;
+    const CatalogueEntry* entry = BestForFreeMemory(engine, now);
+    if (entry == nullptr) continue;
+    SendOrder(engine, OrderKind::kLoad, *entry, TierOn(engine, entry->name),
+              "memory is free", now, orders);
+    IndexHoldings();  // So that the next engine does not load it as well.
+    ++begun;
+  }
+}
+
 void FleetPlanner::Decide(bool may_order, TimePoint now,
                           std::vector<OrderToSend>& orders) {
   usage_.Expire(now);
@@ -1284,6 +1339,7 @@
   ServeWaiting(now, orders);
   ReplicateBusy(/*is_overloaded=*/false, now, orders);
   SeedCopies(now, orders);
+  FillFreeMemory(now, orders);
   IndexHoldings();  // Answers tell of the orders given just now.
 }
 
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -196,6 +196,9 @@
   void ReplicateBusy(bool is_overloaded, TimePoint now,
                      std::vector<OrderToSend>& orders);
   void SeedCopies(TimePoint now, std::vector<OrderToSend>& orders);
+  void FillFreeMemory(TimePoint now, std::vector<OrderToSend>& orders);
+  const CatalogueEntry* BestForFreeMemory(const Engine& engine,
+                                          TimePoint now) const;
   bool MayOrder(const Engine& engine) const;
 
   void SendOrder(Engine& engine, OrderKind kind, const CatalogueEntry& entry,
@@ -237,6 +240,7 @@
   // Why a waiting target was not ordered when it was last looked at.
   absl::flat_hash_map<std::string, PutOff> put_off_;
   TimePoint seeds_at_;
+  TimePoint fills_at_;
   UsageTable usage_;
   // Of each model, with its adapters; summed anew for each decision.
   struct Usage {
--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -141,10 +141,9 @@
   }
 
   int Replicas(const std::string& name) const {
-    return static_cast<int>(
-        std::count_if(engines_.begin(), engines_.end(), [&](const auto& item) {
-          return item.second->Holds(name);
-        }));
+    return static_cast<int>(std::count_if(
+        engines_.begin(), engines_.end(),
+        [&](const auto& item) { return item.second->Holds(name); }));
   }
 
   bool IsReady(const std::string& target) const {
@@ -494,6 +493,24 @@
   EXPECT_EQ(unloads, 1);
 }
 
+// An engine crashes and is back at once, empty, with copies of its models on
+// disk. Each first caller waited for a load, and whoever asked for the second
+// and third of its models for those before it too.
+TEST_F(FleetPlannerTest, EngineThatComesBackEmptyIsFilledAheadOfRequests) {
+  Use(2, 6);
+  engines_.at("e1")->Restart(now_);  // Tells when it started.
+  for (int i = 0; i < 3; ++i) {
+    engines_.at("e0")->Hold(ModelName(i), kModelBytes);
+    engines_.at("e1")->Hold(ModelName(i + 3), kModelBytes);
+  }
+  List();
+  Run(seconds(3));
+  engines_.at("e1")->Restart(now_);
+  List();
+  Run(seconds(8));  // Three loads of 1.6 s from disk, and the first report.
+  for (int i = 0; i < 6; ++i) EXPECT_TRUE(IsReady(ModelName(i))) << i;
+}
+
 // Demand moves to a model that two engines hold and many have on disk. Its
 // replicas were loaded one after the other, and for 14 s most of its requests
 // were turned away beside engines that could have held it.
