--- a/tests/main/daemon_test.cc
+++ b/tests/main/daemon_test.cc
@@ -319,9 +319,15 @@
   EXPECT_EQ(result.response.headers.at("x-request-id"), "my-request");
   const Address operators{"127.0.0.1",
                           daemons_.at("entry-1")->operators_port()};
-  const auto decisions =
-      ParseJson(Send(operators, "GET", "/decisions?request=my-request", "", {})
-                    .response.body);
+  // The answer's last bytes leave on another thread than the decision's record
+  // is made on, so the caller may ask before it stands.
+  absl::StatusOr<Json> decisions;
+  Await([&] {
+    decisions = ParseJson(
+        Send(operators, "GET", "/decisions?request=my-request", "", {})
+            .response.body);
+    return decisions.ok() && !decisions->empty();
+  });
   ASSERT_EQ(decisions->size(), 1u);
   EXPECT_EQ((*decisions)[0]["rule"], "1/rest");
   EXPECT_EQ((*decisions)[0]["verdict"], "ran");
