Logs tell what ran at a server when it ended

Cause: whether one request ends engine after engine, engines end by themselves or orders overload them could not be told from logs: ids are new with each attempt of a caller, only a request's last attempt was written, and a closed connection looks the same whether its server ended or goes on. Change: each send without a whole answer is one attempt_failed line with a fingerprint of the request's content (method, host, path, caller, body). After a connection that the server closed its address is asked once; if nobody listens, one server_ended line for each request it ran. No decision depends on it yet. Ruled out as the sign of an end: the listing (shows it 3 to 4 s later) and a refused connection of another request (only if one comes).

--- /dev/null
+++ b/core/request_fingerprint.cc
@@ -0,0 +1,24 @@
+#include "core/request_fingerprint.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "core/hash.h"
+
+namespace applehall {
+
+uint64_t RequestFingerprint(const RequestContent& content) {
+  // Each part is the seed of the next, so that text which moves from one part
+  // to its neighbour gives another value.
+  uint64_t hash = StableHash(content.method);
+  hash = StableHash(content.host, hash);
+  hash = StableHash(content.target, hash);
+  hash = StableHash(content.caller, hash);
+  hash = StableHash(content.body, hash);
+  return hash == 0 ? 1 : hash;
+}
+
+std::string FingerprintText(uint64_t fingerprint) {
+  return absl::StrCat(absl::Hex(fingerprint, absl::kZeroPad16));
+}
+
+}  // namespace applehall
--- a/drivers/backend_client.cc
+++ b/drivers/backend_client.cc
@@ -7,6 +7,7 @@
 #include <boost/asio.hpp>
 
 #include "drivers/event_stream.h"
+#include "drivers/server_probe.h"
 #include "drivers/sleep.h"
 
 namespace applehall {
@@ -154,7 +155,7 @@
     co_return EndOf(action, AttemptResult::kNotSent, stream->error());
   }
   if (stream->state() == SendState::kMayBeSent) {
-    co_return EndOf(action, AttemptResult::kBroken, stream->error());
+    co_return BrokenOff(action, stream->error(), stream->is_cut());
   }
   open_[{action.handle, action.attempt}] = stream;
   const auto type = stream->head().headers.find("content-type");
@@ -171,7 +172,7 @@
     const std::string piece = co_await stream.ReadSome(kStreamSilence);
     response.body += piece;
     if (piece.empty() && !stream.is_whole()) {
-      co_return EndOf(action, AttemptResult::kBroken, stream.error());
+      co_return BrokenOff(action, stream.error(), stream.is_cut());
     }
   }
   if (MayBeRefusal(action.kind, response.status)) {
@@ -201,6 +202,7 @@
     const Event started = AttemptStarted{action.handle};
     co_await Deliver(started);
   }
+  const TimePoint begun_at = clock_.Now();
   std::string partial;
   while (!stream.is_whole()) {
     co_await session.AwaitRoom(thread_.io());
@@ -215,7 +217,8 @@
       session.PushChunk(std::move(events));
     }
     if (stream.is_whole() || stream.error().empty()) continue;
-    AttemptEnded broken = EndOf(action, AttemptResult::kBroken, stream.error());
+    AttemptEnded broken = BrokenOff(action, stream.error(), stream.is_cut());
+    broken.answered_for = clock_.Now() - begun_at;
     broken.has_delivered = true;
     broken.can_resume = stream.head().headers.contains("applehall-can-resume");
     co_return broken;
@@ -225,6 +228,20 @@
   co_return EndOf(action, AttemptResult::kCompleted, "");
 }
 
+void BackendClient::Probe(const ProbeServer& action) {
+  // A probe that does not fit into the queue leaves the server's state unknown.
+  const bool is_posted = thread_.TryPost([this, action] {
+    asio::co_spawn(thread_.io(), RunProbeOf(action), asio::detached);
+  });
+  if (is_posted) return;
+  (void)decisions_.TryPush(ServerProbed{action.server});
+}
+
+asio::awaitable<void> BackendClient::RunProbeOf(ProbeServer action) {
+  const Event probed = co_await RunProbe(thread_.io(), action);
+  co_await Deliver(probed);
+}
+
 void BackendClient::SendEngineOrder(const SendOrder& action) {
   // An order that does not fit into the queue is lost, like one on the wire;
   // the ledger keeps its reservation until that is proven.
--- a/drivers/backend_client.h
+++ b/drivers/backend_client.h
@@ -27,6 +27,7 @@
                 std::shared_ptr<CallerSession> session);
   void Cancel(RequestHandle handle, int attempt);
   void SendEngineOrder(const SendOrder& action);
+  void Probe(const ProbeServer& action);
 
  private:
   using Task = boost::asio::awaitable<void>;
@@ -42,6 +43,7 @@
                                                   HttpStream& stream,
                                                   CallerSession& session);
   Task RunOrder(SendOrder action);
+  Task RunProbeOf(ProbeServer action);
   Task Deliver(const Event& event);
   HttpCall MakeCall(const DispatchRequest& action,
                     const CallerSession& session) const;
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -51,6 +51,13 @@
   return FromSeconds(seconds * kTrustedIdleShare);
 }
 
+bool IsPeerClose(const error_code& error) {
+  return error == http::error::end_of_stream ||
+         error == http::error::partial_message || error == asio::error::eof ||
+         error == asio::error::connection_reset ||
+         error == asio::error::broken_pipe;
+}
+
 class IdleConnections {
  public:
   StreamPtr Take(const std::string& address) {
@@ -106,6 +113,7 @@
   const HttpResponse& head() const override { return head_; }
   bool is_whole() const override { return is_whole_; }
   std::string error() const override { return error_; }
+  bool is_cut() const override { return is_cut_; }
   void Cancel() override {
     is_whole_ = false;
     is_cancelled_ = true;
@@ -122,6 +130,7 @@
       if (!error || error == http::error::need_buffer) continue;
       if (parser_.is_done()) break;
       error_ = error.message();
+      is_cut_ = IsPeerClose(error);
       co_return piece;
     }
     if (parser_.is_done()) {
@@ -201,6 +210,7 @@
         co_await http::async_write(*stream_, message, kToken);
     if (!error) co_return true;
     error_ = "cannot send: " + error.message();
+    is_cut_ = IsPeerClose(error);
     co_return false;
   }
 
@@ -210,6 +220,7 @@
         co_await http::async_read_header(*stream_, buffer_, parser_, kToken);
     if (error) {
       error_ = "no answer: " + error.message();
+      is_cut_ = IsPeerClose(error);
       co_return;
     }
     state_ = SendState::kAnswered;
@@ -235,6 +246,7 @@
   HttpResponse head_;
   bool is_whole_ = false;
   bool is_cancelled_ = false;
+  bool is_cut_ = false;
   std::string error_;
 };
 
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -35,6 +35,8 @@
   // Ends what is under way and closes the connection. Thread: the client's.
   virtual void Cancel() = 0;
   virtual std::string error() const = 0;
+  // The peer closed or reset the connection before the answer was whole.
+  virtual bool is_cut() const = 0;
 };
 
 struct HttpCall {
--- /dev/null
+++ b/drivers/server_probe.cc
@@ -0,0 +1,39 @@
+#include "drivers/server_probe.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include "core/settings_reader.h"
+
+namespace applehall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A machine that is there refuses within a round trip, 3 ms at most between
+// data centres; silence this long tells nothing of the server.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
+
+}  // namespace
+
+asio::awaitable<ServerProbed> RunProbe(asio::io_context& io,
+                                       ProbeServer probe) {
+  ServerProbed probed;
+  probed.server = probe.server;
+  const absl::StatusOr<Address> address = ParseAddress(probe.address);
+  if (!address.ok()) co_return probed;
+  boost::beast::tcp_stream stream(io);
+  stream.expires_after(kProbeTimeout);
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address->ip),
+                                         address->port);
+  const auto [error] = co_await stream.async_connect(
+      endpoint, asio::as_tuple(asio::use_awaitable));
+  if (!error) probed.state = ServerState::kListening;
+  if (error == asio::error::connection_refused) {
+    probed.state = ServerState::kGone;
+  }
+  co_return probed;
+}
+
+}  // namespace applehall
--- /dev/null
+++ b/drivers/server_probe.h
@@ -0,0 +1,18 @@
+#ifndef APPLEHALL_DRIVERS_SERVER_PROBE_H_
+#define APPLEHALL_DRIVERS_SERVER_PROBE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "node/messages.h"
+
+namespace applehall {
+
+// Opens a connection to the server and closes it at once; sends nothing.
+// Thread: the one that runs `io`.
+boost::asio::awaitable<ServerProbed> RunProbe(boost::asio::io_context& io,
+                                              ProbeServer probe);
+
+}  // namespace applehall
+
+#endif  // APPLEHALL_DRIVERS_SERVER_PROBE_H_
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -7,6 +7,7 @@
 #include <fstream>
 
 #include "core/hash.h"
+#include "core/request_fingerprint.h"
 #include "core/uuid.h"
 #include "drivers/sleep.h"
 
@@ -288,6 +289,7 @@
 }
 
 void Daemon::On(const SendOrder& action) { backends_.SendEngineOrder(action); }
+void Daemon::On(const ProbeServer& action) { backends_.Probe(action); }
 void Daemon::On(const AppendRecord& action) { platform_.Append(action); }
 
 void Daemon::On(const SendPeer& action) {
@@ -337,6 +339,9 @@
   event.facts.caller = request.Header("applehall-caller");
   if (event.facts.caller.empty()) event.facts.caller = kAnonymous;
   event.facts.headers = request.headers;
+  event.fingerprint =
+      RequestFingerprint({request.method, request.Header("host"),
+                          request.target, event.facts.caller, request.body});
   event.idempotency_key = request.Header("idempotency-key");
   const std::string proof = request.Header("applehall-forwarded");
   event.is_forwarded =
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -56,6 +56,7 @@
   void On(const CancelAttempt& action);
   void On(const RefuseRequest& action);
   void On(const SendOrder& action);
+  void On(const ProbeServer& action);
   void On(const AppendRecord& action);
   void On(const SendPeer& action);
   void On(const SendPeers& action);
--- a/node/messages.h
+++ b/node/messages.h
@@ -31,6 +31,7 @@
   std::optional<Duration> deadline;  // The caller's; may only shorten.
   std::string idempotency_key;
   uint64_t prefix_hash = 0;   // Of the prompt's start; zero for none.
+  uint64_t fingerprint = 0;   // Of its content; zero if that is not known.
   bool is_forwarded = false;  // By another data centre's entry host.
 };
 
@@ -65,6 +66,19 @@
   std::string detail;
   // Of a stream: the longest time between two pieces of it.
   Duration longest_pause{0};
+  // The server closed or reset the connection before its answer was whole, as
+  // one that ends does.
+  bool is_cut = false;
+  // From the first piece of this attempt's answer to its end.
+  Duration answered_for{0};
+};
+
+enum class ServerState : uint8_t { kUnknown, kListening, kGone };
+
+// The answer to ProbeServer.
+struct ServerProbed {
+  std::string server;
+  ServerState state = ServerState::kUnknown;
 };
 
 // An engine answered an order with its inventory.
@@ -163,7 +177,8 @@
                  EngineAnswered, LogRead, LogFailed, AppendEnded, HostListRead,
                  HostListConfirmed, CatalogueRead, PeerMessageReceived,
                  DrainRequested, Tick, RuleSetRead, ServersListed, StoreReached,
-                 LeaseRead, LeaseAppendEnded, OrderAnswered, StoreNewsRead>;
+                 LeaseRead, LeaseAppendEnded, OrderAnswered, StoreNewsRead,
+                 ServerProbed>;
 
 // ---- Actions: what a node wants done. ----
 
@@ -197,6 +212,14 @@
   return ended;
 }
 
+// Its connection failed after the request was sent.
+inline AttemptEnded BrokenOff(const DispatchRequest& sent, std::string detail,
+                              bool is_cut) {
+  AttemptEnded ended = EndOf(sent, AttemptResult::kBroken, std::move(detail));
+  ended.is_cut = is_cut;
+  return ended;
+}
+
 struct CancelAttempt {
   RequestHandle handle = 0;
   int attempt = 0;
@@ -258,13 +281,19 @@
   std::string records;
 };
 
+// Finds out whether a backend server still listens at its address.
+struct ProbeServer {
+  std::string server;
+  std::string address;
+};
+
 // Every request is answered and every ownership released: the process may go.
 struct Drained {};
 
 using Action =
     std::variant<DispatchRequest, CancelAttempt, RefuseRequest, SendOrder,
                  AppendRecord, SendPeer, SendPeers, Drained, ReadLease,
-                 AppendLease, FollowStore, TakeStoreNews>;
+                 AppendLease, FollowStore, TakeStoreNews, ProbeServer>;
 
 }  // namespace applehall
 
--- a/node/node.h
+++ b/node/node.h
@@ -56,6 +56,7 @@
   void On(const CallerGone& event) { flow_.CallerLeft(event); }
   void On(const AttemptStarted& event) { flow_.Started(event); }
   void On(const AttemptEnded& event) { flow_.Ended(event); }
+  void On(const ServerProbed& event) { flow_.TakeProbe(event); }
   void On(const EngineAnswered& event);
   void On(const LogRead& event);
   void On(const LogFailed& event);
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "core/event_log.h"
+#include "core/request_fingerprint.h"
 
 namespace applehall {
 namespace {
@@ -519,6 +520,8 @@
     Settle(event.handle, "answered", Verdict::kRan, "");
   } else {
     if (event.result == AttemptResult::kBroken) request->may_have_run = true;
+    LogFailedAttempt(*request, event);
+    if (event.is_cut && was_local) NoteCut(*request, event);
     // An engine that turned it away unharmed may well take it a moment later.
     const bool is_harmful = event.result == AttemptResult::kBroken ||
                             event.result == AttemptResult::kNotSent;
@@ -534,6 +537,41 @@
   if (was_local) PumpEngine(backend);
 }
 
+void RequestFlow::LogFailedAttempt(const Request& request,
+                                   const AttemptEnded& event) const {
+  LogEvent(LogLevel::kInfo, "attempt_failed")
+      .With("request", request.arrival.request_id)
+      .With("fingerprint", FingerprintText(request.arrival.fingerprint))
+      .With("attempt", event.attempt)
+      .With("backend", request.backend)
+      .With("result", AttemptResultName(event.result))
+      .With("cut", event.is_cut ? "yes" : "no")
+      .With("answered_ms", ToMillis(event.answered_for))
+      .With("sent_ms_ago", ToMillis(context_.now - request.sent_at))
+      .With("detail", event.detail);
+}
+
+void RequestFlow::NoteCut(const Request& request, const AttemptEnded& event) {
+  const EngineDigest* server = context_.view.Find(request.backend);
+  if (server == nullptr || request.arrival.fingerprint == 0) return;
+  const CutRequest cut{request.arrival.fingerprint, event.answered_for};
+  if (!ends_.NoteCut(request.backend, cut, context_.now)) return;
+  context_.Emit(ProbeServer{request.backend, std::string(server->address)});
+}
+
+void RequestFlow::TakeProbe(const ServerProbed& probed) {
+  const std::vector<CutRequest> cuts = ends_.TakeProbe(probed);
+  if (cuts.empty()) return;
+  context_.metrics.Count("servers_ended_total");
+  for (const CutRequest& cut : cuts) {
+    LogEvent(LogLevel::kWarning, "server_ended")
+        .With("server", probed.server)
+        .With("fingerprint", FingerprintText(cut.fingerprint))
+        .With("answered_ms", ToMillis(cut.answered_for))
+        .With("requests", cuts.size());
+  }
+}
+
 void RequestFlow::LearnServiceTime(Duration took, TargetState& state) {
   Smooth(took, kServiceTimeSmoothing, state.service_time);
   const bool is_quicker = took < state.unloaded_time;
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -13,6 +13,7 @@
 #include "node/gossip.h"
 #include "node/group_keeper.h"
 #include "node/node_context.h"
+#include "node/server_ends.h"
 #include "routing/retry_budget.h"
 
 namespace applehall {
@@ -30,6 +31,8 @@
   void CallerLeft(const CallerGone& event);
   void Started(const AttemptStarted& event);
   void Ended(const AttemptEnded& event);
+  // Whether a server that broke answers off is still there. Not thread-safe.
+  void TakeProbe(const ServerProbed& probed);
 
   // The claims stream or an append of it moved. Not thread-safe.
   void TakeClaims(const LogBatch& batch);
@@ -126,6 +129,9 @@
                    const std::string& backend, const std::string& address);
 
   // Ends.
+  void LogFailedAttempt(const Request& request,
+                        const AttemptEnded& event) const;
+  void NoteCut(const Request& request, const AttemptEnded& event);
   static void LearnServiceTime(Duration took, TargetState& state);
   void Retry(Request& request, AttemptResult result);
   void Backoff(Request& request);
@@ -165,6 +171,7 @@
   Gossip& gossip_;
   FleetKeeper& fleet_;
   ClaimGuard claims_;
+  ServerEnds ends_;
   absl::flat_hash_map<RequestHandle, std::unique_ptr<Request>> requests_;
   std::map<std::string, TargetState> targets_;
   absl::flat_hash_map<std::string, CallerState> callers_;
--- a/standins/deployment.cc
+++ b/standins/deployment.cc
@@ -486,6 +486,16 @@
   Settle(from, false, action.refusal, action.rule);
 }
 
+void Deployment::On(Host& host, const ProbeServer& action) {
+  ServerProbed probed{action.server, ServerState::kUnknown};
+  if (!IsCut(host.name, action.server)) {
+    const bool is_there =
+        engines_.contains(action.server) || services_.contains(action.server);
+    probed.state = is_there ? ServerState::kListening : ServerState::kGone;
+  }
+  Tell(host.name, host.life, probed);
+}
+
 void Deployment::On(Host& host, const Drained&) {
   if (!host.origins.empty()) Break("a drain cut a request");
   host.is_alive = false;
--- /dev/null
+++ b/tests/core/request_fingerprint_test.cc
@@ -0,0 +1,34 @@
+#include "core/request_fingerprint.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace applehall {
+namespace {
+
+TEST(RequestFingerprintTest, IsTheSameForTheSameContent) {
+  const RequestContent content{"POST", "shop", "/a/1?q=2", "c", "body"};
+  EXPECT_EQ(RequestFingerprint(content), RequestFingerprint(content));
+}
+
+TEST(RequestFingerprintTest, EachPartCounts) {
+  const std::set<uint64_t> all = {
+      RequestFingerprint({"POST", "shop", "/a", "c", "body"}),
+      RequestFingerprint({"GET", "shop", "/a", "c", "body"}),
+      RequestFingerprint({"POST", "mill", "/a", "c", "body"}),
+      RequestFingerprint({"POST", "shop", "/b", "c", "body"}),
+      RequestFingerprint({"POST", "shop", "/a", "d", "body"}),
+      RequestFingerprint({"POST", "shop", "/a", "c", "bode"}),
+      // Text that moves from one part to the next.
+      RequestFingerprint({"POST", "sho", "p/a", "c", "body"}),
+      RequestFingerprint({"POST", "shop", "/a", "cb", "ody"})};
+  EXPECT_EQ(all.size(), 8u);
+}
+
+TEST(RequestFingerprintTest, TextHasAllDigits) {
+  EXPECT_EQ(FingerprintText(0xabc), "0000000000000abc");
+}
+
+}  // namespace
+}  // namespace applehall
--- /dev/null
+++ b/tests/node/server_ends_test.cc
@@ -0,0 +1,42 @@
+#include "node/server_ends.h"
+
+#include <gtest/gtest.h>
+
+namespace applehall {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr TimePoint kNow{std::chrono::hours(500000)};
+
+TEST(ServerEndsTest, OneProbeTellsOfAllThatWereCut) {
+  ServerEnds ends;
+  EXPECT_TRUE(ends.NoteCut("s", {1}, kNow));
+  EXPECT_FALSE(ends.NoteCut("s", {2}, kNow));
+  EXPECT_TRUE(ends.NoteCut("t", {3}, kNow));
+  EXPECT_EQ(ends.TakeProbe({"s", ServerState::kGone}).size(), 2u);
+  EXPECT_TRUE(ends.TakeProbe({"s", ServerState::kGone}).empty());
+  EXPECT_TRUE(ends.NoteCut("s", {1}, kNow)) << "a later cut is another end";
+}
+
+// A server gives up single requests, as with a fault of its own, and goes on.
+TEST(ServerEndsTest, ServerThatListensHasNotEnded) {
+  ServerEnds ends;
+  ends.NoteCut("s", {1}, kNow);
+  EXPECT_TRUE(ends.TakeProbe({"s", ServerState::kListening}).empty());
+  ends.NoteCut("t", {1}, kNow);
+  EXPECT_TRUE(ends.TakeProbe({"t", ServerState::kUnknown}).empty());
+}
+
+// The thread that probes is flooded and drops the order to probe. Without a
+// second one the end of that server would never be seen again.
+TEST(ServerEndsTest, LostProbeIsRepeatedAtTheNextCut) {
+  ServerEnds ends;
+  EXPECT_TRUE(ends.NoteCut("s", {1}, kNow));
+  EXPECT_FALSE(ends.NoteCut("s", {2}, kNow + seconds(1)));
+  EXPECT_TRUE(ends.NoteCut("s", {3}, kNow + seconds(4)));
+  EXPECT_EQ(ends.TakeProbe({"s", ServerState::kGone}).size(), 1u);
+}
+
+}  // namespace
+}  // namespace applehall
--- a/tests/platform/edge_test.cc
+++ b/tests/platform/edge_test.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 
+#include "core/request_fingerprint.h"
 #include "platform/engine_client.h"
 #include "platform/ingress.h"
 
@@ -70,12 +71,12 @@
   }
 
   // A port that the kernel gave and nobody uses.
-  uint16_t Port() {
+  uint16_t UnusedPort() {
     tcp::acceptor probe(io_,
                         tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    port_ = probe.local_endpoint().port();
-    return port_;
+    return probe.local_endpoint().port();
   }
+  uint16_t Port() { return port_ = UnusedPort(); }
 
   bool RunUntil(const std::function<bool()>& is_done) {
     for (int i = 0; i < 2000 && !is_done(); ++i) {
@@ -160,6 +161,33 @@
   EXPECT_TRUE(received.ends_with("\r\n\r\nhello")) << received;
 }
 
+// A server ends with a request at work. What tells that from an answer of wrong
+// bytes is that the connection closed, and nobody listens there any more.
+TEST_F(EdgeTest, ServerThatEndsIsToldFromOneThatAnswersWrongly) {
+  server_.answers = {""};  // It closes without a word.
+  const RequestArrived& request = Ask();
+  EXPECT_EQ(request.fingerprint,
+            RequestFingerprint(
+                {"POST", "shop.example", "/a/b?q=1", "anonymous", "hi"}));
+  Dispatch(request.handle);
+  const AttemptEnded& cut = AwaitEnd();
+  EXPECT_EQ(cut.result, AttemptResult::kBroken);
+  EXPECT_TRUE(cut.is_cut) << cut.detail;
+  events_.clear();
+  server_.answers = {"garbage\r\n\r\n"};
+  Dispatch(Ask().handle);
+  EXPECT_FALSE(AwaitEnd().is_cut);
+  events_.clear();
+  engines_.Probe({"i-7", server_.address()});
+  ASSERT_TRUE(RunUntil([this] { return Find<ServerProbed>() != nullptr; }));
+  EXPECT_EQ(Find<ServerProbed>()->state, ServerState::kListening);
+  events_.clear();
+  const std::string nobody = "127.0.0.1:" + std::to_string(UnusedPort());
+  engines_.Probe({"i-8", nobody});
+  ASSERT_TRUE(RunUntil([this] { return Find<ServerProbed>() != nullptr; }));
+  EXPECT_EQ(Find<ServerProbed>()->state, ServerState::kGone);
+}
+
 // A caller sets headers that only this system may set: they would reserve
 // memory, or take over another request's.
 TEST_F(EdgeTest, OwnHeadersOfACallerNeverReachAServer) {
