--- /dev/null
+++ b/tests/node/poison_fixture.h
@@ -0,0 +1,143 @@
+// A fleet of hosts before backend servers that end under one request.
+
+#ifndef APPLEHALL_TESTS_NODE_POISON_FIXTURE_H_
+#define APPLEHALL_TESTS_NODE_POISON_FIXTURE_H_
+
+#include "tests/node/fleet_fixture.h"
+
+namespace applehall {
+
+// Ends each server that begins to run `poison_`; another one is listed at its
+// address some seconds later, as after a restart.
+class PoisonFixture : public FleetTest {
+ protected:
+  static constexpr uint64_t kPoison = 77;
+  static constexpr Duration kRestart = seconds(2);
+
+  struct Sent {
+    TimePoint at;
+    std::string host;
+    uint64_t fingerprint = 0;
+  };
+
+  // A request of a content; its id is new, as with each attempt of a caller.
+  RequestHandle Ask(const std::string& host, const std::string& path,
+                    const std::string& model, uint64_t fingerprint) {
+    RequestArrived request;
+    request.handle = ++last_handle_;
+    request.request_id = "r" + std::to_string(request.handle);
+    request.facts.path = path;
+    request.facts.model = model;
+    request.facts.caller = "c";
+    request.fingerprint = fingerprint;
+    contents_[request.handle] = fingerprint;
+    Handle(host, request);
+    return request.handle;
+  }
+
+  // Runs the fleet and lets the servers do what they do.
+  void RunServers(Duration duration) {
+    for (const TimePoint end = now_ + duration; now_ < end;) {
+      Run(milliseconds(25));
+      for (auto& [name, host] : hosts_) ServeHost(name);
+      StartDue();
+    }
+  }
+
+  void ServeHost(const std::string& name) {
+    const std::vector<Action> done = std::move(hosts_.at(name).done);
+    hosts_.at(name).done.clear();
+    for (const Action& action : done) {
+      if (const auto* sent = std::get_if<DispatchRequest>(&action)) {
+        Serve(name, *sent);
+      } else if (const auto* probe = std::get_if<ProbeServer>(&action)) {
+        const bool is_gone = ended_.contains(probe->server);
+        Handle(name,
+               ServerProbed{probe->server, is_gone ? ServerState::kGone
+                                                   : ServerState::kListening});
+      } else if (const auto* refused = std::get_if<RefuseRequest>(&action)) {
+        refusals_[refused->handle] = refused->refusal;
+      }
+    }
+  }
+
+  void Serve(const std::string& host, const DispatchRequest& sent) {
+    const uint64_t fingerprint = contents_.at(sent.handle);
+    if (ended_.contains(sent.backend)) {
+      Handle(host, EndOf(sent, AttemptResult::kNotSent, "refused"));
+      return;
+    }
+    sends_.push_back({now_, host, fingerprint});
+    if (!poisons_.contains(fingerprint)) {
+      running_[sent.backend].push_back({host, sent});
+      return;
+    }
+    AttemptEnded cut = BrokenOff(sent, "end of stream", /*is_cut=*/true);
+    EndServer(sent.backend);
+    Handle(host, cut);
+  }
+
+  // All that runs there is cut; the listing shows it gone.
+  void EndServer(const std::string& server) {
+    ended_.insert(server);
+    ends_.push_back(now_);
+    for (const auto& [host, sent] : std::move(running_[server])) {
+      AttemptEnded cut = BrokenOff(sent, "partial", /*is_cut=*/true);
+      cut.has_delivered = true;
+      cut.answered_for = milliseconds(200);
+      Handle(host, cut);
+    }
+    running_.erase(server);
+    due_.push_back({now_ + kRestart, server});
+  }
+
+  void StartDue() {
+    while (!due_.empty() && due_.front().first <= now_) {
+      const std::string old = due_.front().second;
+      due_.erase(due_.begin());
+      const bool is_engine = old.starts_with("llm");
+      const std::string id =
+          (is_engine ? "llm-r" : "app-r") + std::to_string(++restarts_);
+      ServersListed listed;
+      listed.gone = {old};
+      listed.listed = {is_engine ? Server(id, "llm", "llm/m0")
+                                 : Server(id, "app")};
+      models_at_[id] = {"llm/m0"};
+      for (const auto& [name, host] : hosts_) Handle(name, listed);
+    }
+  }
+
+  // Ends what runs well, with its answer.
+  void FinishAll() {
+    const auto running = std::move(running_);
+    running_.clear();
+    for (const auto& [server, rows] : running) {
+      for (const auto& [host, sent] : rows) {
+        Handle(host, EndOf(sent, AttemptResult::kCompleted, ""));
+      }
+    }
+  }
+
+  int SendsAfter(TimePoint at, uint64_t fingerprint = kPoison) const {
+    return static_cast<int>(
+        std::count_if(sends_.begin(), sends_.end(), [&](const Sent& sent) {
+          return sent.fingerprint == fingerprint && sent.at > at;
+        }));
+  }
+
+  std::set<uint64_t> poisons_{kPoison};
+  RequestHandle last_handle_ = 1000;
+  std::map<RequestHandle, uint64_t> contents_;
+  std::vector<Sent> sends_;
+  std::vector<TimePoint> ends_;
+  std::set<std::string> ended_;
+  std::map<std::string, std::vector<std::pair<std::string, DispatchRequest>>>
+      running_;
+  std::vector<std::pair<TimePoint, std::string>> due_;
+  std::map<RequestHandle, Refusal> refusals_;
+  int restarts_ = 0;
+};
+
+}  // namespace applehall
+
+#endif  // APPLEHALL_TESTS_NODE_POISON_FIXTURE_H_
