Tests: what a quarantine costs others and what it outlives

Found by OutlivesAllHosts and EndsAfterAnHour..: a record was not written while a host had had no answer of the store for 5 s. It is tried each second until it is acknowledged, eight at most.

--- a/node/quarantine_keeper.cc
+++ b/node/quarantine_keeper.cc
@@ -35,7 +35,9 @@
 // missed some.
 constexpr Duration kClearedLife = minutes(1);
 constexpr Duration kReadInterval = seconds(2);
+// Until the store has acknowledged it; while it is down, calls for nothing.
 constexpr Duration kAppendInterval = seconds(1);
+constexpr int kMostAppends = 8;
 
 }  // namespace
 
@@ -280,15 +282,16 @@
 
 void QuarantineKeeper::AppendDue() {
   if (unrecorded_.empty() && unreleased_.empty()) return;
-  if (context_.IsLogDown() || context_.now - recorded_at_ < kAppendInterval) {
-    return;
-  }
+  if (context_.now - recorded_at_ < kAppendInterval) return;
   recorded_at_ = context_.now;
+  int appends = 0;
   for (const uint64_t fingerprint : unrecorded_) {
+    if (++appends > kMostAppends) return;
     context_.Emit(
         AppendQuarantine{{fingerprint, quarantine_.Until(fingerprint)}});
   }
   for (const uint64_t fingerprint : unreleased_) {
+    if (++appends > kMostAppends) return;
     context_.Emit(AppendQuarantine{{fingerprint, TimePoint{}}});
   }
 }
--- a/tests/node/poison_fixture.h
+++ b/tests/node/poison_fixture.h
@@ -57,6 +57,8 @@
                                                    : ServerState::kListening});
       } else if (const auto* refused = std::get_if<RefuseRequest>(&action)) {
         refusals_[refused->handle] = refused->refusal;
+      } else if (const auto* back = std::get_if<CancelAttempt>(&action)) {
+        cancelled_.push_back(back->handle);
       }
     }
   }
@@ -135,6 +137,7 @@
       running_;
   std::vector<std::pair<TimePoint, std::string>> due_;
   std::map<RequestHandle, Refusal> refusals_;
+  std::vector<RequestHandle> cancelled_;
   int restarts_ = 0;
 };
 
