--- a/soak/applehall_soak.cc
+++ b/soak/applehall_soak.cc
@@ -21,6 +21,8 @@
   app.add_option("--hosts", options.hosts, "Entry hosts")
       ->check(CLI::Range(1, 200));
   app.add_option("--callers", options.callers_per_host, "For each host");
+  app.add_flag("--poison", options.has_poison,
+               "Some requests end the servers that run them");
   CLI11_PARSE(app, argc, argv);
   options.length = std::chrono::seconds(seconds);
   std::signal(SIGPIPE, SIG_IGN);
--- a/soak/platform_standin.cc
+++ b/soak/platform_standin.cc
@@ -24,6 +24,8 @@
 constexpr int kEvents = 12;
 constexpr Duration kEventGap = milliseconds(8);
 constexpr Duration kPoll = milliseconds(10);
+// A server that ended is off the list, and another one there, after this long.
+constexpr Duration kRestart = milliseconds(1500);
 constexpr Duration kSilence = std::chrono::seconds(60);
 
 std::string BigEndian(uint64_t value, int bytes) {
@@ -344,6 +346,11 @@
   } else if (server->engine &&
              !server->engine->Holds(request.Header("x-model"))) {
     response = TurnedAway(attempt, 421);
+  } else if (request.body.starts_with(kPoisonBody)) {
+    exchange.Abort();
+    asio::co_spawn(io_, EndUnderPoison(id, attempt, request.body),
+                   asio::detached);
+    co_return;
   } else {
     for (const char* name : {"x-hold", "x-pin-ms", "kv-from"}) {
       if (!request.Header(name).empty()) {
@@ -361,6 +368,21 @@
   co_await exchange.Respond(std::move(response));
 }
 
+asio::awaitable<void> PlatformStandin::EndUnderPoison(std::string id,
+                                                      std::string attempt,
+                                                      std::string body) {
+  poison_runs_[body].push_back({attempt, clock_.Now()});
+  const bool is_engine = servers_.at(id)->engine != nullptr;
+  Stop(id, /*is_delisted=*/false);
+  co_await Sleep(io_, kRestart);
+  Stop(id, /*is_delisted=*/true);
+  if (is_engine) {
+    StartEngine({});
+  } else {
+    StartApp();
+  }
+}
+
 asio::awaitable<void> PlatformStandin::ServeStream(Server& server,
                                                    HttpExchange& exchange) {
   const std::string attempt = exchange.request().Header("x-attempt-id");
--- a/soak/platform_standin.h
+++ b/soak/platform_standin.h
@@ -21,6 +21,16 @@
   TimePoint at;
 };
 
+// Requests with this at the start of their body end the server that runs them;
+// the whole body tells one such content from the others.
+inline constexpr char kPoisonBody[] = "poison";
+
+// A server that ended under such a request.
+struct PoisonRun {
+  std::string attempt;
+  TimePoint at;
+};
+
 // The users' platform as far as entry hosts see it: its store, model engines
 // and plain services, over HTTP on loopback. Thread of all methods: the one
 // that runs `io`.
@@ -44,6 +54,10 @@
   // Every so many-th stream breaks off in the middle; zero: none.
   void SetBreakEvery(int every) { break_every_ = every; }
 
+  // By content, in the order of time.
+  const std::map<std::string, std::vector<PoisonRun>>& poison_runs() const {
+    return poison_runs_;
+  }
   const std::map<std::string, std::vector<ServedRun>>& runs() const {
     return runs_;
   }
@@ -73,6 +87,9 @@
   void ReadNewest(const HttpRequest& request, HttpResponse& response) const;
   void Append(const HttpRequest& request, HttpResponse& response);
   Awaitable<void> ServeServer(std::string id, HttpExchange& exchange);
+  // Ends the server; another one starts at another address a moment later.
+  Awaitable<void> EndUnderPoison(std::string id, std::string attempt,
+                                 std::string body);
   Awaitable<void> ServeStream(Server& server, HttpExchange& exchange);
   void TakeOrder(Server& server, const HttpRequest& request,
                  HttpResponse& response);
@@ -89,6 +106,7 @@
   std::map<std::string, std::vector<Record>> topics_;
   std::map<std::string, std::shared_ptr<Server>> servers_;
   std::map<std::string, std::vector<ServedRun>> runs_;
+  std::map<std::string, std::vector<PoisonRun>> poison_runs_;
   std::map<std::string, TimePoint> left_at_;
   std::vector<std::string> violations_;
   uint64_t config_version_ = 0;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -27,6 +27,13 @@
 // Of the calm requests that must be served, or the soak proves nothing.
 constexpr double kLeastServed = 0.5;
 
+// The hosts have 3 s to agree on a request that ends servers; the rest is the
+// loaded machine.
+constexpr Duration kAgreed = milliseconds(4500);
+constexpr int kMostRepeats = 3;
+constexpr Duration kPoisonPause = milliseconds(300);
+constexpr const char* kPoisonKinds[] = {"once", "again", "stream", "rare"};
+
 bool IsPromiseOfNotRun(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
@@ -73,6 +80,10 @@
     }
   }
   asio::co_spawn(io_, Faults(), asio::detached);
+  if (options_.has_poison) {
+    ++callers_running_;
+    asio::co_spawn(io_, PoisonCaller(), asio::detached);
+  }
   const TimePoint last = ends_at_ + kCoolDown;
   while (callers_running_ > 0 && clock_.Now() < last) {
     io_.run_for(milliseconds(50));
@@ -86,6 +97,7 @@
   }
   CheckAnswers(broken);
   CheckRuns(broken);
+  CheckPoison(broken);
   return broken;
 }
 
@@ -131,6 +143,53 @@
   --callers_running_;
 }
 
+asio::awaitable<void> Soak::PoisonCaller() {
+  // Its own, so that the faults of a seed are the same with and without it.
+  Random random(options_.seed + 1);
+  co_await Sleep(io_, kWarmUp);
+  for (size_t i = 0; clock_.Now() < ends_at_; ++i) {
+    const std::string kind = kPoisonKinds[i % std::size(kPoisonKinds)];
+    const std::string id = absl::StrCat("p", i);
+    is_calm_[id] = clock_.Now() > disturbed_until_;
+    HttpCall call;
+    call.address = hosts_.callers(
+        static_cast<int>(random.Below(static_cast<uint64_t>(hosts_.count()))));
+    call.request.method = "POST";
+    call.request.target = absl::StrCat("/", kind, "/x");
+    call.request.headers["host"] = "soak.example";
+    call.request.headers["x-attempt-id"] = id;
+    call.request.headers["x-deadline-ms"] = "4000";
+    const bool is_stream = kind == "stream" || kind == "rare";
+    if (is_stream) call.request.headers["x-model"] = "m0";
+    call.request.body = absl::StrCat(kPoisonBody, " ", kind);
+    call.connect_timeout = milliseconds(500);
+    call.header_timeout = kCallTimeout;
+    call.fresh_connection = true;
+    const HttpResult result = co_await client_.Fetch(call);
+    ++poison_answers_[result.state == SendState::kAnswered
+                          ? result.response.status
+                          : 0];
+    co_await Sleep(io_, kPoisonPause);
+  }
+  --callers_running_;
+}
+
+void Soak::CheckPoison(std::vector<std::string>& broken) const {
+  for (const auto& [body, runs] : platform_.poison_runs()) {
+    if (runs.size() < 3) continue;
+    const TimePoint agreed = runs[2].at + kAgreed;
+    const auto repeats =
+        std::count_if(runs.begin(), runs.end(), [&](const PoisonRun& run) {
+          return run.at > agreed && is_calm_.at(run.attempt);
+        });
+    if (repeats > kMostRepeats) {
+      broken.push_back(absl::StrCat("REPEATED ", body, " ended ", runs.size(),
+                                    " servers, ", repeats,
+                                    " of them though it was known"));
+    }
+  }
+}
+
 void Soak::Note(const std::string& fault) {
   faults_.push_back(fault);
   Disturb();
@@ -307,6 +366,12 @@
     absl::StrAppend(&text, " ", status == 0 ? "none" : absl::StrCat(status),
                     "=", count);
   }
+  for (const auto& [body, runs] : platform_.poison_runs()) {
+    absl::StrAppend(&text, " ", body, "=", runs.size());
+  }
+  for (const auto& [status, count] : poison_answers_) {
+    absl::StrAppend(&text, " poison_", status, "=", count);
+  }
   absl::StrAppend(&text, " faults=", faults_.size());
   for (const std::string& fault : faults_) absl::StrAppend(&text, "; ", fault);
   return text;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -23,6 +23,8 @@
   Duration length = std::chrono::seconds(20);
   int hosts = 4;
   int callers_per_host = 4;
+  // Some requests end the servers that run them, and are repeated.
+  bool has_poison = false;
 };
 
 // What callers got for one request.
@@ -53,6 +55,8 @@
   using Awaitable = boost::asio::awaitable<T>;
 
   Awaitable<void> Caller(int host, uint64_t seed);
+  // Repeats requests that end servers, one of each kind, at all hosts.
+  Awaitable<void> PoisonCaller();
   Awaitable<void> Faults();
   Awaitable<void> OneFault();
   Awaitable<void> Restart(int host, int signal);
@@ -62,6 +66,7 @@
 
   void CheckAnswers(std::vector<std::string>& broken) const;
   void CheckRuns(std::vector<std::string>& broken) const;
+  void CheckPoison(std::vector<std::string>& broken) const;
 
   SoakOptions options_;
   boost::asio::io_context io_;
@@ -78,6 +83,7 @@
   TimePoint disturbed_until_;
   // Requests sent while nothing was wrong; those must be held to times too.
   std::map<std::string, bool> is_calm_;
+  std::map<int, int> poison_answers_;  // By status; zero: none.
   int callers_running_ = 0;
 };
 
