A server that keeps its name counts for each of its ends

Cause: ends were counted by server, so a request that ended one server that starts again under its name would never have been proven. Not seen: on the users' platform each start has a new id; found by reading. Ends of a server within 2 s are one, told by several hosts; rows of reports tell their age, as a new owner is told of ends that are minutes old.

--- a/node/quarantine_keeper.cc
+++ b/node/quarantine_keeper.cc
@@ -55,8 +55,8 @@
         .With("requests", cuts.size())
         .With("counts", is_cleared ? "no" : "yes");
     if (is_cleared) continue;
-    const ServerEnd end{cut.fingerprint, server,
-                        cut.answered_for > kLateAnswer};
+    const ServerEnd end{cut.fingerprint, server, cut.answered_for > kLateAnswer,
+                        context_.now};
     Tell(end);
     Judge(end, context_.settings.self.host);
   }
@@ -78,7 +78,7 @@
   }
   const bool is_doubted = StandingOf(fingerprint) != Standing::kClear;
   Clear(fingerprint);
-  if (is_doubted) Tell({fingerprint, "", false});
+  if (is_doubted) Tell({fingerprint, "", false, context_.now});
 }
 
 QuarantineKeeper::Standing QuarantineKeeper::StandingOf(
@@ -143,7 +143,7 @@
 // ---- Between the hosts ----
 
 void QuarantineKeeper::Tell(const ServerEnd& end) {
-  rows_.push_back({end, context_.now, kRowSends});
+  rows_.push_back({end, kRowSends});
   if (rows_.size() > kMostRows) rows_.pop_front();
 }
 
@@ -163,7 +163,8 @@
   for (OwnRow& row : rows_) {
     if (row.sends_left == 0) continue;
     --row.sends_left;
-    rows.push_back({row.end.fingerprint, row.end.server, row.end.is_late});
+    rows.push_back({row.end.fingerprint, row.end.server, row.end.is_late,
+                    ToMillis(context_.now - row.end.at)});
   }
   return rows;
 }
@@ -171,12 +172,15 @@
 void QuarantineKeeper::TakeReport(const std::string& host, const Json& rows) {
   if (!rows.is_array()) return;
   for (const Json& row : rows) {
-    if (!row.is_array() || row.size() != 3 || !row[0].is_number_unsigned() ||
-        !row[1].is_string() || !row[2].is_boolean()) {
+    if (!row.is_array() || row.size() != 4 || !row[0].is_number_unsigned() ||
+        !row[1].is_string() || !row[2].is_boolean() ||
+        !row[3].is_number_integer()) {
       continue;
     }
+    // Hosts' clocks differ, so rows tell an age.
+    const Duration age = milliseconds(row[3].get<int64_t>());
     const ServerEnd end{row[0].get<uint64_t>(), row[1].get<std::string>(),
-                        row[2].get<bool>()};
+                        row[2].get<bool>(), context_.now - age};
     if (end.server.empty()) {
       Clear(end.fingerprint);
     } else {
@@ -299,7 +303,7 @@
 
 void QuarantineKeeper::RunTick(bool is_owner, bool hears_owner) {
   EndDue(is_owner);
-  while (!rows_.empty() && context_.now - rows_.front().at > kRowLife) {
+  while (!rows_.empty() && context_.now - rows_.front().end.at > kRowLife) {
     rows_.pop_front();
   }
   if (!IsFleet()) return;
--- a/node/quarantine_keeper.h
+++ b/node/quarantine_keeper.h
@@ -71,7 +71,6 @@
   enum class Standing : uint8_t { kClear, kSuspect, kQuarantined };
   struct OwnRow {
     ServerEnd end;  // Without a server: the content is cleared.
-    TimePoint at;
     int sends_left = 0;
   };
 
--- a/routing/crash_ledger.h
+++ b/routing/crash_ledger.h
@@ -2,8 +2,10 @@
 #define APPLEHALL_ROUTING_CRASH_LEDGER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "core/clock.h"
 
@@ -16,6 +18,7 @@
   // The answer had come for long by then, so that the request had less to do
   // with the end than one that had just begun.
   bool is_late = false;
+  TimePoint at;
 };
 
 // Finds the request that ends the servers that run it among all that were under
@@ -28,8 +31,8 @@
  public:
   enum class Finding : uint8_t { kNothing, kSuspect, kProven };
 
-  // What is known of `end.fingerprint` with this end; each server counts once.
-  // Not thread-safe.
+  // What is known of `end.fingerprint` with this end, which several hosts may
+  // have seen. Not thread-safe.
   Finding Record(const ServerEnd& end, TimePoint now);
   // A server ran it to its end. Not thread-safe.
   void Clear(uint64_t fingerprint) { suspects_.erase(fingerprint); }
@@ -42,15 +45,17 @@
 
  private:
   struct Suspect {
-    std::map<std::string, bool> is_late;  // By server.
+    std::vector<ServerEnd> ends;
     TimePoint last_at;
   };
 
-  static int EarlyEnds(const Suspect& suspect);
+  static bool IsSame(const ServerEnd& a, const ServerEnd& b);
+  static void AddEnd(const ServerEnd& end, std::vector<ServerEnd>& ends);
+  bool IsExplained(const ServerEnd& end) const;
   void MakeRoom(TimePoint now);
 
   std::map<uint64_t, Suspect> suspects_;
-  std::map<std::string, TimePoint> explained_;  // Servers.
+  std::deque<ServerEnd> explained_;  // The oldest first.
 };
 
 }  // namespace applehall
