Where hosts place by groups, ends of engines are told through the log

Why this holds: the ends that a host saw of a server are one record of the control stream, which all hosts read in seconds; all judge by the records' times. Without the log each host goes by what it saw. Test: NodeFailureTest.RequestThatEndsEnginesIsKnownAtAllHosts, 12 ends before, 3 to 6 allowed now; the stand-in deployment ends engines under a request.

--- a/node/control_fold.cc
+++ b/node/control_fold.cc
@@ -13,6 +13,8 @@
 constexpr char kPublish[] = "publish";
 constexpr char kClaimGroup[] = "claim_group";
 constexpr char kReleaseGroup[] = "release_group";
+constexpr char kServerEnd[] = "server_end";
+constexpr char kContentCleared[] = "content_cleared";
 constexpr char kSnapshot[] = "snapshot";
 
 }  // namespace
@@ -41,6 +43,20 @@
       {"type", kReleaseGroup}, {"id", id}, {"group", group}, {"token", token}};
 }
 
+Json ServerEndRecord(const std::vector<ServerEnd>& ends) {
+  Json record{{"type", kServerEnd}, {"contents", Json::array()}};
+  for (const ServerEnd& end : ends) {
+    record["server"] = end.server;
+    record["contents"].push_back(
+        Json{{"fingerprint", end.fingerprint}, {"late", end.is_late}});
+  }
+  return record;
+}
+
+Json ContentClearedRecord(uint64_t fingerprint) {
+  return Json{{"type", kContentCleared}, {"fingerprint", fingerprint}};
+}
+
 void ControlFold::Apply(const LogBatch& batch) {
   if (batch.first_offset > next_offset_) {
     // Records expired before this host read them: it started late or was
@@ -97,6 +113,30 @@
   } else if (type == kReleaseGroup) {
     ownership_.Release(record.time, FieldOr<std::string>(body, "group", ""),
                        FieldOr<uint64_t>(body, "token", 0));
+  } else if (type == kServerEnd) {
+    JudgeEnd(record, body);
+  } else if (type == kContentCleared) {
+    const auto fingerprint = FieldOr<uint64_t>(body, "fingerprint", 0);
+    crashes_.Clear(fingerprint);
+    quarantine_.Remove(fingerprint);
+  }
+}
+
+// By the record's time alone, so that all hosts find the same; but a host that
+// starts from a snapshot knows what is held and not what is suspected so far.
+void ControlFold::JudgeEnd(const LogRecord& record, const Json& body) {
+  for (const Json& content : body.value("contents", Json::array())) {
+    const ServerEnd end{FieldOr<uint64_t>(content, "fingerprint", 0),
+                        FieldOr<std::string>(body, "server", ""),
+                        FieldOr<bool>(content, "late", false), record.time};
+    if (end.fingerprint == 0 ||
+        quarantine_.Holds(end.fingerprint, record.time)) {
+      continue;
+    }
+    const CrashLedger::Finding finding = crashes_.Record(end, record.time);
+    if (finding != CrashLedger::Finding::kProven) continue;
+    crashes_.Convict(end.fingerprint, record.time);
+    quarantine_.Add(end.fingerprint, record.time + kQuarantineLife);
   }
 }
 
@@ -115,6 +155,8 @@
   }
   ownership_ = OwnershipTable::FromJson(
       snapshot.contains("groups") ? snapshot["groups"] : Json::object());
+  quarantine_ = Quarantine::FromJson(
+      snapshot.contains("quarantine") ? snapshot["quarantine"] : Json::array());
   is_based_ = true;
   std::deque<LogRecord> pending = std::move(pending_);
   pending_.clear();
@@ -134,7 +176,8 @@
   Json snapshot{{"type", kSnapshot},
                 {"as_of", next_offset_},
                 {"version", rules_.version()},
-                {"groups", ownership_.ToJson()}};
+                {"groups", ownership_.ToJson()},
+                {"quarantine", quarantine_.ToJson()}};
   if (rules_.current()) snapshot["document"] = rules_.current()->Document();
   return snapshot;
 }
--- a/node/control_fold.h
+++ b/node/control_fold.h
@@ -5,10 +5,13 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/json.h"
 #include "core/log_record.h"
 #include "placement/ownership_table.h"
+#include "routing/crash_ledger.h"
+#include "routing/quarantine.h"
 #include "rules/rule_book.h"
 
 namespace applehall {
@@ -23,6 +26,10 @@
                       const Incarnation& owner, FencingToken previous);
 Json ReleaseGroupRecord(const std::string& id, const std::string& group,
                         FencingToken token);
+// A server ended with requests of these contents under way.
+Json ServerEndRecord(const std::vector<ServerEnd>& ends);
+// A server ran a request of this content to its end.
+Json ContentClearedRecord(uint64_t fingerprint);
 
 // How one publication was judged.
 struct PublishOutcome {
@@ -66,6 +73,10 @@
   bool is_based() const { return is_based_; }
   const RuleBook& rules() const { return rules_; }
   const OwnershipTable& ownership() const { return ownership_; }
+  // Contents of requests that end servers. Where the platform's store keeps
+  // these, nothing.
+  const Quarantine& quarantine() const { return quarantine_; }
+  const CrashLedger& crashes() const { return crashes_; }
   // When the last snapshot record was written; for carrying forward.
   TimePoint last_snapshot_at() const { return last_snapshot_at_; }
   TimePoint first_record_at() const { return first_record_at_; }
@@ -81,7 +92,11 @@
   void RememberOutcome(const std::string& id, const PublishOutcome& outcome);
 
   RuleBook rules_;
+  void JudgeEnd(const LogRecord& record, const Json& body);
+
   OwnershipTable ownership_;
+  CrashLedger crashes_;
+  Quarantine quarantine_;
   LogOffset next_offset_ = 1;
   bool is_based_ = true;
   LogOffset pending_from_ = 1;
--- a/node/node.cc
+++ b/node/node.cc
@@ -52,7 +52,7 @@
       writer_(context_),
       groups_(context_, writer_),
       gossip_(context_, groups_),
-      quarantine_(context_),
+      quarantine_(context_, writer_),
       fleet_(context_, quarantine_),
       flow_(context_, groups_, gossip_, fleet_, quarantine_),
       relay_(context_) {}
@@ -286,7 +286,9 @@
         .With("name", rules->set.name)
         .With("rules", rules->set.rules.size());
   }
-  if (!IsFleet()) groups_.Reconcile();
+  if (IsFleet()) return;
+  quarantine_.TakeControl();
+  groups_.Reconcile();
 }
 
 // The log keeps records for a limited time. One host of a data centre writes
--- a/node/quarantine_keeper.cc
+++ b/node/quarantine_keeper.cc
@@ -6,6 +6,7 @@
 
 #include "core/event_log.h"
 #include "core/request_fingerprint.h"
+#include "node/control_fold.h"
 
 namespace applehall {
 namespace {
@@ -17,9 +18,6 @@
 // What ends servers does so soon after it begins to run there; an answer that
 // had come for longer than this was rather cut with the server.
 constexpr Duration kLateAnswer = seconds(1);
-// After it the request gets another chance, for which servers may have been
-// mended; one that still ends them costs three servers an hour.
-constexpr Duration kQuarantineLife = minutes(60);
 // A content that was answered this lately does not end servers: something else
 // ended the one that it was cut at.
 constexpr Duration kCompletedLife = minutes(1);
@@ -46,6 +44,7 @@
 void QuarantineKeeper::NoteEnd(const std::string& server,
                                const std::vector<CutRequest>& cuts) {
   context_.metrics.Count("servers_ended_total");
+  std::vector<ServerEnd> ends;
   for (const CutRequest& cut : cuts) {
     const bool is_cleared = HasCompletedLately(cut.fingerprint);
     LogEvent(LogLevel::kWarning, "server_ended")
@@ -57,9 +56,12 @@
     if (is_cleared) continue;
     const ServerEnd end{cut.fingerprint, server, cut.answered_for > kLateAnswer,
                         context_.now};
+    ends.push_back(end);
     Tell(end);
     Judge(end, context_.settings.self.host);
   }
+  if (IsFleet() || ends.empty()) return;
+  writer_.Append(absl::StrCat("end/", server), ServerEndRecord(ends));
 }
 
 bool QuarantineKeeper::HasCompletedLately(uint64_t fingerprint) const {
@@ -78,14 +80,19 @@
   }
   const bool is_doubted = StandingOf(fingerprint) != Standing::kClear;
   Clear(fingerprint);
-  if (is_doubted) Tell({fingerprint, "", false, context_.now});
+  if (!is_doubted) return;
+  Tell({fingerprint, "", false, context_.now});
+  if (IsFleet()) return;
+  writer_.Append(absl::StrCat("clear/", FingerprintText(fingerprint)),
+                 ContentClearedRecord(fingerprint));
 }
 
 QuarantineKeeper::Standing QuarantineKeeper::StandingOf(
     uint64_t fingerprint) const {
   if (Holds(fingerprint)) return Standing::kQuarantined;
-  const bool is_suspect =
-      suspects_.contains(fingerprint) || ledger_.IsSuspect(fingerprint);
+  const bool is_suspect = suspects_.contains(fingerprint) ||
+                          ledger_.IsSuspect(fingerprint) ||
+                          context_.control.crashes().IsSuspect(fingerprint);
   return is_suspect ? Standing::kSuspect : Standing::kClear;
 }
 
@@ -239,6 +246,23 @@
   }
 }
 
+// ---- The log ----
+
+void QuarantineKeeper::TakeControl() {
+  const Quarantine& agreed = context_.control.quarantine();
+  for (const auto& [fingerprint, until] : agreed.entries()) {
+    if (until <= context_.now || from_log_.contains(fingerprint)) continue;
+    from_log_.insert(fingerprint);
+    Add(fingerprint, until, "log");
+  }
+  for (auto it = from_log_.begin(); it != from_log_.end();) {
+    const uint64_t fingerprint = *it;
+    const bool is_agreed = agreed.Holds(fingerprint, context_.now);
+    it = is_agreed ? std::next(it) : from_log_.erase(it);
+    if (!is_agreed) Clear(fingerprint);
+  }
+}
+
 // ---- The store's record ----
 
 void QuarantineKeeper::TakeRead(const QuarantineRead& event) {
--- a/node/quarantine_keeper.h
+++ b/node/quarantine_keeper.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "node/log_writer.h"
 #include "node/node_context.h"
 #include "node/server_ends.h"
 #include "routing/crash_ledger.h"
@@ -25,9 +26,13 @@
 // which needs no store, and recorded in the store, which outlives all hosts: a
 // host reads the record when it starts, when it becomes the owner and while it
 // hears none. Without an owner each host goes by the ends it saw itself.
+//
+// Where hosts place by groups there is no one owner; there the ends are records
+// of the control stream, and all hosts find the same from them.
 class QuarantineKeeper {
  public:
-  explicit QuarantineKeeper(NodeContext& context) : context_(context) {}
+  QuarantineKeeper(NodeContext& context, LogWriter& writer)
+      : context_(context), writer_(writer) {}
 
   // ---- What this host's requests say. Not thread-safe. ----
   void NoteEnd(const std::string& server, const std::vector<CutRequest>& cuts);
@@ -58,6 +63,10 @@
   Json PlanRows(uint64_t since) const;
   void TakePlan(const Json& rows);
 
+  // ---- The log, where hosts place by groups. Not thread-safe. ----
+  // The control state has changed.
+  void TakeControl();
+
   // ---- The store's record. Not thread-safe. ----
   void TakeRead(const QuarantineRead& event);
   void TakeAppendEnd(const QuarantineAppendEnded& event);
@@ -91,6 +100,7 @@
   void AppendDue();
 
   NodeContext& context_;
+  LogWriter& writer_;
   CrashLedger ledger_;
   Quarantine quarantine_;
   std::vector<uint64_t> added_;
@@ -109,6 +119,8 @@
   std::map<uint64_t, TimePoint> completed_;
   std::deque<uint64_t> completed_order_;
 
+  std::set<uint64_t> from_log_;  // Contents that the log says are held.
+
   // Contents that this host found and the store has not acknowledged.
   std::set<uint64_t> unrecorded_;
   std::set<uint64_t> unreleased_;
--- a/routing/quarantine.cc
+++ b/routing/quarantine.cc
@@ -35,4 +35,26 @@
   return it == until_.end() ? TimePoint{} : it->second;
 }
 
+Json Quarantine::ToJson() const {
+  Json rows = Json::array();
+  for (const auto& [fingerprint, until] : until_) {
+    rows.push_back(Json::array({fingerprint, ToUnixMillis(until)}));
+  }
+  return rows;
+}
+
+Quarantine Quarantine::FromJson(const Json& json) {
+  Quarantine quarantine;
+  if (!json.is_array()) return quarantine;
+  for (const Json& row : json) {
+    if (!row.is_array() || row.size() != 2 || !row[0].is_number_unsigned() ||
+        !row[1].is_number_integer()) {
+      continue;
+    }
+    quarantine.Add(row[0].get<uint64_t>(),
+                   FromUnixMillis(row[1].get<int64_t>()));
+  }
+  return quarantine;
+}
+
 }  // namespace applehall
--- a/routing/quarantine.h
+++ b/routing/quarantine.h
@@ -6,9 +6,14 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "core/json.h"
 
 namespace applehall {
 
+// After it a request gets another chance, for which servers may have been
+// mended; one that still ends them costs three servers an hour.
+inline constexpr Duration kQuarantineLife = std::chrono::minutes(60);
+
 // Contents of requests that are sent to no server until a given time.
 class Quarantine {
  public:
@@ -25,6 +30,9 @@
   // The epoch if it is not held.
   TimePoint Until(uint64_t fingerprint) const;
   const std::map<uint64_t, TimePoint>& entries() const { return until_; }
+  // Rows of a fingerprint and a time; malformed ones are left out. Thread-safe.
+  Json ToJson() const;
+  static Quarantine FromJson(const Json& json);
 
  private:
   std::map<uint64_t, TimePoint> until_;
--- a/standins/deployment.cc
+++ b/standins/deployment.cc
@@ -7,6 +7,10 @@
 namespace applehall {
 namespace {
 
+// From the end of an engine until it listens again.
+constexpr Duration kEngineStart = std::chrono::seconds(2);
+// All poison requests have the same content.
+constexpr uint64_t kPoisonFingerprint = 77;
 constexpr Duration kHostPoll = std::chrono::milliseconds(500);
 constexpr Duration kLogRetry = std::chrono::milliseconds(200);
 constexpr Duration kServiceCallTime = std::chrono::milliseconds(5);
@@ -354,12 +358,13 @@
 }
 
 void Deployment::EndAttempt(const std::string& host, uint64_t life,
-                            const DispatchRequest& action,
-                            AttemptResult result) {
+                            const DispatchRequest& action, AttemptResult result,
+                            bool is_cut) {
   AttemptEnded ended;
   ended.handle = action.handle;
   ended.attempt = action.attempt;
   ended.result = result;
+  ended.is_cut = is_cut;
   const auto it = hosts_.find(host);
   if (result == AttemptResult::kCompleted && it != hosts_.end() &&
       it->second->life == life) {
@@ -390,7 +395,9 @@
     const auto end = [=, this](AttemptResult result, Duration after) {
       At(after + back, [=, this] { EndAttempt(name, life, action, result); });
     };
-    if (it == engines_.end()) return end(AttemptResult::kNotSent, {});
+    if (it == engines_.end() || IsStarting(action.backend)) {
+      return end(AttemptResult::kNotSent, {});
+    }
     if (failing_engines_.contains(action.backend)) {
       // Whether a broken request has run is not known; it counts as one.
       const bool is_broken = random_.Below(2) == 0;
@@ -408,6 +415,13 @@
         break;
     }
     ++runs_of_request_[request];
+    if (poisons_.contains(request)) {
+      EndUnderPoison(action.backend);
+      At(back, [=, this] {
+        EndAttempt(name, life, action, AttemptResult::kBroken, true);
+      });
+      return;
+    }
     const uint64_t engine_life = engine.settings().incarnation;
     const Duration took =
         settings_.service_time +
@@ -420,11 +434,27 @@
       if (running.settings().incarnation == engine_life) {
         running.EndRequest(action.model, now_);
       }
-      end(is_lost ? AttemptResult::kBroken : AttemptResult::kCompleted, {});
+      const bool has_ended = running.settings().incarnation != engine_life;
+      At(back, [=, this] {
+        EndAttempt(name, life, action,
+                   is_lost ? AttemptResult::kBroken : AttemptResult::kCompleted,
+                   has_ended);
+      });
     });
   });
 }
 
+void Deployment::EndUnderPoison(const std::string& engine) {
+  poison_ends_.push_back(now_);
+  starting_until_[engine] = now_ + kEngineStart;
+  RestartEngine(engine);
+}
+
+bool Deployment::IsStarting(const std::string& engine) const {
+  const auto it = starting_until_.find(engine);
+  return it != starting_until_.end() && now_ < it->second;
+}
+
 void Deployment::DispatchToService(Host& host, const DispatchRequest& action) {
   const std::string name = host.name;
   const uint64_t life = host.life;
@@ -490,7 +520,8 @@
   ServerProbed probed{action.server, ServerState::kUnknown};
   if (!IsCut(host.name, action.server)) {
     const bool is_there =
-        engines_.contains(action.server) || services_.contains(action.server);
+        (engines_.contains(action.server) && !IsStarting(action.server)) ||
+        services_.contains(action.server);
     probed.state = is_there ? ServerState::kListening : ServerState::kGone;
   }
   Tell(host.name, host.life, probed);
@@ -543,6 +574,28 @@
   return id;
 }
 
+uint64_t Deployment::SendPoison(const std::string& host,
+                                const std::string& model) {
+  const uint64_t id = ++request_count_;
+  poisons_.insert(id);
+  RequestOutcome& outcome = outcomes_[id];
+  outcome.sent_at = now_;
+  outcome.model = model;
+  outcome.limit = now_ + std::chrono::seconds(30);
+  open_.insert(id);
+  RequestArrived event;
+  event.request_id = absl::StrCat("r", id);
+  event.facts.caller = "caller";
+  event.facts.method = "POST";
+  event.facts.path = "/v1/chat/completions";
+  event.facts.model = model;
+  event.fingerprint = kPoisonFingerprint;
+  Origin origin;
+  origin.request = id;
+  Arrive(host, event, origin);
+  return id;
+}
+
 uint64_t Deployment::CallService(const std::string& host,
                                  const std::string& service,
                                  const std::string& key) {
--- a/standins/deployment.h
+++ b/standins/deployment.h
@@ -78,6 +78,9 @@
                 const std::string& caller = "caller",
                 std::optional<Duration> deadline = std::nullopt,
                 const std::string& key = "");
+  // A request whose content ends each engine that begins to run it; the engine
+  // starts again under its name.
+  uint64_t SendPoison(const std::string& host, const std::string& model);
   uint64_t CallService(const std::string& host, const std::string& service,
                        const std::string& key);
   void Leave(uint64_t request);
@@ -127,6 +130,8 @@
   }
   int RunsOfKey(const std::string& key) const;
   uint64_t dispatched() const { return dispatched_; }
+  // When engines ended under poison requests, in the order of time.
+  const std::vector<TimePoint>& poison_ends() const { return poison_ends_; }
   uint64_t loads_decided() const;
   // Promises broken so far, each with what was seen; checked after each step
   // against the fakes, not against the nodes' own tables.
@@ -189,7 +194,10 @@
   void DispatchToService(Host& host, const DispatchRequest& action);
   void Forward(Host& host, const DispatchRequest& action);
   void EndAttempt(const std::string& host, uint64_t life,
-                  const DispatchRequest& action, AttemptResult result);
+                  const DispatchRequest& action, AttemptResult result,
+                  bool is_cut = false);
+  void EndUnderPoison(const std::string& engine);
+  bool IsStarting(const std::string& engine) const;
   void DeliverOrder(const std::string& host, uint64_t life,
                     const SendOrder& action);
   void Arrive(const std::string& host, RequestArrived event, Origin origin);
@@ -224,6 +232,9 @@
   std::map<uint64_t, RequestOutcome> outcomes_;
   std::set<uint64_t> open_;
   std::map<uint64_t, int> runs_of_request_;
+  std::set<uint64_t> poisons_;
+  std::vector<TimePoint> poison_ends_;
+  std::map<std::string, TimePoint> starting_until_;  // Engines that ended.
   uint64_t request_count_ = 0;
   uint64_t publish_count_ = 0;
   uint64_t next_incarnation_ = 1;
--- a/tests/node/node_failure_test.cc
+++ b/tests/node/node_failure_test.cc
@@ -649,5 +649,33 @@
   for (const uint64_t id : requests) EXPECT_TRUE(IsAnswered(id)) << Reason(id);
 }
 
+// One request ends each engine that begins to run it and is repeated at any
+// host. Each host counted for itself, so 12 engines had ended before the last
+// of four hosts kept it away. The log tells all of each end.
+TEST_F(NodeFailureTest, RequestThatEndsEnginesIsKnownAtAllHosts) {
+  Start(Defaults());
+  const std::vector<std::string> hosts = deployment_->HostNames();
+  for (int i = 0; i < 60; ++i) {
+    deployment_->SendPoison(hosts[i % hosts.size()], "model-0");
+    deployment_->RunFor(seconds(1));
+  }
+  ASSERT_GE(deployment_->poison_ends().size(), 3u);
+  const TimePoint agreed = deployment_->poison_ends()[2] + seconds(3);
+  const auto repeats = std::count_if(deployment_->poison_ends().begin(),
+                                     deployment_->poison_ends().end(),
+                                     [&](TimePoint at) { return at > agreed; });
+  EXPECT_LE(repeats, 3) << deployment_->poison_ends().size();
+  // A host that starts from a snapshot knows it as well.
+  deployment_->KillHost(hosts[0]);
+  deployment_->ReviveHost(hosts[0]);
+  AwaitReady();
+  const size_t ends = deployment_->poison_ends().size();
+  const uint64_t id = deployment_->SendPoison(hosts[0], "model-0");
+  deployment_->RunFor(seconds(5));
+  EXPECT_TRUE(Reason(id).starts_with("quarantined")) << Reason(id);
+  EXPECT_EQ(deployment_->poison_ends().size(), ends);
+  EXPECT_TRUE(deployment_->broken_promises().empty());
+}
+
 }  // namespace
 }  // namespace applehall
--- a/tests/node/quarantine_test.cc
+++ b/tests/node/quarantine_test.cc
@@ -303,7 +303,8 @@
   std::vector<Action> actions;
   context.actions = &actions;
   context.now = TimePoint{std::chrono::hours(500000)};
-  QuarantineKeeper keeper(context);
+  LogWriter writer(context);
+  QuarantineKeeper keeper(context, writer);
   const auto reads = [&](bool is_owner, bool hears_owner) {
     actions.clear();
     for (int i = 0; i < 400; ++i) {
