--- a/main/request_story.cc
+++ b/main/request_story.cc
@@ -36,6 +36,14 @@
   return kEvents;
 }
 
+// Of all requests of one content, at any host and at any time.
+const std::set<std::string>& ContentEvents() {
+  static const std::set<std::string> kEvents = {
+      "server_ended", "quarantine_begin", "quarantine_lifted",
+      "quarantine_end"};
+  return kEvents;
+}
+
 // The value that starts at `at`, quoted or not, as AppendLogValue() wrote it;
 // `at` moves behind it.
 std::string TakeValue(std::string_view text, size_t& at) {
@@ -71,6 +79,7 @@
   std::string target;
   std::set<std::string> backends;
   std::string rules_version;
+  std::string fingerprint;  // Of its content.
   TimePoint arrived;
   TimePoint ended;
 };
@@ -88,6 +97,7 @@
     subject.rules_version = rule.substr(0, rule.find('/'));
     subject.arrived = line.at - milliseconds(took_ms);
     subject.ended = line.at;
+    subject.fingerprint = line.Value("fingerprint");
     if (!line.Value("backend").empty()) {
       subject.backends.insert(line.Value("backend"));
     }
@@ -106,6 +116,9 @@
     return line.host == subject.host &&
            line.Value("version") == subject.rules_version;
   }
+  if (ContentEvents().contains(line.event)) {
+    return line.Value("fingerprint") == subject.fingerprint;
+  }
   const bool is_near = line.at >= subject.arrived - kLookBack;
   if (!is_near) return false;
   if (IsPlacementOf(line, subject) || OwnerEvents().contains(line.event)) {
--- a/main/request_story.h
+++ b/main/request_story.h
@@ -37,7 +37,8 @@
 // What happened to one request, oldest first: its own lines, and those before
 // its end that decided it: the rules and servers its host believed in, the
 // placement of its model and of the server it went to, changes of the placement
-// owner, and what its host lost sight of. Empty if no line names the request.
+// owner, what its host lost sight of, and servers that ended under requests of
+// the same content. Empty if no line names the request.
 // Requires: nothing. Thread-safe.
 std::vector<LogLine> RequestStory(std::vector<LogLine> lines,
                                   const std::string& request);
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -750,6 +750,7 @@
   }
   LogEvent(LogLevel::kInfo, "request_end")
       .With("request", decision.request_id)
+      .With("fingerprint", FingerprintText(request->arrival.fingerprint))
       .With("caller", decision.caller)
       .With("rule", decision.rule)
       .With("target", decision.target)
@@ -801,6 +802,7 @@
                                       "\"}"));
   LogEvent(LogLevel::kInfo, "request_end")
       .With("request", event.request_id)
+      .With("fingerprint", FingerprintText(event.fingerprint))
       .With("caller", event.facts.caller)
       .With("rule", rule)
       .With("action", "refused")
--- a/tests/main/request_story_test.cc
+++ b/tests/main/request_story_test.cc
@@ -44,6 +44,21 @@
   EXPECT_EQ(story[3].host, "a") << "its own host";
 }
 
+// A request is refused as copies of it have ended servers, minutes before, at
+// other hosts and under other ids.
+TEST(RequestStoryTest, ShowsServersThatEndedUnderTheSameContent) {
+  std::istringstream logs(
+      R"(time_ms=1000 host=b event=server_ended server=e1 fingerprint=00aa
+time_ms=1001 host=b event=server_ended server=e1 fingerprint=00bb
+time_ms=2000 host=c event=quarantine_begin fingerprint=00aa source="server e3"
+time_ms=900000 host=a event=request_end request=42 fingerprint=00aa rule=9/r action=refused reason="quarantined: x"
+)");
+  const std::vector<LogLine> story = RequestStory(ReadLogLines(logs), "42");
+  const std::vector<std::string> expected = {"server_ended", "quarantine_begin",
+                                             "request_end"};
+  EXPECT_EQ(Events(story), expected);
+}
+
 TEST(RequestStoryTest, UnknownRequestHasNoStory) {
   std::istringstream logs(kLogs);
   EXPECT_TRUE(RequestStory(ReadLogLines(logs), "44").empty());
