Soak: servers that end are gone, and soaks side by side keep apart

Cause, all in the soak: hosts inherited the stand-ins' sockets, so a server that had ended went on listening and its end could not be seen (each send to it hung for 4 s); its port, given back, went to a server of another soak that bore the same id; ranges of ports were drawn by process id, and two soaks drew the same. Change: hosts get no descriptor but the first three, servers' ids bear the seed, ports go by the seed. Open, by the same trace: a real server whose port stays open after its end.

--- a/soak/host_processes.cc
+++ b/soak/host_processes.cc
@@ -21,8 +21,8 @@
 // Below the ports that the kernel gives out by itself: those come and go with
 // every connection, and one given back here was taken by another host's page.
 constexpr uint16_t kFirstPort = 10000;
-constexpr uint16_t kPortsOfAProcess = 1000;
-constexpr int kProcesses = 20;
+constexpr uint16_t kPortsOfARange = 1000;
+constexpr uint64_t kRanges = 20;
 
 bool IsFree(uint16_t port) {
   const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -36,10 +36,7 @@
   return is_free;
 }
 
-// Soaks that run side by side take theirs from different ranges.
-uint16_t FreePort() {
-  static uint16_t next = static_cast<uint16_t>(
-      kFirstPort + ::getpid() % kProcesses * kPortsOfAProcess);
+uint16_t TakeFreePort(uint16_t& next) {
   while (!IsFree(next)) ++next;
   return next++;
 }
@@ -48,8 +45,14 @@
 
 }  // namespace
 
-HostProcesses::HostProcesses(std::string daemon, std::string folder)
-    : daemon_(std::move(daemon)), folder_(std::move(folder)) {}
+// Seeds that run side by side follow each other, so they take different ranges;
+// by process ids, two took the same, and hosts could not start again.
+HostProcesses::HostProcesses(std::string daemon, std::string folder,
+                             uint64_t seed)
+    : daemon_(std::move(daemon)),
+      folder_(std::move(folder)),
+      next_port_(static_cast<uint16_t>(kFirstPort +
+                                       seed % kRanges * kPortsOfARange)) {}
 
 HostProcesses::~HostProcesses() {
   for (Host& host : hosts_) {
@@ -63,15 +66,15 @@
   Host host;
   host.name = absl::StrCat("edge-", hosts_.size());
   host.settings_path = absl::StrCat(folder_, "/", host.name, ".json");
-  host.callers = {"127.0.0.1", FreePort()};
+  host.callers = {"127.0.0.1", TakeFreePort(next_port_)};
   const Json settings{{"host", host.name},
                       {"data_centre", "hall"},
                       {"ip", "127.0.0.1"},
                       {"callers", host.callers.ToString()},
-                      {"readiness", Local(FreePort())},
+                      {"readiness", Local(TakeFreePort(next_port_))},
                       {"store", store.ToString()},
-                      {"operators", Local(FreePort())},
-                      {"peers", Local(FreePort())},
+                      {"operators", Local(TakeFreePort(next_port_))},
+                      {"peers", Local(TakeFreePort(next_port_))},
                       {"shared_key", "soak-soak-soak-soak"},
                       {"cpu_share", 0.25},
                       {"grace_period_ms", 4000},
@@ -90,6 +93,9 @@
   posix_spawn_file_actions_addopen(&files, 1, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&files, 1, 2);
+  // The stand-ins' sockets must not live on in a host: a server that has ended
+  // would still be listening, as seen from outside.
+  posix_spawn_file_actions_addclosefrom_np(&files, 3);
   char config[] = "--config";
   char* const arguments[] = {daemon_.data(), config, host.settings_path.data(),
                              nullptr};
--- a/soak/host_processes.h
+++ b/soak/host_processes.h
@@ -15,7 +15,7 @@
 class HostProcesses {
  public:
   // Settings and logs go into `folder`.
-  HostProcesses(std::string daemon, std::string folder);
+  HostProcesses(std::string daemon, std::string folder, uint64_t seed);
   // Kills what still runs.
   ~HostProcesses();
 
@@ -44,6 +44,7 @@
   std::string daemon_;
   std::string folder_;
   std::vector<Host> hosts_;
+  uint16_t next_port_;
   int own_ends_ = 0;
 };
 
--- a/soak/platform_standin.cc
+++ b/soak/platform_standin.cc
@@ -69,8 +69,9 @@
 
 }  // namespace
 
-PlatformStandin::PlatformStandin(asio::io_context& io)
+PlatformStandin::PlatformStandin(asio::io_context& io, uint64_t seed)
     : io_(io),
+      seed_(seed),
       store_(
           io, Address{kLoopback, 0},
           [this](HttpExchange& exchange) { return ServeStore(exchange); },
@@ -206,9 +207,13 @@
 
 // ---- Backend servers ----
 
+std::string PlatformStandin::NextId() const {
+  return absl::StrCat("i-", seed_, "-", started_);
+}
+
 std::string PlatformStandin::Start(std::unique_ptr<FakeCountedEngine> engine,
                                    const std::string& service) {
-  const std::string id = absl::StrCat("i-", started_);
+  const std::string id = NextId();
   const auto server = std::make_shared<Server>();
   server->service = service;
   server->engine = std::move(engine);
@@ -225,8 +230,7 @@
 std::string PlatformStandin::StartEngine(
     const std::vector<std::string>& models) {
   auto engine = std::make_unique<FakeCountedEngine>(
-      absl::StrCat("i-", started_), "llm", kEngineMegabytes * kBytesPerMegabyte,
-      8);
+      NextId(), "llm", kEngineMegabytes * kBytesPerMegabyte, 8);
   engine->load_from_disk = milliseconds(200);
   engine->load_from_store = milliseconds(600);
   for (const std::string& model : models) {
--- a/soak/platform_standin.h
+++ b/soak/platform_standin.h
@@ -38,7 +38,9 @@
  public:
   enum class StoreMode : uint8_t { kUp, kRefusing, kSilent };
 
-  explicit PlatformStandin(boost::asio::io_context& io);
+  // Ids of servers bear `seed`: a server of a soak beside this one may get the
+  // port of one that ended here, and must not be taken for it.
+  PlatformStandin(boost::asio::io_context& io, uint64_t seed);
 
   Address store_address() const;
   void SetStoreMode(StoreMode mode) { store_mode_ = mode; }
@@ -99,7 +101,10 @@
   std::string Start(std::unique_ptr<FakeCountedEngine> engine,
                     const std::string& service);
 
+  std::string NextId() const;
+
   boost::asio::io_context& io_;
+  uint64_t seed_;
   SystemClock clock_;
   HttpServer store_;
   StoreMode store_mode_ = StoreMode::kUp;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -58,8 +58,8 @@
 Soak::Soak(SoakOptions options)
     : options_(std::move(options)),
       random_(options_.seed),
-      platform_(io_),
-      hosts_(options_.daemon, options_.folder),
+      platform_(io_, options_.seed),
+      hosts_(options_.daemon, options_.folder, options_.seed),
       client_(io_) {
   platform_.PutConfig({});
   for (int i = 0; i < 3; ++i) platform_.StartApp();
