A cut stream of a content under quarantine is not resumed

Seen by QuarantineTest.StreamThatIsCutLaterIsNotResumed, which fails without this: a copy whose answer had begun is not taken back when its content comes under quarantine; cut a moment later, it was sent to one more server. Cause: what waits was checked once, when the quarantine begins, and a retry after it was not. Why this holds: no other way leads from an attempt to the next one.

--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -643,6 +643,11 @@
     Refuse(handle, failed);
     return;
   }
+  // Its answer had begun when the quarantine did, so it was not taken back.
+  if (const auto held = CheckQuarantine(request.arrival.fingerprint)) {
+    Refuse(handle, *held);
+    return;
+  }
   // With the start of one answer at the caller, another engine's would not
   // continue it.
   const bool cannot_continue = request.has_started && !request.may_resume;
--- a/tests/node/quarantine_test.cc
+++ b/tests/node/quarantine_test.cc
@@ -259,6 +259,33 @@
   EXPECT_TRUE(is_cancelled);
 }
 
+// A copy had begun to be answered when the quarantine began, and is cut now. Its
+// stream may be resumed, but not this one.
+TEST_F(QuarantineTest, StreamThatIsCutLaterIsNotResumed) {
+  Start({"a", "b"});
+  Ask("b", "/stream/x", "m0", kPoison);
+  poisons_.clear();
+  RunServers(milliseconds(50));
+  const auto running = running_;
+  running_.clear();
+  poisons_ = {kPoison};
+  ASSERT_EQ(running.size(), 1u);
+  const auto& [host, sent, at] = running.begin()->second[0];
+  Handle(host, AttemptStarted{sent.handle});
+  SendPoison("a", 3);
+  ASSERT_TRUE(IsRefused("b"));
+  const size_t sends = sends_.size();
+  AttemptEnded cut = BrokenOff(sent, "partial", /*is_cut=*/true);
+  cut.has_delivered = true;
+  cut.can_resume = true;
+  Handle(host, cut);
+  RunServers(seconds(5));
+  EXPECT_EQ(sends_.size(), sends);
+  ASSERT_TRUE(refusals_.contains(sent.handle));
+  EXPECT_EQ(refusals_.at(sent.handle).reason, RefusalReason::kQuarantined);
+  EXPECT_EQ(refusals_.at(sent.handle).verdict, Verdict::kMayHaveRun);
+}
+
 // A request was under way at three servers that ended for another reason. One
 // of its copies gets its whole answer later, which proves that.
 TEST_F(QuarantineTest, IsLiftedByAWholeAnswer) {
