--- a/tests/node/quarantine_test.cc
+++ b/tests/node/quarantine_test.cc
@@ -259,8 +259,8 @@
   EXPECT_TRUE(is_cancelled);
 }
 
-// A copy had begun to be answered when the quarantine began, and is cut now. Its
-// stream may be resumed, but not this one.
+// A copy had begun to be answered when the quarantine began, and is cut now.
+// Its stream may be resumed, but not this one.
 TEST_F(QuarantineTest, StreamThatIsCutLaterIsNotResumed) {
   Start({"a", "b"});
   Ask("b", "/stream/x", "m0", kPoison);
