Review: one way to end an attempt in the stand-ins, one setup in tests

Found on reading the whole change: a conviction that was done twice in a row (Judge, then Add, which is the one that all sources go through); two copies of how the stand-in deployment ends an attempt; the same eight lines of setup in two tests, and a loop for a count. The count of cancelled attempts is now exactly one, stricter than before. Behaviour is the same.

--- a/node/quarantine_keeper.cc
+++ b/node/quarantine_keeper.cc
@@ -130,7 +130,6 @@
     case CrashLedger::Finding::kProven:
       break;
   }
-  ledger_.Convict(end.fingerprint, context_.now);
   unrecorded_.insert(end.fingerprint);
   Add(end.fingerprint, context_.now + kQuarantineLife,
       absl::StrCat("server ", end.server, " seen by ", host));
--- a/standins/deployment.cc
+++ b/standins/deployment.cc
@@ -392,8 +392,10 @@
   At(Delay(name, action.backend), [=, this] {
     const auto it = engines_.find(action.backend);
     const Duration back = Delay(name, action.backend);
-    const auto end = [=, this](AttemptResult result, Duration after) {
-      At(after + back, [=, this] { EndAttempt(name, life, action, result); });
+    const auto end = [=, this](AttemptResult result, Duration after,
+                               bool is_cut = false) {
+      At(after + back,
+         [=, this] { EndAttempt(name, life, action, result, is_cut); });
     };
     if (it == engines_.end() || IsStarting(action.backend)) {
       return end(AttemptResult::kNotSent, {});
@@ -417,10 +419,7 @@
     ++runs_of_request_[request];
     if (poisons_.contains(request)) {
       EndUnderPoison(action.backend);
-      At(back, [=, this] {
-        EndAttempt(name, life, action, AttemptResult::kBroken, true);
-      });
-      return;
+      return end(AttemptResult::kBroken, {}, /*is_cut=*/true);
     }
     const uint64_t engine_life = engine.settings().incarnation;
     const Duration took =
@@ -435,11 +434,8 @@
         running.EndRequest(action.model, now_);
       }
       const bool has_ended = running.settings().incarnation != engine_life;
-      At(back, [=, this] {
-        EndAttempt(name, life, action,
-                   is_lost ? AttemptResult::kBroken : AttemptResult::kCompleted,
-                   has_ended);
-      });
+      end(is_lost ? AttemptResult::kBroken : AttemptResult::kCompleted, {},
+          has_ended);
     });
   });
 }
--- a/tests/node/quarantine_test.cc
+++ b/tests/node/quarantine_test.cc
@@ -32,6 +32,19 @@
            it->second.reason == RefusalReason::kQuarantined;
   }
 
+  // A copy at host b whose answer has begun and goes on.
+  Running BeginCopy() {
+    Ask("b", "/stream/x", "m0", kPoison);
+    poisons_.clear();
+    RunServers(milliseconds(50));
+    poisons_ = {kPoison};
+    EXPECT_EQ(running_.size(), 1u);
+    const Running copy = running_.begin()->second.at(0);
+    running_.clear();
+    Handle(copy.host, AttemptStarted{copy.sent.handle});
+    return copy;
+  }
+
   size_t Held(const std::string& host) const {
     return hosts_.at(host).node->StateDump()["quarantine"]["held"].size();
   }
@@ -252,26 +265,14 @@
   ASSERT_TRUE(refusals_.contains(sent));
   EXPECT_EQ(refusals_.at(sent).reason, RefusalReason::kQuarantined);
   EXPECT_EQ(refusals_.at(sent).verdict, Verdict::kMayHaveRun);
-  bool is_cancelled = false;
-  for (const RequestHandle handle : cancelled_) {
-    is_cancelled = is_cancelled || handle == sent;
-  }
-  EXPECT_TRUE(is_cancelled);
+  EXPECT_EQ(std::count(cancelled_.begin(), cancelled_.end(), sent), 1);
 }
 
 // A copy had begun to be answered when the quarantine began, and is cut now.
 // Its stream may be resumed, but not this one.
 TEST_F(QuarantineTest, StreamThatIsCutLaterIsNotResumed) {
   Start({"a", "b"});
-  Ask("b", "/stream/x", "m0", kPoison);
-  poisons_.clear();
-  RunServers(milliseconds(50));
-  const auto running = running_;
-  running_.clear();
-  poisons_ = {kPoison};
-  ASSERT_EQ(running.size(), 1u);
-  const auto& [host, sent, at] = running.begin()->second[0];
-  Handle(host, AttemptStarted{sent.handle});
+  const auto [host, sent, at] = BeginCopy();
   SendPoison("a", 3);
   ASSERT_TRUE(IsRefused("b"));
   const size_t sends = sends_.size();
@@ -290,15 +291,7 @@
 // of its copies gets its whole answer later, which proves that.
 TEST_F(QuarantineTest, IsLiftedByAWholeAnswer) {
   Start({"a", "b", "c", "d", "e"});
-  Ask("b", "/stream/x", "m0", kPoison);
-  poisons_.clear();
-  RunServers(milliseconds(50));
-  const auto running = running_;
-  running_.clear();
-  poisons_ = {kPoison};
-  ASSERT_EQ(running.size(), 1u);
-  const auto& [host, sent, at] = running.begin()->second[0];
-  Handle(host, AttemptStarted{sent.handle});
+  const auto [host, sent, at] = BeginCopy();
   SendPoison("a", 3);
   ASSERT_TRUE(IsRefused("a"));
   Handle(host, EndOf(sent, AttemptResult::kCompleted, ""));
