Quotas of teams over all hosts: a gate at each host, a ledger at the owner

Cause: a team's quota holds over all hosts together, and a small team's whole quota is less than one request for most hosts. Ruled out: equal parts for each host (a team with four callers is refused at half its quota: 300 hosts, small team, see the test's story); batches lent ahead of need (300 hosts x one request outstanding is 40 times the tolerance of a small team); a question to a home host for each request (a round trip on each first piece, and nothing served while the home is cut off). Change: hosts report what they admit and what is asked; the ledger keeps one token bucket a team and tells the share of its requests that may be admitted now. Without recent word a host keeps to its part of the quota, a bucket that runs all the while; the ledger sets the parts of silent hosts aside, and those of hosts that a new owner never heard.

--- /dev/null
+++ b/admission/quota_gate.cc
@@ -0,0 +1,154 @@
+#include "admission/quota_gate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace applehall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Twice the longest interval of the owner's plans; longer, and what hosts
+// without an owner admit by an old share adds up.
+constexpr Duration kShareLife = milliseconds(1000);
+constexpr Duration kRecentSpan = milliseconds(500);
+// Until told. Of a fleet that lost all its hosts at one moment each host keeps
+// to one part of so many, or the team that was at its limit gets it anew.
+constexpr int kAssumedHosts = 100;
+constexpr Duration kUsualSpan = seconds(5);
+// Of the tolerance, for the buckets of hosts that are alone.
+constexpr double kToleranceShare = 0.4;
+// What a host has admitted beyond its part longer ago than this is forgiven.
+constexpr Duration kMostDebt = seconds(3);
+// Bounds of when a refused caller may come back: sooner it would meet the same
+// demand, later the quota has long had room again.
+constexpr Duration kSoonestReturn = seconds(1);
+constexpr Duration kLatestReturn = seconds(6);
+// Callers that were refused together return over this share of the time.
+constexpr double kReturnSpread = 0.5;
+
+Duration ReturnAfter(double missing, double rate, double luck) {
+  const double wait = rate > 0 ? missing / rate : ToSeconds(kLatestReturn);
+  const double bounded =
+      std::clamp(wait, ToSeconds(kSoonestReturn), ToSeconds(kLatestReturn));
+  return FromSeconds(bounded * (1 + kReturnSpread * luck));
+}
+
+}  // namespace
+
+double QuotaGate::Rate::ValueAt(Duration span, TimePoint now) const {
+  if (at == TimePoint{} || now <= at) return value;
+  return value * std::exp(-ToSeconds(now - at) / ToSeconds(span));
+}
+
+void QuotaGate::Rate::Add(double cost, Duration span, TimePoint now) {
+  value = ValueAt(span, now) + cost / ToSeconds(span);
+  at = now;
+}
+
+bool QuotaGate::IsTold(TimePoint now) const {
+  return told_at_ != TimePoint{} && now - told_at_ < kShareLife;
+}
+
+QuotaGate::QuotaGate(QuotaTolerance tolerance)
+    : tolerance_(tolerance), hosts_(kAssumedHosts) {}
+
+void QuotaGate::TakeShares(const QuotaShares& shares, int hosts,
+                           TimePoint now) {
+  told_at_ = now;
+  hosts_ = std::max(1, hosts);
+  for (auto& [name, state] : teams_) {
+    const auto told = shares.find(name);
+    state.told = told == shares.end() ? TeamShare{} : told->second;
+    state.part = QuotaPart(state.usual.ValueAt(kUsualSpan, now),
+                           state.told.usual_rate, hosts_);
+  }
+  for (const auto& [name, share] : shares) {
+    TeamState& state = teams_[name];
+    if (state.part > 0) continue;
+    state.told = share;
+    state.part = QuotaPart(0, share.usual_rate, hosts_);
+  }
+}
+
+// The bucket of this host's part runs all the while, so that a team which has
+// just had much is not given another burst when the owner falls silent.
+void QuotaGate::Fill(const TeamQuota& quota, TeamState& state,
+                     TimePoint now) const {
+  if (state.part <= 0) state.part = 1.0 / hosts_;
+  const double rate = state.part * quota.tokens_per_second;
+  const double depth =
+      state.part * (quota.burst_tokens + kToleranceShare * tolerance_.tokens);
+  if (state.filled_at == TimePoint{}) {
+    state.level = depth;
+  } else {
+    state.level += rate * ToSeconds(now - state.filled_at);
+  }
+  state.filled_at = now;
+  state.level = std::clamp(state.level, -rate * ToSeconds(kMostDebt), depth);
+}
+
+QuotaDecision QuotaGate::Ask(const Team& team, double cost, double luck,
+                             TimePoint now) {
+  if (!team.quota.is_limited()) return {};
+  TeamState& state = teams_[team.name];
+  state.recent.Add(cost, kRecentSpan, now);
+  state.usual.Add(cost, kUsualSpan, now);
+  Fill(team.quota, state, now);
+  QuotaDecision decision = IsTold(now) ? AskShared(state, cost, luck)
+                                       : AskAlone(team.quota, state, luck);
+  if (told_at_ != TimePoint{}) decision.told_ago = now - told_at_;
+  if (decision.is_admitted) {
+    state.admitted += cost;
+    state.level -= cost;
+  }
+  return decision;
+}
+
+QuotaDecision QuotaGate::AskShared(const TeamState& state, double cost,
+                                   double luck) const {
+  QuotaDecision decision;
+  decision.mode = QuotaMode::kShared;
+  decision.share = state.told.share;
+  decision.is_admitted = luck < decision.share;
+  if (decision.is_admitted) return decision;
+  // What is left of the draw spreads the callers' return.
+  const double spread = (luck - decision.share) / (1 - decision.share);
+  decision.retry_after =
+      ReturnAfter(cost, decision.share * state.recent.value, spread);
+  return decision;
+}
+
+// A bucket that may go below zero by one request: a host's part of a small
+// quota is less than one request for most hosts, and each of them could
+// otherwise never admit one.
+QuotaDecision QuotaGate::AskAlone(const TeamQuota& quota,
+                                  const TeamState& state, double luck) const {
+  QuotaDecision decision;
+  decision.mode = QuotaMode::kAlone;
+  decision.share = state.part;
+  decision.is_admitted = state.level > 0;
+  if (decision.is_admitted) return decision;
+  decision.retry_after =
+      ReturnAfter(-state.level, state.part * quota.tokens_per_second, luck);
+  return decision;
+}
+
+void QuotaGate::GiveBack(const std::string& team, double cost) {
+  const auto it = teams_.find(team);
+  if (it == teams_.end()) return;
+  it->second.admitted -= cost;
+  it->second.level += cost;
+}
+
+QuotaUsage QuotaGate::Usage(TimePoint now) const {
+  QuotaUsage usage;
+  for (const auto& [name, state] : teams_) {
+    usage[name] = {state.admitted, state.recent.ValueAt(kRecentSpan, now),
+                   state.usual.ValueAt(kUsualSpan, now)};
+  }
+  return usage;
+}
+
+}  // namespace applehall
--- /dev/null
+++ b/admission/quota_ledger.cc
@@ -0,0 +1,163 @@
+#include "admission/quota_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace applehall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// All hosts report twice in this time.
+constexpr Duration kGathering = milliseconds(1100);
+// Before a host without word stops to trust its share, so that its part is set
+// aside when it begins to use it.
+constexpr Duration kSilence = milliseconds(900);
+// A host that has said nothing for this long has no callers left.
+constexpr Duration kHostLife = seconds(15);
+// What is left in a bucket, or owed to it, is evened out over this time: as
+// long as it takes until the hosts act on a share and report what came of it.
+constexpr Duration kHorizon = milliseconds(1000);
+// Of the tolerance, for bursts of small teams: a single request may be more
+// than a second of their rate.
+constexpr double kToleranceShare = 0.4;
+// What was spent beyond the quota longer ago than this is not paid back; it
+// was at hosts that could not be reached.
+constexpr Duration kMostDebt = seconds(3);
+
+}  // namespace
+
+void QuotaLedger::SetTeams(std::shared_ptr<const TeamBook> teams,
+                           TimePoint now) {
+  if (began_at_ == TimePoint{}) began_at_ = now;
+  if (teams_ == teams) return;
+  teams_ = std::move(teams);
+  std::erase_if(buckets_, [this](const auto& item) {
+    return teams_->Find(item.first) == nullptr;
+  });
+}
+
+bool QuotaLedger::IsReady(TimePoint now) const {
+  return began_at_ != TimePoint{} && now - began_at_ >= kGathering;
+}
+
+void QuotaLedger::Spend(const std::string& team, double tokens) {
+  const auto it = buckets_.find(team);
+  if (it != buckets_.end()) it->second.level -= tokens;
+}
+
+void QuotaLedger::TakeUsage(const std::string& host, uint64_t incarnation,
+                            const QuotaUsage& usage, TimePoint now) {
+  Host& known = hosts_[host];
+  const bool is_new = known.incarnation != incarnation;
+  if (is_new) known = {};
+  // A host that was never heard before may have admitted its counts long ago.
+  const bool is_first = known.heard_at == TimePoint{} && !IsReady(now);
+  for (const auto& [team, counts] : usage) {
+    HostTeam& before = known.teams[team];
+    if (!is_first) {
+      Spend(team, counts.admitted - before.usage.admitted - before.charged);
+    }
+    before = {counts, 0};
+  }
+  known.incarnation = incarnation;
+  known.heard_at = now;
+  known.charged_to = now;
+}
+
+bool QuotaLedger::IsSilent(const Host& host, TimePoint now) const {
+  return now - host.heard_at >= kSilence;
+}
+
+std::map<std::string, QuotaLedger::Demand> QuotaLedger::SumDemand(
+    TimePoint now) const {
+  std::map<std::string, Demand> sums;
+  for (const auto& [name, host] : hosts_) {
+    const bool is_silent = IsSilent(host, now);
+    for (const auto& [team, counts] : host.teams) {
+      Demand& sum = sums[team];
+      sum.usual_rate += counts.usage.usual_rate;
+      if (!is_silent) sum.recent_rate += counts.usage.recent_rate;
+    }
+  }
+  return sums;
+}
+
+void QuotaLedger::ChargeSilentHosts(std::map<std::string, Demand>& demands,
+                                    TimePoint now) {
+  for (auto& [name, host] : hosts_) {
+    if (!IsSilent(host, now)) continue;
+    const double spell = ToSeconds(now - host.charged_to);
+    host.charged_to = now;
+    for (auto& [team_name, counts] : host.teams) {
+      const Team* team = teams_->Find(team_name);
+      if (team == nullptr || !team->quota.is_limited()) continue;
+      Demand& demand = demands[team_name];
+      const double part =
+          QuotaPart(counts.usage.usual_rate, demand.usual_rate, hosts());
+      demand.silent_part += part;
+      const double tokens = part * team->quota.tokens_per_second * spell;
+      counts.charged += tokens;
+      Spend(team_name, tokens);
+    }
+  }
+}
+
+// Guards against a team that gets its quota twice when an owner is lost with
+// the hosts around it: the next one never heard those, and they serve on.
+void QuotaLedger::ChargeMissingHosts(std::map<std::string, Demand>& demands,
+                                     TimePoint now) {
+  const TimePoint from = std::max(missing_charged_to_, began_at_);
+  missing_charged_to_ = now;
+  const int missing = expected_hosts_ - hosts();
+  if (missing <= 0 || now - began_at_ > kHostLife) return;
+  const double part = static_cast<double>(missing) / expected_hosts_;
+  for (const auto& [name, team] : teams_->teams()) {
+    if (!team.quota.is_limited()) continue;
+    demands[name].silent_part += part;
+    Spend(name, part * team.quota.tokens_per_second * ToSeconds(now - from));
+  }
+}
+
+void QuotaLedger::Fill(const Team& team, const Demand& demand, Bucket& bucket,
+                       TimePoint now) const {
+  const double rate = team.quota.tokens_per_second;
+  // Silent hosts have their part of the burst with them.
+  const double depth =
+      (team.quota.burst_tokens + kToleranceShare * tolerance_.tokens) *
+      std::max(0.0, 1 - demand.silent_part);
+  if (bucket.filled_at != TimePoint{}) {
+    bucket.level += rate * ToSeconds(now - bucket.filled_at);
+  }
+  bucket.filled_at = now;
+  bucket.level = std::clamp(bucket.level, -rate * ToSeconds(kMostDebt), depth);
+}
+
+QuotaShares QuotaLedger::Shares(TimePoint now) {
+  QuotaShares shares;
+  if (!teams_) return shares;
+  std::erase_if(hosts_, [now](const auto& item) {
+    return now - item.second.heard_at > kHostLife;
+  });
+  std::map<std::string, Demand> demands = SumDemand(now);
+  ChargeSilentHosts(demands, now);
+  ChargeMissingHosts(demands, now);
+  for (const auto& [name, team] : teams_->teams()) {
+    if (!team.quota.is_limited()) continue;
+    const Demand& demand = demands[name];
+    Bucket& bucket = buckets_[name];
+    Fill(team, demand, bucket, now);
+    if (demand.usual_rate <= 0) continue;
+    const double allowed =
+        team.quota.tokens_per_second + bucket.level / ToSeconds(kHorizon);
+    TeamShare& share = shares[name];
+    share.usual_rate = demand.usual_rate;
+    if (demand.recent_rate > allowed) {
+      share.share = std::max(0.0, allowed) / demand.recent_rate;
+    }
+  }
+  return shares;
+}
+
+}  // namespace applehall
--- /dev/null
+++ b/rules/team_book.cc
@@ -0,0 +1,32 @@
+#include "rules/team_book.h"
+
+namespace applehall {
+
+double Team::CostOf(std::optional<double> declared) const {
+  if (unit == QuotaUnit::kRequests) return 1;
+  return declared.value_or(plain_tokens);
+}
+
+void TeamBook::Add(Team team, const std::vector<std::string>& keys) {
+  for (const std::string& key : keys) {
+    const ApiKeyDigest digest = ApiKeyDigest::Of(key);
+    holders_.insert({digest.Prefix(), {digest, team.name}});
+  }
+  const std::string name = team.name;
+  teams_[name] = std::move(team);
+}
+
+const Team* TeamBook::FindByKey(const ApiKeyDigest& key) const {
+  const auto [first, last] = holders_.equal_range(key.Prefix());
+  for (auto it = first; it != last; ++it) {
+    if (it->second.key == key) return Find(it->second.team);
+  }
+  return nullptr;
+}
+
+const Team* TeamBook::Find(const std::string& name) const {
+  const auto it = teams_.find(name);
+  return it == teams_.end() ? nullptr : &it->second;
+}
+
+}  // namespace applehall
--- /dev/null
+++ b/tests/admission/quota_test.cc
@@ -0,0 +1,178 @@
+// Teams are held to their quotas by all hosts together.
+
+#include "tests/admission/quota_fixture.h"
+
+namespace applehall {
+namespace {
+
+constexpr double kLargeLimit = 180000;
+constexpr double kSmallLimit = 2700;
+constexpr double kRequest = 1700;     // Tokens of a usual request.
+constexpr double kUsualShare = 0.55;  // Of its limit that a team asks for.
+constexpr int kHosts = 300;
+
+// One large team and several small ones, each within its limit.
+QuotaFleet MakeFleet(uint64_t seed, int hosts = kHosts) {
+  QuotaFleet fleet(hosts, seed);
+  fleet.AddTeam("large", kLargeLimit, kUsualShare * kLargeLimit, kRequest, 90);
+  for (int i = 0; i < 4; ++i) {
+    fleet.AddTeam(absl::StrCat("small-", i), kSmallLimit,
+                  kUsualShare * kSmallLimit, kRequest, 4);
+  }
+  return fleet;
+}
+
+// A small team's quota is less than one request for most of 300 hosts. Were it
+// cut into equal parts, its callers were refused at each host they came to
+// although together they asked for half of what they had bought.
+TEST(QuotaTest, TeamsWithinTheirQuotaAreNotRefused) {
+  QuotaFleet fleet = MakeFleet(1);
+  fleet.Run(seconds(4));
+  for (const char* team : {"large", "small-0", "small-1"}) {
+    fleet.TakeCount(team);
+  }
+  fleet.Run(seconds(40));
+  for (const char* team : {"large", "small-0", "small-1"}) {
+    EXPECT_GE(fleet.TakeCount(team).ServedShare(), 0.95) << team;
+  }
+}
+
+// One team sends 7.5 times its usual. It gets what it bought, no more, and the
+// others do not notice.
+TEST(QuotaTest, HotTeamGetsItsQuotaAndOthersTheirs) {
+  QuotaFleet fleet = MakeFleet(2);
+  fleet.Run(seconds(10));
+  fleet.SetDemand("large", 7.5 * kUsualShare * kLargeLimit);
+  fleet.TakeCount("small-0");
+  fleet.Run(seconds(12));
+  EXPECT_LE(fleet.WorstWindow("large", kLargeLimit), 1.0);
+  fleet.TakeCount("large");
+  fleet.Run(seconds(10));
+  EXPECT_GE(fleet.TakeCount("large").admitted, 0.9 * 10 * kLargeLimit);
+  EXPECT_GE(fleet.TakeCount("small-0").ServedShare(), 0.9);
+}
+
+TEST(QuotaTest, HotSmallTeamIsHeld) {
+  QuotaFleet fleet = MakeFleet(3);
+  fleet.Run(seconds(10));
+  fleet.SetDemand("small-0", 7.5 * kUsualShare * kSmallLimit);
+  fleet.Run(seconds(20));
+  EXPECT_LE(fleet.WorstWindow("small-0", kSmallLimit), 1.0);
+}
+
+// A third of the hosts is cut off for 12 s while a team sends many times its
+// usual. The hosts on both sides went on with what they had been told, and the
+// team got its quota once on each side.
+TEST(QuotaTest, CutHostsKeepToTheirPart) {
+  for (const uint64_t seed : {4, 5, 6}) {
+    QuotaFleet fleet = MakeFleet(seed);
+    fleet.Run(seconds(10));
+    fleet.CutShare(0.35, true);
+    fleet.Run(seconds(1));
+    fleet.SetDemand("large", 6 * kUsualShare * kLargeLimit);
+    fleet.Run(seconds(11));
+    fleet.CutShare(0.35, false);
+    fleet.Run(seconds(10));
+    EXPECT_LE(fleet.WorstWindow("large", kLargeLimit), 1.0) << seed;
+  }
+}
+
+// Hosts that are cut off serve on: teams within their quota are hardly refused
+// at them.
+TEST(QuotaTest, CutHostsServeTeamsWithinTheirQuota) {
+  QuotaFleet fleet = MakeFleet(7, /*hosts=*/90);
+  fleet.Run(seconds(10));
+  fleet.CutShare(0.25, true);
+  fleet.TakeCount("large");
+  fleet.Run(seconds(10));
+  EXPECT_GE(fleet.TakeCount("large").ServedShare(), 0.95);
+}
+
+// The owner dies while a team is held back; the next one knows nothing of what
+// was admitted.
+TEST(QuotaTest, NextOwnerHoldsOnToTheLimit) {
+  for (const uint64_t seed : {8, 9, 10}) {
+    QuotaFleet fleet = MakeFleet(seed);
+    fleet.Run(seconds(10));
+    fleet.SetDemand("large", 6 * kUsualShare * kLargeLimit);
+    fleet.Run(seconds(6));
+    fleet.ReplaceOwner(milliseconds(2300));
+    fleet.Run(seconds(15));
+    EXPECT_LE(fleet.WorstWindow("large", kLargeLimit), 1.0) << seed;
+  }
+}
+
+// All hosts are killed at one moment while a team is held back, and are back a
+// second later. Nobody knows any more what the team has had.
+TEST(QuotaTest, RebornFleetHoldsOnToTheLimit) {
+  for (const uint64_t seed : {11, 12, 13}) {
+    QuotaFleet fleet = MakeFleet(seed, /*hosts=*/90);
+    fleet.Run(seconds(10));
+    const double hot = 5 * kUsualShare * kLargeLimit;
+    fleet.SetDemand("large", hot);
+    fleet.Run(seconds(5));
+    fleet.SetDemand("large", 0);
+    fleet.RestartAll();
+    fleet.ReplaceOwner(milliseconds(2300));
+    fleet.Run(seconds(1));
+    fleet.SetDemand("large", hot);
+    fleet.Run(seconds(15));
+    EXPECT_LE(fleet.WorstWindow("large", kLargeLimit), 1.0) << seed;
+  }
+}
+
+// A quota is lowered far below what the team sends. It binds one window after
+// all hosts may know it.
+TEST(QuotaTest, LoweredQuotaBinds) {
+  QuotaFleet fleet = MakeFleet(14);
+  fleet.Run(seconds(10));
+  const double lowered = 0.2 * kLargeLimit;
+  fleet.SetLimit("large", lowered);
+  fleet.Run(seconds(3));
+  const TimePoint in_force = fleet.now();
+  fleet.Run(seconds(20));
+  EXPECT_LE(fleet.WorstWindow("large", lowered, in_force), 1.0);
+}
+
+// Cuts, restarts, lost owners and swings of demand, at random and overlapping:
+// no team is admitted more than its rules allow, whatever happens.
+TEST(QuotaTest, NeverOverTheLimitWhateverHappens) {
+  for (uint64_t seed = 100; seed < 300; ++seed) {
+    QuotaFleet fleet = MakeFleet(seed, /*hosts=*/60);
+    fleet.Run(seconds(8));
+    Random& random = fleet.random();
+    for (int step = 0; step < 12; ++step) {
+      const uint64_t what = random.Below(5);
+      if (what == 0) fleet.CutShare(0.4 * random.Unit(), true);
+      if (what == 1) fleet.CutShare(1.0, false);
+      if (what == 2) {
+        for (int i = 0; i < 10; ++i) fleet.Restart(random.Below(fleet.size()));
+      }
+      if (what == 3) fleet.ReplaceOwner(milliseconds(1800));
+      if (what == 4) {
+        fleet.SetDemand("large",
+                        (0.5 + 4 * random.Unit()) * kUsualShare * kLargeLimit);
+      }
+      fleet.Run(milliseconds(500 + random.Below(2500)));
+    }
+    EXPECT_LE(fleet.WorstWindow("large", kLargeLimit), 1.0) << "seed " << seed;
+    EXPECT_LE(fleet.WorstWindow("small-0", kSmallLimit), 1.0)
+        << "seed " << seed;
+  }
+}
+
+// Requests that were admitted and refused before they ran use nothing up.
+TEST(QuotaTest, WhatDidNotRunIsGivenBack) {
+  QuotaGate gate(QuotaTolerance{0});
+  Team team;
+  team.name = "t";
+  team.quota = {100, 100};
+  const TimePoint now{std::chrono::hours(500000)};
+  ASSERT_TRUE(gate.Ask(team, 40, 0.5, now).is_admitted);
+  EXPECT_EQ(gate.Usage(now)["t"].admitted, 40);
+  gate.GiveBack("t", 40);
+  EXPECT_EQ(gate.Usage(now)["t"].admitted, 0);
+}
+
+}  // namespace
+}  // namespace applehall
