--- a/admission/quota_gate.cc
+++ b/admission/quota_gate.cc
@@ -48,11 +48,12 @@
 }
 
 bool QuotaGate::IsTold(TimePoint now) const {
-  return told_at_ != TimePoint{} && now - told_at_ < kShareLife;
+  return split_ == QuotaSplit::kByDemand && told_at_ != TimePoint{} &&
+         now - told_at_ < kShareLife;
 }
 
-QuotaGate::QuotaGate(QuotaTolerance tolerance)
-    : tolerance_(tolerance), hosts_(kAssumedHosts) {}
+QuotaGate::QuotaGate(QuotaTolerance tolerance, QuotaSplit split)
+    : tolerance_(tolerance), split_(split), hosts_(kAssumedHosts) {}
 
 void QuotaGate::TakeShares(const QuotaShares& shares, int hosts,
                            TimePoint now) {
@@ -61,8 +62,10 @@
   for (auto& [name, state] : teams_) {
     const auto told = shares.find(name);
     state.told = told == shares.end() ? TeamShare{} : told->second;
-    state.part = QuotaPart(state.usual.ValueAt(kUsualSpan, now),
-                           state.told.usual_rate, hosts_);
+    const double fleet_rate =
+        split_ == QuotaSplit::kEven ? 0 : state.told.usual_rate;
+    state.part =
+        QuotaPart(state.usual.ValueAt(kUsualSpan, now), fleet_rate, hosts_);
   }
   for (const auto& [name, share] : shares) {
     TeamState& state = teams_[name];
--- a/admission/quota_gate.h
+++ b/admission/quota_gate.h
@@ -10,6 +10,13 @@
 
 namespace applehall {
 
+// How hosts divide a quota among themselves.
+enum class QuotaSplit : uint8_t {
+  kByDemand,  // Each admits the same share of what is asked of it.
+  kByUsage,   // Each has a part of its own, by what it was asked lately.
+  kEven,      // Each has the same part.
+};
+
 enum class QuotaMode : uint8_t {
   kUnlimited,  // The team has no limit.
   kShared,     // By the share that the fleet's owner told.
@@ -46,7 +53,7 @@
 // hosts sum to the whole, and the owner sets the parts of silent hosts aside.
 class QuotaGate {
  public:
-  explicit QuotaGate(QuotaTolerance tolerance);
+  QuotaGate(QuotaTolerance tolerance, QuotaSplit split);
 
   // The owner's word, which `hosts` hosts are told. Not thread-safe.
   void TakeShares(const QuotaShares& shares, int hosts, TimePoint now);
@@ -85,6 +92,7 @@
                          double luck) const;
 
   QuotaTolerance tolerance_;
+  QuotaSplit split_;
   std::map<std::string, TeamState> teams_;
   TimePoint told_at_;
   int hosts_;
--- a/core/policy_set.cc
+++ b/core/policy_set.cc
@@ -17,7 +17,8 @@
               "hand_over",         "prefix_affinity",  "two_choices",
               "near_first",        "engine_shares",    "circuit_breaker",
               "early_refusal",     "short_queues",     "late_worth",
-              "store_relay",       "free_memory"};
+              "store_relay",       "free_memory",      "quota_shares",
+              "quota_usage"};
 
 }  // namespace
 
--- a/core/policy_set.h
+++ b/core/policy_set.h
@@ -35,6 +35,10 @@
   kLateWorth,     // Requests that will be late weigh less in placement.
   kStoreRelay,    // One host reads the store for its data centre.
   kFreeMemory,    // Free memory is filled with models ahead of requests.
+  // Teams' quotas.
+  kQuotaShares,  // Hosts admit one share of what is asked, not parts of a
+                 // quota.
+  kQuotaUsage,   // Parts of a quota follow what hosts are asked for.
   kCount,
 };
 
--- a/node/quota_keeper.h
+++ b/node/quota_keeper.h
@@ -17,7 +17,9 @@
 class QuotaKeeper {
  public:
   explicit QuotaKeeper(NodeContext& context)
-      : context_(context), gate_(context.settings.quota_tolerance) {}
+      : context_(context),
+        gate_(context.settings.quota_tolerance,
+              SplitOf(context.settings.policies)) {}
 
   // A refusal if `team` has used its quota up. Not thread-safe.
   std::optional<Refusal> Ask(const Team& team, double cost);
@@ -47,6 +49,11 @@
   Json ToJson() const;
 
  private:
+  static QuotaSplit SplitOf(const PolicySet& policies) {
+    if (policies.Has(Policy::kQuotaShares)) return QuotaSplit::kByDemand;
+    return policies.Has(Policy::kQuotaUsage) ? QuotaSplit::kByUsage
+                                             : QuotaSplit::kEven;
+  }
   bool HasQuotas() const;
   void LogThrottled(const QuotaShares& shares);
 
--- a/tests/admission/quota_fixture.h
+++ b/tests/admission/quota_fixture.h
@@ -29,10 +29,11 @@
 
 class QuotaFleet {
  public:
-  QuotaFleet(int hosts, uint64_t seed) : random_(seed) {
+  QuotaFleet(int hosts, uint64_t seed, QuotaSplit split = QuotaSplit::kByDemand)
+      : random_(seed), split_(split) {
     for (int i = 0; i < hosts; ++i) {
       hosts_.push_back(
-          {std::make_unique<QuotaGate>(QuotaTolerance{kQuotaSlack}),
+          {std::make_unique<QuotaGate>(QuotaTolerance{kQuotaSlack}, split_),
            milliseconds(500) * i / hosts});
     }
     StartOwner();
@@ -67,7 +68,7 @@
   }
   void Restart(size_t host) {
     hosts_[host].gate =
-        std::make_unique<QuotaGate>(QuotaTolerance{kQuotaSlack});
+        std::make_unique<QuotaGate>(QuotaTolerance{kQuotaSlack}, split_);
     ++hosts_[host].incarnation;
   }
   void RestartAll() {
@@ -229,6 +230,7 @@
   }
 
   Random random_;
+  QuotaSplit split_;
   std::vector<Host> hosts_;
   std::map<std::string, Load> teams_;
   std::shared_ptr<const TeamBook> book_;
--- a/tests/admission/quota_test.cc
+++ b/tests/admission/quota_test.cc
@@ -12,8 +12,9 @@
 constexpr int kHosts = 300;
 
 // One large team and several small ones, each within its limit.
-QuotaFleet MakeFleet(uint64_t seed, int hosts = kHosts) {
-  QuotaFleet fleet(hosts, seed);
+QuotaFleet MakeFleet(uint64_t seed, int hosts = kHosts,
+                     QuotaSplit split = QuotaSplit::kByDemand) {
+  QuotaFleet fleet(hosts, seed, split);
   fleet.AddTeam("large", kLargeLimit, kUsualShare * kLargeLimit, kRequest, 90);
   for (int i = 0; i < 4; ++i) {
     fleet.AddTeam(absl::StrCat("small-", i), kSmallLimit,
@@ -37,6 +38,24 @@
   }
 }
 
+// What the ways of dividing a quota are worth to a small team within it, whose
+// callers are at four of 300 hosts.
+TEST(QuotaTest, SharesOfDemandRefuseFewestOfASmallTeam) {
+  std::map<QuotaSplit, double> served;
+  for (const QuotaSplit split :
+       {QuotaSplit::kByDemand, QuotaSplit::kByUsage, QuotaSplit::kEven}) {
+    QuotaFleet fleet = MakeFleet(15, kHosts, split);
+    fleet.Run(seconds(8));
+    fleet.TakeCount("small-0");
+    fleet.Run(seconds(40));
+    served[split] = fleet.TakeCount("small-0").ServedShare();
+    RecordProperty(absl::StrCat("served-", static_cast<int>(split)),
+                   absl::StrCat(served[split]));
+  }
+  EXPECT_GE(served[QuotaSplit::kByDemand], served[QuotaSplit::kByUsage]);
+  EXPECT_GE(served[QuotaSplit::kByUsage], served[QuotaSplit::kEven]);
+}
+
 // One team sends 7.5 times its usual. It gets what it bought, no more, and the
 // others do not notice.
 TEST(QuotaTest, HotTeamGetsItsQuotaAndOthersTheirs) {
@@ -163,7 +182,7 @@
 
 // Requests that were admitted and refused before they ran use nothing up.
 TEST(QuotaTest, WhatDidNotRunIsGivenBack) {
-  QuotaGate gate(QuotaTolerance{0});
+  QuotaGate gate(QuotaTolerance{0}, QuotaSplit::kByDemand);
   Team team;
   team.name = "t";
   team.quota = {100, 100};
