Without an owner, a data centre's hosts share its part of each quota

Change: the reader of the store of the data centre stands in: hosts that hear no owner tell it what was asked, it keeps a ledger of the data centre's part and answers with the share. Where it still hears the owner it passes that share on. What an owner tells of the number of hosts counts those it has not heard yet, so that the next one after it does not forget them. Retry-After of a quota is as long as it has been used up already, 2 to 8 s: sooner, callers of a team that is well over were refused once more. Figures: 12 hosts in two data centres, one cut, callers at two of its six hosts: 50 requests in 5 s, 5 refused at most (QuotaCentreTest).

--- a/admission/quota_gate.cc
+++ b/admission/quota_gate.cc
@@ -21,18 +21,18 @@
 constexpr double kToleranceShare = 0.4;
 // What a host has admitted beyond its part longer ago than this is forgiven.
 constexpr Duration kMostDebt = seconds(3);
-// Bounds of when a refused caller may come back: sooner it would meet the same
-// demand, later the quota has long had room again.
-constexpr Duration kSoonestReturn = seconds(1);
-constexpr Duration kLatestReturn = seconds(6);
+// A team that has been over its quota for a while will mostly be so for as long
+// again; within these bounds that is when its callers may come back. Sooner
+// they would be refused once more.
+constexpr Duration kSoonestReturn = seconds(2);
+constexpr Duration kLatestReturn = seconds(8);
 // Callers that were refused together return over this share of the time.
 constexpr double kReturnSpread = 0.5;
 
-Duration ReturnAfter(double missing, double rate, double luck) {
-  const double wait = rate > 0 ? missing / rate : ToSeconds(kLatestReturn);
-  const double bounded =
-      std::clamp(wait, ToSeconds(kSoonestReturn), ToSeconds(kLatestReturn));
-  return FromSeconds(bounded * (1 + kReturnSpread * luck));
+Duration ReturnAfter(Duration lasted, double luck) {
+  const Duration wait =
+      std::clamp<Duration>(lasted, kSoonestReturn, kLatestReturn);
+  return FromSeconds(ToSeconds(wait) * (1 + kReturnSpread * luck));
 }
 
 }  // namespace
@@ -55,6 +55,19 @@
 QuotaGate::QuotaGate(QuotaTolerance tolerance, QuotaSplit split)
     : tolerance_(tolerance), split_(split), hosts_(kAssumedHosts) {}
 
+bool QuotaGate::IsToldByCentre(TimePoint now) const {
+  return split_ == QuotaSplit::kByDemand && centre_told_at_ != TimePoint{} &&
+         now - centre_told_at_ < kShareLife;
+}
+
+void QuotaGate::TakeCentreShares(const QuotaShares& shares, TimePoint now) {
+  centre_told_at_ = now;
+  for (auto& [name, state] : teams_) {
+    const auto told = shares.find(name);
+    state.centre_share = told == shares.end() ? 1 : told->second.share;
+  }
+}
+
 void QuotaGate::TakeShares(const QuotaShares& shares, int hosts,
                            TimePoint now) {
   told_at_ = now;
@@ -99,42 +112,45 @@
   state.recent.Add(cost, kRecentSpan, now);
   state.usual.Add(cost, kUsualSpan, now);
   Fill(team.quota, state, now);
-  QuotaDecision decision = IsTold(now) ? AskShared(state, cost, luck)
-                                       : AskAlone(team.quota, state, luck);
+  QuotaDecision decision;
+  if (IsTold(now)) {
+    decision = AskShared(state.told.share, luck);
+  } else if (IsToldByCentre(now)) {
+    decision = AskShared(state.centre_share, luck);
+    decision.mode = QuotaMode::kCentre;
+  } else {
+    decision = AskAlone(state);
+  }
   if (told_at_ != TimePoint{}) decision.told_ago = now - told_at_;
   if (decision.is_admitted) {
     state.admitted += cost;
     state.level -= cost;
+    return decision;
   }
+  // Refusals that stand further apart than this are not of one overload.
+  if (now - state.refused_at > kLatestReturn) state.refused_since = now;
+  state.refused_at = now;
+  decision.retry_after = ReturnAfter(now - state.refused_since, luck);
   return decision;
 }
 
-QuotaDecision QuotaGate::AskShared(const TeamState& state, double cost,
-                                   double luck) const {
+QuotaDecision QuotaGate::AskShared(double share, double luck) const {
   QuotaDecision decision;
   decision.mode = QuotaMode::kShared;
-  decision.share = state.told.share;
+  decision.share = share;
   decision.is_admitted = luck < decision.share;
   if (decision.is_admitted) return decision;
-  // What is left of the draw spreads the callers' return.
-  const double spread = (luck - decision.share) / (1 - decision.share);
-  decision.retry_after =
-      ReturnAfter(cost, decision.share * state.recent.value, spread);
   return decision;
 }
 
 // A bucket that may go below zero by one request: a host's part of a small
 // quota is less than one request for most hosts, and each of them could
 // otherwise never admit one.
-QuotaDecision QuotaGate::AskAlone(const TeamQuota& quota,
-                                  const TeamState& state, double luck) const {
+QuotaDecision QuotaGate::AskAlone(const TeamState& state) const {
   QuotaDecision decision;
   decision.mode = QuotaMode::kAlone;
   decision.share = state.part;
   decision.is_admitted = state.level > 0;
-  if (decision.is_admitted) return decision;
-  decision.retry_after =
-      ReturnAfter(-state.level, state.part * quota.tokens_per_second, luck);
   return decision;
 }
 
--- a/admission/quota_gate.h
+++ b/admission/quota_gate.h
@@ -20,6 +20,7 @@
 enum class QuotaMode : uint8_t {
   kUnlimited,  // The team has no limit.
   kShared,     // By the share that the fleet's owner told.
+  kCentre,     // By the share that a host of this data centre told.
   kAlone,      // By this host's part of the quota: no word from the owner.
 };
 
@@ -29,6 +30,8 @@
       return "unlimited";
     case QuotaMode::kShared:
       return "shared";
+    case QuotaMode::kCentre:
+      return "centre";
     case QuotaMode::kAlone:
       return "alone";
   }
@@ -57,6 +60,11 @@
 
   // The owner's word, which `hosts` hosts are told. Not thread-safe.
   void TakeShares(const QuotaShares& shares, int hosts, TimePoint now);
+  // The word of a host that stands in for the owner in this data centre. Not
+  // thread-safe.
+  void TakeCentreShares(const QuotaShares& shares, TimePoint now);
+  // The owner's word is recent. Not thread-safe.
+  bool IsTold(TimePoint now) const;
   // Decides on a request that counts `cost`; `luck` is drawn evenly from 0 to
   // 1. Not thread-safe.
   QuotaDecision Ask(const Team& team, double cost, double luck, TimePoint now);
@@ -79,22 +87,24 @@
     Rate recent;
     Rate usual;
     TeamShare told;
+    double centre_share = 1;
     double part = 0;   // Of the quota, from when the owner spoke last.
     double level = 0;  // Of the bucket of this host's part.
     TimePoint filled_at;
+    TimePoint refused_since;
+    TimePoint refused_at;
   };
 
-  bool IsTold(TimePoint now) const;
+  bool IsToldByCentre(TimePoint now) const;
   void Fill(const TeamQuota& quota, TeamState& state, TimePoint now) const;
-  QuotaDecision AskShared(const TeamState& state, double cost,
-                          double luck) const;
-  QuotaDecision AskAlone(const TeamQuota& quota, const TeamState& state,
-                         double luck) const;
+  QuotaDecision AskShared(double share, double luck) const;
+  QuotaDecision AskAlone(const TeamState& state) const;
 
   QuotaTolerance tolerance_;
   QuotaSplit split_;
   std::map<std::string, TeamState> teams_;
   TimePoint told_at_;
+  TimePoint centre_told_at_;
   int hosts_;
 };
 
--- a/admission/quota_ledger.cc
+++ b/admission/quota_ledger.cc
@@ -9,8 +9,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// All hosts report twice in this time.
-constexpr Duration kGathering = milliseconds(1100);
 // Before a host without word stops to trust its share, so that its part is set
 // aside when it begins to use it.
 constexpr Duration kSilence = milliseconds(900);
@@ -39,7 +37,16 @@
 }
 
 bool QuotaLedger::IsReady(TimePoint now) const {
-  return began_at_ != TimePoint{} && now - began_at_ >= kGathering;
+  return began_at_ != TimePoint{} && now - began_at_ >= settings_.gathering;
+}
+
+int QuotaLedger::MissingHosts(TimePoint now) const {
+  if (now - began_at_ > kHostLife) return 0;
+  return std::max(0, settings_.expected_hosts - hosts());
+}
+
+int QuotaLedger::KnownHosts(TimePoint now) const {
+  return hosts() + MissingHosts(now);
 }
 
 void QuotaLedger::Spend(const std::string& team, double tokens) {
@@ -47,8 +54,10 @@
   if (it != buckets_.end()) it->second.level -= tokens;
 }
 
-void QuotaLedger::TakeUsage(const std::string& host, uint64_t incarnation,
-                            const QuotaUsage& usage, TimePoint now) {
+void QuotaLedger::TakeUsage(const std::string& host,
+                            const std::string& data_centre,
+                            uint64_t incarnation, const QuotaUsage& usage,
+                            TimePoint now) {
   Host& known = hosts_[host];
   const bool is_new = known.incarnation != incarnation;
   if (is_new) known = {};
@@ -62,6 +71,7 @@
     before = {counts, 0};
   }
   known.incarnation = incarnation;
+  known.data_centre = data_centre;
   known.heard_at = now;
   known.charged_to = now;
 }
@@ -110,9 +120,9 @@
                                      TimePoint now) {
   const TimePoint from = std::max(missing_charged_to_, began_at_);
   missing_charged_to_ = now;
-  const int missing = expected_hosts_ - hosts();
-  if (missing <= 0 || now - began_at_ > kHostLife) return;
-  const double part = static_cast<double>(missing) / expected_hosts_;
+  const int missing = MissingHosts(now);
+  if (missing == 0) return;
+  const double part = static_cast<double>(missing) / settings_.expected_hosts;
   for (const auto& [name, team] : teams_->teams()) {
     if (!team.quota.is_limited()) continue;
     demands[name].silent_part += part;
@@ -125,7 +135,7 @@
   const double rate = team.quota.tokens_per_second;
   // Silent hosts have their part of the burst with them.
   const double depth =
-      (team.quota.burst_tokens + kToleranceShare * tolerance_.tokens) *
+      (team.quota.burst_tokens + kToleranceShare * settings_.tolerance.tokens) *
       std::max(0.0, 1 - demand.silent_part);
   if (bucket.filled_at != TimePoint{}) {
     bucket.level += rate * ToSeconds(now - bucket.filled_at);
@@ -134,6 +144,20 @@
   bucket.level = std::clamp(bucket.level, -rate * ToSeconds(kMostDebt), depth);
 }
 
+void QuotaLedger::SumParts(const std::map<std::string, Demand>& demands) {
+  parts_.clear();
+  const int expected = std::max(hosts(), settings_.expected_hosts);
+  for (const auto& [name, host] : hosts_) {
+    std::map<std::string, double>& centre = parts_[host.data_centre];
+    for (const auto& [team, counts] : host.teams) {
+      const auto demand = demands.find(team);
+      if (demand == demands.end()) continue;
+      centre[team] += QuotaPart(counts.usage.usual_rate,
+                                demand->second.usual_rate, expected);
+    }
+  }
+}
+
 QuotaShares QuotaLedger::Shares(TimePoint now) {
   QuotaShares shares;
   if (!teams_) return shares;
@@ -143,6 +167,7 @@
   std::map<std::string, Demand> demands = SumDemand(now);
   ChargeSilentHosts(demands, now);
   ChargeMissingHosts(demands, now);
+  SumParts(demands);
   for (const auto& [name, team] : teams_->teams()) {
     if (!team.quota.is_limited()) continue;
     const Demand& demand = demands[name];
--- a/admission/quota_ledger.h
+++ b/admission/quota_ledger.h
@@ -25,30 +25,44 @@
 // part is counted as spent until it speaks again.
 class QuotaLedger {
  public:
-  // `expected_hosts`: as many as the owner before it told. Those that this one
-  // has not heard yet may be cut off from it and serve on.
-  QuotaLedger(QuotaTolerance tolerance, int expected_hosts)
-      : tolerance_(tolerance), expected_hosts_(expected_hosts) {}
+  struct Settings {
+    QuotaTolerance tolerance;
+    // As many as the ledger before it told. Those that this one has not heard
+    // yet may be cut off from it and serve on.
+    int expected_hosts = 0;
+    // All hosts report twice in this time.
+    Duration gathering = std::chrono::milliseconds(1100);
+  };
+
+  explicit QuotaLedger(const Settings& settings) : settings_(settings) {}
 
   // The teams in force. Not thread-safe.
   void SetTeams(std::shared_ptr<const TeamBook> teams, TimePoint now);
   // Counts of a process whose number differs start anew. Not thread-safe.
-  void TakeUsage(const std::string& host, uint64_t incarnation,
-                 const QuotaUsage& usage, TimePoint now);
+  void TakeUsage(const std::string& host, const std::string& data_centre,
+                 uint64_t incarnation, const QuotaUsage& usage, TimePoint now);
   // Empty until the hosts have had time to report. Not thread-safe.
   QuotaShares Shares(TimePoint now);
+  // As of the last call of Shares. Not thread-safe.
+  const QuotaParts& parts() const { return parts_; }
   // Enough has been heard for a word on the shares. Not thread-safe.
   bool IsReady(TimePoint now) const;
-  // Hosts that have spoken lately, or may serve on silently. Not thread-safe.
-  int hosts() const { return static_cast<int>(hosts_.size()); }
+  // Hosts that have spoken lately or may serve on silently, those that were
+  // never heard here included. Not thread-safe.
+  int KnownHosts(TimePoint now) const;
 
  private:
+  int hosts() const { return static_cast<int>(hosts_.size()); }
+  // Expected, not heard yet, and not gone for good.
+  int MissingHosts(TimePoint now) const;
+
   struct HostTeam {
     TeamUsage usage;
     double charged = 0;  // While the host was silent.
   };
   struct Host {
     uint64_t incarnation = 0;
+    std::string data_centre;
     TimePoint heard_at;
     TimePoint charged_to;
     std::map<std::string, HostTeam> teams;
@@ -74,8 +88,10 @@
   void Fill(const Team& team, const Demand& demand, Bucket& bucket,
             TimePoint now) const;
 
-  QuotaTolerance tolerance_;
-  int expected_hosts_;
+  void SumParts(const std::map<std::string, Demand>& demands);
+
+  Settings settings_;
+  QuotaParts parts_;
   std::shared_ptr<const TeamBook> teams_;
   std::map<std::string, Host> hosts_;
   std::map<std::string, Bucket> buckets_;
--- a/admission/quota_types.h
+++ b/admission/quota_types.h
@@ -26,6 +26,10 @@
   double usual_rate = 0;  // Asked for at all hosts, a second.
 };
 
+// What part of each team's quota the hosts of each data centre may use
+// together; by data centre, then by team.
+using QuotaParts = std::map<std::string, std::map<std::string, double>>;
+
 // By the team's name; a team that is missing is not limited now.
 using QuotaShares = std::map<std::string, TeamShare>;
 
--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -23,6 +23,8 @@
   kFleetPlan,    // From the owner: what is ready where, answers to demands.
   kStoreFollow,  // To the reader of the store: this host takes its news.
   kStoreNews,    // From the reader: what it read, and how recent that is.
+  kQuotaUsage,   // Without an owner, to the reader: what teams asked for here.
+  kQuotaWord,    // From the reader: what share of it may be admitted.
 };
 
 // Another host, and where its links are opened.
--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -356,7 +356,9 @@
     peer.is_urgent = true;
   }
   if (body.contains("q")) quarantine_.TakeReport(host, body["q"]);
-  if (body.contains(kQuotaRows)) quotas_.TakeReport(host, body[kQuotaRows]);
+  if (body.contains(kQuotaRows)) {
+    quotas_.TakeReport(host, peer.data_centre, body[kQuotaRows]);
+  }
   const HostReport report = HostReport::FromJson(host, body);
   bool is_new = false;
   std::set<std::string> waiting;
@@ -551,7 +553,7 @@
   }
   Json quarantine = quarantine_.PlanRows(since);
   if (!quarantine.empty()) body["q"] = std::move(quarantine);
-  Json quotas = quotas_.PlanRows();
+  Json quotas = quotas_.PlanRows(data_centre);
   if (!quotas.empty()) body[kQuotaRows] = std::move(quotas);
   return body;
 }
@@ -648,7 +650,7 @@
   HandOver();
   lease_.Drive(/*can_place=*/!servers_.empty());
   quarantine_.RunTick(planner_ != nullptr, lease_.HeardWithin(kPlanLife));
-  quotas_.RunTick();
+  quotas_.RunTick(reader_);
   if (planner_) {
     const bool has_news = HasNewWaiting();
     if (has_news || context_.now - reported_at_ >= kBeatInterval) {
--- a/node/node.cc
+++ b/node/node.cc
@@ -246,6 +246,12 @@
       relay_.TakeRelayed(event.host, body);
       fleet_.NoteOwner(StoreRelay::OwnerIn(body));
       return;
+    case PeerMessageType::kQuotaUsage:
+      quotas_.TakeCentreUsage(event.host, body);
+      return;
+    case PeerMessageType::kQuotaWord:
+      quotas_.TakeCentreWord(body);
+      return;
   }
 }
 
--- a/node/quota_keeper.cc
+++ b/node/quota_keeper.cc
@@ -17,6 +17,14 @@
 // Keys of rows in reports and plans, which are arrays to keep them short.
 constexpr char kIncarnation[] = "incarnation";
 constexpr char kTeams[] = "teams";
+constexpr char kParts[] = "parts";
+constexpr char kHosts[] = "hosts";
+constexpr char kAddress[] = "address";
+
+// Without an owner, hosts report to the reader of their data centre this often.
+constexpr Duration kCentreInterval = std::chrono::milliseconds(250);
+// All of them have reported by then.
+constexpr Duration kCentreGathering = std::chrono::milliseconds(350);
 
 bool IsRow(const Json& row, size_t fields) {
   return row.is_array() && row.size() == fields &&
@@ -47,6 +55,25 @@
   return shares;
 }
 
+Json ShareRows(const QuotaShares& shares) {
+  Json teams = Json::object();
+  for (const auto& [team, share] : shares) {
+    teams[team] = Json::array({share.share, std::round(share.usual_rate)});
+  }
+  return teams;
+}
+
+std::map<std::string, double> PartsFrom(const Json& rows) {
+  std::map<std::string, double> parts;
+  if (!rows.is_object()) return parts;
+  for (const auto& [team, part] : rows.items()) {
+    if (part.is_number()) {
+      parts[team] = std::clamp(part.get<double>(), 0.0, 1.0);
+    }
+  }
+  return parts;
+}
+
 }  // namespace
 
 bool QuotaKeeper::HasQuotas() const {
@@ -78,12 +105,14 @@
 }
 
 void QuotaKeeper::StartPlanning() {
-  ledger_ = std::make_unique<QuotaLedger>(context_.settings.quota_tolerance,
-                                          told_hosts_);
+  ledger_ = std::make_unique<QuotaLedger>(
+      QuotaLedger::Settings{.tolerance = context_.settings.quota_tolerance,
+                            .expected_hosts = told_hosts_});
   ledger_->SetTeams(context_.teams, context_.now);
+  centre_ledger_.reset();
 }
 
-Json QuotaKeeper::ReportRows() {
+Json QuotaKeeper::ReportRows() const {
   if (!HasQuotas()) return {};
   Json teams = Json::object();
   for (const auto& [team, usage] : gate_.Usage(context_.now)) {
@@ -95,38 +124,130 @@
               {kTeams, std::move(teams)}};
 }
 
-void QuotaKeeper::TakeReport(const std::string& host, const Json& rows) {
+void QuotaKeeper::TakeReport(const std::string& host,
+                             const std::string& data_centre, const Json& rows) {
   if (!ledger_) return;
-  ledger_->TakeUsage(host, FieldOr<uint64_t>(rows, kIncarnation, 0),
-                     UsageFrom(rows.value(kTeams, Json::object())),
-                     context_.now);
+  ledger_->TakeUsage(
+      host, data_centre, FieldOr<uint64_t>(rows, kIncarnation, 0),
+      UsageFrom(rows.value(kTeams, Json::object())), context_.now);
 }
 
-void QuotaKeeper::RunTick() {
-  if (!ledger_ || !HasQuotas()) return;
+void QuotaKeeper::RunTick(const PeerAddress& reader) {
+  if (!HasQuotas()) return;
+  if (ledger_) {
+    RunOwner();
+  } else if (gate_.IsTold(context_.now)) {
+    centre_ledger_.reset();
+  } else {
+    RunCentre(reader);
+  }
+}
+
+QuotaShares QuotaKeeper::Decide(QuotaLedger& ledger,
+                                std::shared_ptr<const TeamBook> teams) {
+  ledger.SetTeams(std::move(teams), context_.now);
+  ledger.TakeUsage(context_.settings.self.host, context_.settings.data_centre,
+                   context_.settings.self.number, gate_.Usage(context_.now),
+                   context_.now);
+  return ledger.Shares(context_.now);
+}
+
+void QuotaKeeper::RunOwner() {
   if (context_.now - decided_at_ < kDecisionInterval) return;
   decided_at_ = context_.now;
-  ledger_->SetTeams(context_.teams, context_.now);
-  ledger_->TakeUsage(context_.settings.self.host, context_.settings.self.number,
-                     gate_.Usage(context_.now), context_.now);
-  QuotaShares shares = ledger_->Shares(context_.now);
+  QuotaShares shares = Decide(*ledger_, context_.teams);
   if (!ledger_->IsReady(context_.now)) return;
   LogThrottled(shares);
   shares_ = std::move(shares);
-  gate_.TakeShares(shares_, context_.fleet_hosts, context_.now);
+  told_hosts_ = ledger_->KnownHosts(context_.now);
+  gate_.TakeShares(shares_, told_hosts_, context_.now);
+  const auto parts = ledger_->parts().find(context_.settings.data_centre);
+  if (parts != ledger_->parts().end()) centre_parts_ = parts->second;
 }
 
-Json QuotaKeeper::PlanRows() const {
-  if (!ledger_ || !ledger_->IsReady(context_.now) || !HasQuotas()) return {};
-  Json teams = Json::object();
-  for (const auto& [team, share] : shares_) {
-    teams[team] = Json::array({share.share, std::round(share.usual_rate)});
+// Who never heard an owner knows of no parts, and nobody stands in for it.
+void QuotaKeeper::RunCentre(const PeerAddress& reader) {
+  if (reader.host.empty() || told_hosts_ == 0) return;
+  if (reader.host == context_.settings.self.host) {
+    StandIn();
+    return;
+  }
+  if (context_.now - asked_centre_at_ < kCentreInterval) return;
+  asked_centre_at_ = context_.now;
+  Json body = ReportRows();
+  body[kAddress] = context_.settings.peer_address;
+  context_.Emit(SendPeer{reader.host,
+                         reader.address,
+                         {PeerMessageType::kQuotaUsage, std::move(body)}});
+}
+
+void QuotaKeeper::StandIn() {
+  if (context_.now - decided_at_ < kDecisionInterval) return;
+  decided_at_ = context_.now;
+  if (!centre_ledger_) {
+    centre_ledger_ = std::make_unique<QuotaLedger>(QuotaLedger::Settings{
+        .tolerance = {}, .expected_hosts = 0, .gathering = kCentreGathering});
+    context_.metrics.Count("quota_stand_ins_total");
+    LogEvent(LogLevel::kInfo, "quota_stand_in")
+        .With("data_centre", context_.settings.data_centre)
+        .With("told_hosts", told_hosts_);
+  }
+  QuotaShares shares = Decide(*centre_ledger_, CentreTeams());
+  if (!centre_ledger_->IsReady(context_.now)) return;
+  centre_shares_ = std::move(shares);
+  gate_.TakeCentreShares(centre_shares_, context_.now);
+}
+
+// The teams with their quotas cut down to this data centre's part.
+std::shared_ptr<const TeamBook> QuotaKeeper::CentreTeams() const {
+  auto teams = std::make_shared<TeamBook>();
+  for (const auto& [name, whole] : context_.teams->teams()) {
+    Team team = whole;
+    const auto part = centre_parts_.find(name);
+    if (team.quota.is_limited() && part != centre_parts_.end()) {
+      team.quota.tokens_per_second *= part->second;
+      team.quota.burst_tokens *= part->second;
+    }
+    teams->Add(team, {});
   }
-  return Json{{kTeams, std::move(teams)}};
+  return teams;
+}
+
+void QuotaKeeper::TakeCentreUsage(const std::string& host, const Json& body) {
+  if (!HasQuotas()) return;
+  if (centre_ledger_) {
+    centre_ledger_->TakeUsage(host, context_.settings.data_centre,
+                              FieldOr<uint64_t>(body, kIncarnation, 0),
+                              UsageFrom(body.value(kTeams, Json::object())),
+                              context_.now);
+  }
+  // Here the owner may still be heard: its share is right for the host as well.
+  const bool is_told = gate_.IsTold(context_.now);
+  const bool is_standing_in =
+      centre_ledger_ && centre_ledger_->IsReady(context_.now);
+  if (!is_told && !is_standing_in) return;
+  context_.Emit(SendPeer{
+      host,
+      FieldOr<std::string>(body, kAddress, ""),
+      {PeerMessageType::kQuotaWord,
+       Json{{kTeams, ShareRows(is_told ? shares_ : centre_shares_)}}}});
+}
+
+void QuotaKeeper::TakeCentreWord(const Json& body) {
+  gate_.TakeCentreShares(SharesFrom(body.value(kTeams, Json::object())),
+                         context_.now);
+}
+
+Json QuotaKeeper::PlanRows(const std::string& data_centre) const {
+  if (!ledger_ || !ledger_->IsReady(context_.now) || !HasQuotas()) return {};
+  Json body{{kTeams, ShareRows(shares_)}, {kHosts, told_hosts_}};
+  const auto parts = ledger_->parts().find(data_centre);
+  if (parts != ledger_->parts().end()) body[kParts] = parts->second;
+  return body;
 }
 
 // One line when a team begins to be held back and one when it no longer is.
-void QuotaKeeper::LogThrottled(const QuotaShares& shares) {
+void QuotaKeeper::LogThrottled(const QuotaShares& shares) const {
   for (const auto& [team, share] : shares) {
     const auto before = shares_.find(team);
     const bool was_held = before != shares_.end() && before->second.share < 1;
@@ -136,15 +257,16 @@
         .With("team", team)
         .With("share", share.share)
         .With("usual_rate", share.usual_rate)
-        .With("hosts", ledger_->hosts())
+        .With("hosts", ledger_->KnownHosts(context_.now))
         .With("version", context_.control.rules().version());
   }
 }
 
 void QuotaKeeper::TakePlan(const Json& rows) {
   shares_ = SharesFrom(rows.value(kTeams, Json::object()));
-  told_hosts_ = context_.fleet_hosts;
+  told_hosts_ = std::max(1, FieldOr<int>(rows, kHosts, 1));
   gate_.TakeShares(shares_, told_hosts_, context_.now);
+  centre_parts_ = PartsFrom(rows.value(kParts, Json::object()));
 }
 
 Json QuotaKeeper::ToJson() const {
--- a/tests/admission/quota_fixture.h
+++ b/tests/admission/quota_fixture.h
@@ -162,8 +162,9 @@
   }
 
   void StartOwner() {
-    ledger_ = std::make_unique<QuotaLedger>(QuotaTolerance{kQuotaSlack},
-                                            static_cast<int>(size()));
+    ledger_ = std::make_unique<QuotaLedger>(
+        QuotaLedger::Settings{.tolerance = {kQuotaSlack},
+                              .expected_hosts = static_cast<int>(size())});
     ledger_->SetTeams(book_ ? book_ : std::make_shared<TeamBook>(), now_);
     planned_at_ = {};
   }
@@ -177,8 +178,8 @@
       if (!message.is_report) {
         host.gate->TakeShares(*message.shares, static_cast<int>(size()), now_);
       } else if (ledger_) {
-        ledger_->TakeUsage(absl::StrCat("h", message.host), message.incarnation,
-                           message.usage, now_);
+        ledger_->TakeUsage(absl::StrCat("h", message.host), "hall",
+                           message.incarnation, message.usage, now_);
       }
     }
   }
--- a/tests/node/fleet_fixture.h
+++ b/tests/node/fleet_fixture.h
@@ -87,6 +87,11 @@
     Handle(name, listed);
   }
 
+  // Nothing passes between these two hosts.
+  virtual bool IsCut(const std::string&, const std::string&) const {
+    return false;
+  }
+
   void Handle(const std::string& name, const Event& event) {
     Host& host = hosts_.at(name);
     if (host.is_down) return;
@@ -130,7 +135,8 @@
       if (is_plan && !is_shared_) ++plans_made_;
       if (is_plan && is_losing_plans_) return;
       if (!hosts_.contains(peer->host)) return;
-      if (host.is_cut_from_hosts || hosts_.at(peer->host).is_cut_from_hosts) {
+      if (host.is_cut_from_hosts || hosts_.at(peer->host).is_cut_from_hosts ||
+          IsCut(name, peer->host)) {
         return;
       }
       pending_.push_back(
--- /dev/null
+++ b/tests/node/quota_centre_test.cc
@@ -0,0 +1,122 @@
+// Quotas where no owner is heard.
+
+#include "tests/node/fleet_fixture.h"
+
+namespace applehall {
+namespace {
+
+constexpr double kLimit = 20000;  // Tokens a second.
+constexpr double kCost = 1000;
+constexpr int kHostsACentre = 6;
+
+class QuotaCentreTest : public FleetTest {
+ protected:
+  void SetUp() override {
+    for (int i = 0; i < 2 * kHostsACentre; ++i) {
+      const bool is_first = i < kHostsACentre;
+      Add((is_first ? "a" : "b") + std::to_string(i),
+          is_first ? "hall-a" : "hall-b");
+    }
+    auto book = std::make_shared<TeamBook>();
+    Team team;
+    team.name = "studs";
+    team.unit = QuotaUnit::kTokens;
+    team.plain_tokens = kCost;
+    team.quota = {kLimit, kLimit};
+    book->Add(team, {"key"});
+    for (const auto& [name, host] : hosts_) {
+      Handle(name, RuleSetRead{2, *ParseJson(kRules), book});
+    }
+    Run(seconds(4));
+  }
+
+  void Ask(const std::string& host) {
+    RequestArrived request;
+    request.handle = ++last_handle_;
+    request.request_id = "r" + std::to_string(last_handle_);
+    request.facts.path = "/once/x";
+    request.api_key = ApiKeyDigest::Of("key");
+    Handle(host, request);
+  }
+
+  // One request each 100 ms, to `share` of them at `host` and the rest at all.
+  void AskFor(Duration duration, int a_step,
+              const std::vector<std::string>& at) {
+    for (const TimePoint end = now_ + duration; now_ < end;) {
+      for (int i = 0; i < a_step; ++i) Ask(at[random_.Below(at.size())]);
+      Run(milliseconds(100));
+    }
+  }
+
+  std::vector<std::string> HostsOf(const std::string& centre) const {
+    std::vector<std::string> names;
+    for (const auto& [name, host] : hosts_) {
+      if (name[0] == centre[0]) names.push_back(name);
+    }
+    return names;
+  }
+
+  int Refused() const {
+    int count = 0;
+    for (const auto& [name, host] : hosts_) {
+      for (const RefuseRequest& one : Done<RefuseRequest>(name)) {
+        if (one.refusal.reason == RefusalReason::kQuotaUsedUp) ++count;
+      }
+    }
+    return count;
+  }
+
+  // Cuts the data centre that the owner is not in off from store and owner.
+  std::string CutTheOther() {
+    const std::string owner = Holders().at(0);
+    cut_ = owner[0] == 'a' ? "b" : "a";
+    for (auto& [name, host] : hosts_) {
+      host.is_cut_from_store = name[0] == cut_[0];
+    }
+    return cut_;
+  }
+
+  bool IsCut(const std::string& from, const std::string& to) const override {
+    return !cut_.empty() && (from[0] == cut_[0]) != (to[0] == cut_[0]);
+  }
+
+  std::string cut_;
+  Random random_{7};
+  RequestHandle last_handle_ = 0;
+};
+
+// A data centre is cut off from the others for some seconds. Its teams ask for
+// half of what they bought, but more at one host than at the next; each host
+// went by its own small part and refused what was the team's.
+TEST_F(QuotaCentreTest, CutDataCentreSharesItsPartAmongItsHosts) {
+  std::vector<std::string> all = HostsOf("a");
+  for (const std::string& name : HostsOf("b")) all.push_back(name);
+  AskFor(seconds(8), 1, all);
+  EXPECT_EQ(Refused(), 0);
+  const std::string cut = CutTheOther();
+  Run(milliseconds(2000));
+  // All its callers are at two of its hosts now.
+  const std::vector<std::string> hosts = HostsOf(cut);
+  AskFor(seconds(5), 1, {hosts[1], hosts[2]});
+  // 50 requests of 1,000 tokens in 5 s, of a part of some 10,000 a second.
+  EXPECT_LE(Refused(), 5);
+}
+
+// The same team asks for many times its usual in the cut data centre. It gets
+// that data centre's part and no more.
+TEST_F(QuotaCentreTest, CutDataCentreGivesNoMoreThanItsPart) {
+  std::vector<std::string> all = HostsOf("a");
+  for (const std::string& name : HostsOf("b")) all.push_back(name);
+  AskFor(seconds(8), 1, all);
+  const std::string cut = CutTheOther();
+  Run(milliseconds(2000));
+  const std::vector<std::string> hosts = HostsOf(cut);
+  AskFor(seconds(8), 6, hosts);
+  const int asked = 8 * 10 * 6;
+  const int part = static_cast<int>(0.6 * kLimit / kCost) * 8;
+  const int burst = static_cast<int>(kLimit / kCost);
+  EXPECT_GE(Refused(), asked - part - burst - kHostsACentre);
+}
+
+}  // namespace
+}  // namespace applehall
