Request flow: the decision at arrival and what is told of requests in classes of their own

Cause: request_flow.cc had 1,260 lines; a newcomer had to read them to learn what is decided of a request when it arrives, and in which states it may have run. Change: OpenRequest (the state, and when it may have run), RequestDecider (rule, team, target, quota), RequestLog (outcomes and failed attempts); NotRun, the target of a plain service and the name of an attempt's result stand once. No behaviour changes.

--- a/core/verdict.h
+++ b/core/verdict.h
@@ -63,6 +63,12 @@
   Duration retry_after{0};
 };
 
+// Refuses what has not run and never will. Requires: nothing. Thread-safe.
+inline Refusal NotRun(RefusalReason reason, std::string detail,
+                      Duration retry_after = Duration{0}) {
+  return {Verdict::kNotRun, reason, std::move(detail), retry_after};
+}
+
 // HTTP status of a refusal: 409 for a repeat, 504 when it may have run, 429
 // and 503 (or 400, 403) when it has not.
 int HttpStatus(const Refusal& refusal);
--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -168,7 +168,7 @@
   digest.is_leaving = server.is_leaving;
   const auto announced = announced_.find(id);
   if (!server.is_engine) {
-    digest.ready = {absl::StrCat("service:", server.service)};
+    digest.ready = {ServiceTarget(server.service)};
   } else if (announced != announced_.end()) {
     digest.ready = announced->second;
   } else {
--- a/node/messages.h
+++ b/node/messages.h
@@ -61,6 +61,24 @@
   kBroken,       // It failed after the request was sent.
 };
 
+constexpr const char* AttemptResultName(AttemptResult result) {
+  switch (result) {
+    case AttemptResult::kCompleted:
+      return "completed";
+    case AttemptResult::kNotSent:
+      return "not_sent";
+    case AttemptResult::kModelAbsent:
+      return "model_absent";
+    case AttemptResult::kFull:
+      return "full";
+    case AttemptResult::kRefused:
+      return "refused";
+    case AttemptResult::kBroken:
+      return "broken";
+  }
+  return "broken";
+}
+
 // One attempt at a backend server ended.
 struct AttemptEnded {
   RequestHandle handle = 0;
--- a/node/node.cc
+++ b/node/node.cc
@@ -184,7 +184,7 @@
     digest.slots = entry.slots > 0 ? entry.slots : kDefaultServiceSlots;
     digest.is_leaving = entry.is_leaving;
     if (is_local || !has_local[entry.service]) {
-      digest.ready = {absl::StrCat("service:", entry.service)};
+      digest.ready = {ServiceTarget(entry.service)};
     }
     context_.view.Merge(digest, context_.now);
     context_.view.SetLeaving(name, entry.is_leaving);
--- /dev/null
+++ b/node/open_request.h
@@ -0,0 +1,73 @@
+#ifndef APPLEHALL_NODE_OPEN_REQUEST_H_
+#define APPLEHALL_NODE_OPEN_REQUEST_H_
+
+#include <absl/strings/str_cat.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "node/messages.h"
+#include "rules/rule_book.h"
+
+namespace applehall {
+
+// Retry-After of what waits for the log, for rules or for news of servers.
+inline constexpr Duration kRetrySoon = std::chrono::seconds(1);
+
+enum class RequestPhase : uint8_t {
+  kClaiming,  // Its key is claimed on the log.
+  kWaiting,   // For an engine or service; nothing is sent.
+  kBackoff,   // Between two attempts.
+  kSent,      // An attempt is under way.
+};
+
+// A request that has arrived and has no outcome yet, as its host knows it.
+//
+// It may have run if `may_have_run` is set or an attempt is under way; in every
+// other state it has not, and a refusal may promise that.
+struct OpenRequest {
+  RequestArrived arrival;
+  std::shared_ptr<const CompiledRules> rules;  // Those that decided it.
+  int rule_index = 0;
+  std::string target;
+  std::string service;  // Whose backend servers take it; empty: not named.
+  bool is_service_call = false;  // To a plain service, not to a model.
+  size_t model_index = 0;        // Into the rule's list of preferences.
+  RequestPhase phase = RequestPhase::kWaiting;
+  TimePoint arrived_at;
+  TimePoint deadline;
+  TimePoint first_sent_at;
+  TimePoint sent_at;
+  TimePoint started_at;       // First piece of the answer, if `has_started`.
+  Duration longest_pause{0};  // Between two pieces of it.
+  TimePoint resume_at;        // In kBackoff.
+  int attempt = 0;
+  int retries = 0;
+  bool was_cold = false;
+  double luck = 0;  // Which share of arrivals it belongs to, from 0 to 1.
+  bool is_granted = false;
+  bool has_started = false;   // The caller has part of the answer.
+  bool has_arrived = false;   // At an engine, which may have refused it.
+  bool may_have_run = false;  // By an earlier attempt.
+  bool may_resume = false;
+  std::string failed_backend;  // The last one that failed it.
+  bool was_forwarded = false;  // Tried in another data centre already.
+  std::string backend;
+  BackendKind backend_kind = BackendKind::kEngine;
+  std::string detail;
+  // As in DispatchRequest.
+  std::optional<std::string> team;
+  int team_priority = -1;  // Negative: the rule's holds.
+  double quota_cost = 0;   // Counted against its team's quota.
+
+  const Rule& rule() const { return rules->set.rules[rule_index]; }
+  // "VERSION/NAME". Requires: the rule is decided. Thread-safe.
+  std::string RuleLabel() const {
+    return absl::StrCat(rules->version, "/", rule().name);
+  }
+};
+
+}  // namespace applehall
+
+#endif  // APPLEHALL_NODE_OPEN_REQUEST_H_
--- /dev/null
+++ b/node/request_decider.cc
@@ -0,0 +1,142 @@
+#include "node/request_decider.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+#include "core/request_fingerprint.h"
+
+namespace applehall {
+
+std::optional<Refusal> RequestDecider::Decide(OpenRequest& request) {
+  const RequestFacts& facts = request.arrival.facts;
+  SystemFacts system;
+  system.now = context_.now;
+  system.data_centre = context_.settings.data_centre;
+  system.log_down = context_.IsLogDown();
+  system.replicas = context_.view.ReadyReplicas(facts.model);
+  const int index = request.rules->matcher.FirstMatch(request.rules->set.rules,
+                                                      facts, system);
+  // The last rule matches everything; a set without one is never in force.
+  request.rule_index =
+      index >= 0 ? index
+                 : static_cast<int>(request.rules->set.rules.size()) - 1;
+  const RuleOutcome& then = request.rule().then;
+  Duration limit = then.deadline;
+  if (request.arrival.deadline) {
+    limit = std::min(limit, *request.arrival.deadline);
+  }
+  request.deadline = context_.now + limit;
+  if (then.refuse) {
+    return NotRun(RefusalReason::kRefusedByRule, *then.refuse);
+  }
+  if (auto refusal = Authenticate(request)) return refusal;
+  ChooseService(request);
+  request.target = ChooseTarget(request);
+  if (const auto refusal = CheckTarget(request)) return refusal;
+  request.was_cold = !request.is_service_call &&
+                     context_.view.ReadyReplicas(request.target) == 0;
+  return std::nullopt;
+}
+
+// Guards against requests that run for nobody, or for another team than the
+// one that pays: a key that no team holds, or no longer, is refused before the
+// request waits, counts or costs anything.
+std::optional<Refusal> RequestDecider::Authenticate(OpenRequest& request) {
+  const TeamBook& teams = *context_.teams;
+  if (teams.is_empty()) return std::nullopt;
+  RequestArrived& arrival = request.arrival;
+  const Team* team =
+      arrival.api_key ? teams.FindByKey(*arrival.api_key) : nullptr;
+  if (team == nullptr && !request.rule().then.is_public) {
+    return NotRun(RefusalReason::kUnauthorized,
+                  arrival.api_key ? "no team holds this API key"
+                                  : "an API key is needed");
+  }
+  request.team = team == nullptr ? "" : team->name;
+  if (team == nullptr) return std::nullopt;
+  request.team_priority = team->priority;
+  arrival.facts.caller = team->name;
+  // A changed key must not make a content new, nor is what two teams send the
+  // same content.
+  if (arrival.fingerprint != 0) {
+    arrival.fingerprint = FingerprintForCaller(arrival.fingerprint, team->name);
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> RequestDecider::AskQuota(OpenRequest& request) {
+  const Team* team =
+      request.team ? context_.teams->Find(*request.team) : nullptr;
+  if (team == nullptr || !team->quota.is_limited()) return std::nullopt;
+  const double cost = team->CostOf(request.arrival.declared_tokens);
+  if (auto refusal = quotas_.Ask(*team, cost)) return refusal;
+  request.quota_cost = cost;
+  return std::nullopt;
+}
+
+// The service that the rule names, by weight if it names several; else the one
+// that was asked for.
+void RequestDecider::ChooseService(OpenRequest& request) {
+  const std::vector<ServiceShare>& shares = request.rule().then.services;
+  request.service = request.arrival.facts.service;
+  request.is_service_call = !request.service.empty();
+  if (shares.empty()) return;
+  double total = 0;
+  for (const ServiceShare& share : shares) total += share.weight;
+  double drawn = context_.random.Unit() * total;
+  request.service = shares.back().service;
+  for (const ServiceShare& share : shares) {
+    drawn -= share.weight;
+    if (drawn >= 0) continue;
+    request.service = share.service;
+    break;
+  }
+  request.is_service_call = request.arrival.facts.model.empty();
+}
+
+std::optional<Refusal> RequestDecider::CheckTarget(
+    const OpenRequest& request) const {
+  const bool is_offered = IsFleet()
+                              ? fleet_.OffersService(request.service)
+                              : context_.hosts.OffersService(request.service);
+  if (request.is_service_call && !is_offered) {
+    return NotRun(
+        RefusalReason::kNoBackend,
+        absl::StrCat("no backend server offers \"", request.service, "\""),
+        kRetrySoon);
+  }
+  if (!request.is_service_call &&
+      !context_.catalogue.contains(request.target)) {
+    if (context_.catalogue.empty()) {
+      return NotRun(RefusalReason::kNoBackend,
+                    "the models of the weight store are not known yet",
+                    kRetrySoon);
+    }
+    return NotRun(RefusalReason::kBadRequest,
+                  absl::StrCat("there is no model \"", request.target, "\""));
+  }
+  return std::nullopt;
+}
+
+// The first of the rule's models that is ready; else the first of all, which
+// will be loaded.
+std::string RequestDecider::ChooseTarget(OpenRequest& request) const {
+  const RequestFacts& facts = request.arrival.facts;
+  if (request.is_service_call) return ServiceTarget(request.service);
+  // Where rules name the service, models stand in the catalogue by service.
+  if (!request.rule().then.services.empty()) {
+    return absl::StrCat(request.service, "/", facts.model);
+  }
+  const RuleOutcome& then = request.rule().then;
+  if (!then.adapter.empty()) return then.adapter;
+  if (then.models.empty()) return facts.model;
+  for (size_t i = 0; i < then.models.size(); ++i) {
+    if (context_.view.ReadyReplicas(then.models[i]) == 0) continue;
+    request.model_index = i;
+    return then.models[i];
+  }
+  return then.models.front();
+}
+
+}  // namespace applehall
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -10,14 +10,11 @@
 namespace applehall {
 namespace {
 
-constexpr char kServicePrefix[] = "service:";
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(20);
 constexpr Duration kMostBackoff = std::chrono::seconds(2);
 // An engine that says "not run" costs nothing, but must not be asked forever.
 constexpr int kMostAttempts = 50;
 constexpr Duration kAnswerLife = std::chrono::seconds(2);
-// Retry-After for a request that waits for the log or for rules.
-constexpr Duration kRetrySoon = std::chrono::seconds(1);
 // Another host can take the request at once.
 constexpr Duration kRetryElsewhere = std::chrono::milliseconds(100);
 // From disk, with what stands before it.
@@ -48,11 +45,6 @@
 constexpr double kSlowerShare = 0.05;
 constexpr size_t kMostTargets = 8192;
 
-Refusal NotRun(RefusalReason reason, std::string detail,
-               Duration retry_after = Duration{0}) {
-  return {Verdict::kNotRun, reason, std::move(detail), retry_after};
-}
-
 EngineView::RequestEnd ViewEnd(AttemptResult result) {
   switch (result) {
     case AttemptResult::kCompleted:
@@ -70,24 +62,6 @@
   return EngineView::RequestEnd::kOther;
 }
 
-const char* AttemptResultName(AttemptResult result) {
-  switch (result) {
-    case AttemptResult::kCompleted:
-      return "completed";
-    case AttemptResult::kNotSent:
-      return "not_sent";
-    case AttemptResult::kModelAbsent:
-      return "model_absent";
-    case AttemptResult::kFull:
-      return "full";
-    case AttemptResult::kRefused:
-      return "refused";
-    case AttemptResult::kBroken:
-      return "broken";
-  }
-  return "broken";
-}
-
 // Moves `known` by `share` of the way to `sample`; the first sample is taken
 // whole.
 void Smooth(Duration sample, double share, Duration& known) {
@@ -109,6 +83,8 @@
       fleet_(fleet),
       quarantine_(quarantine),
       quotas_(quotas),
+      decider_(context, fleet, quotas),
+      log_(context),
       claims_(context.settings.self, context.settings.claims) {}
 
 RequestFlow::Request* RequestFlow::Find(RequestHandle handle) {
@@ -116,10 +92,6 @@
   return it == requests_.end() ? nullptr : it->second.get();
 }
 
-std::string RequestFlow::RuleLabel(const Request& request) const {
-  return absl::StrCat(request.rules->version, "/", request.rule().name);
-}
-
 bool RequestFlow::IsService(const Request& request) const {
   return request.is_service_call;
 }
@@ -174,14 +146,14 @@
   request.rules = context_.control.rules().current();
   request.arrived_at = context_.now;
   request.luck = context_.random.Unit();
-  auto refusal = Decide(request);
+  auto refusal = decider_.Decide(request);
   const std::string& caller = request.arrival.facts.caller;
   if (!refusal) refusal = CheckCaller(caller);
   if (!refusal) refusal = CheckQuarantine(request.arrival.fingerprint);
   // Last, so that what is refused for another reason counts for nothing.
-  if (!refusal) refusal = AskQuota(request);
+  if (!refusal) refusal = decider_.AskQuota(request);
   if (refusal) {
-    RefuseNow(request.arrival, RuleLabel(request), *refusal);
+    RefuseNow(request.arrival, request.RuleLabel(), *refusal);
     return;
   }
   requests_[event.handle] = std::move(owned);
@@ -198,135 +170,6 @@
   if (const auto refusal = BeginClaim(request)) Refuse(event.handle, *refusal);
 }
 
-std::optional<Refusal> RequestFlow::Decide(Request& request) {
-  const RequestFacts& facts = request.arrival.facts;
-  SystemFacts system;
-  system.now = context_.now;
-  system.data_centre = context_.settings.data_centre;
-  system.log_down = context_.IsLogDown();
-  system.replicas = context_.view.ReadyReplicas(facts.model);
-  const int index = request.rules->matcher.FirstMatch(request.rules->set.rules,
-                                                      facts, system);
-  // The last rule matches everything; a set without one is never in force.
-  request.rule_index =
-      index >= 0 ? index
-                 : static_cast<int>(request.rules->set.rules.size()) - 1;
-  const RuleOutcome& then = request.rule().then;
-  Duration limit = then.deadline;
-  if (request.arrival.deadline) {
-    limit = std::min(limit, *request.arrival.deadline);
-  }
-  request.deadline = context_.now + limit;
-  if (then.refuse) {
-    return NotRun(RefusalReason::kRefusedByRule, *then.refuse);
-  }
-  if (auto refusal = Authenticate(request)) return refusal;
-  ChooseService(request);
-  request.target = ChooseTarget(request);
-  if (const auto refusal = CheckTarget(request)) return refusal;
-  request.was_cold =
-      !IsService(request) && context_.view.ReadyReplicas(request.target) == 0;
-  return std::nullopt;
-}
-
-// Guards against requests that run for nobody, or for another team than the
-// one that pays: a key that no team holds, or no longer, is refused before the
-// request waits, counts or costs anything.
-std::optional<Refusal> RequestFlow::Authenticate(Request& request) {
-  const TeamBook& teams = *context_.teams;
-  if (teams.is_empty()) return std::nullopt;
-  RequestArrived& arrival = request.arrival;
-  const Team* team =
-      arrival.api_key ? teams.FindByKey(*arrival.api_key) : nullptr;
-  if (team == nullptr && !request.rule().then.is_public) {
-    return NotRun(RefusalReason::kUnauthorized,
-                  arrival.api_key ? "no team holds this API key"
-                                  : "an API key is needed");
-  }
-  request.team = team == nullptr ? "" : team->name;
-  if (team == nullptr) return std::nullopt;
-  request.team_priority = team->priority;
-  arrival.facts.caller = team->name;
-  // A changed key must not make a content new, nor is what two teams send the
-  // same content.
-  if (arrival.fingerprint != 0) {
-    arrival.fingerprint = FingerprintForCaller(arrival.fingerprint, team->name);
-  }
-  return std::nullopt;
-}
-
-std::optional<Refusal> RequestFlow::AskQuota(Request& request) {
-  const Team* team =
-      request.team ? context_.teams->Find(*request.team) : nullptr;
-  if (team == nullptr || !team->quota.is_limited()) return std::nullopt;
-  const double cost = team->CostOf(request.arrival.declared_tokens);
-  if (auto refusal = quotas_.Ask(*team, cost)) return refusal;
-  request.quota_cost = cost;
-  return std::nullopt;
-}
-
-// The service that the rule names, by weight if it names several; else the one
-// that was asked for.
-void RequestFlow::ChooseService(Request& request) {
-  const std::vector<ServiceShare>& shares = request.rule().then.services;
-  request.service = request.arrival.facts.service;
-  request.is_service_call = !request.service.empty();
-  if (shares.empty()) return;
-  double total = 0;
-  for (const ServiceShare& share : shares) total += share.weight;
-  double drawn = context_.random.Unit() * total;
-  request.service = shares.back().service;
-  for (const ServiceShare& share : shares) {
-    drawn -= share.weight;
-    if (drawn >= 0) continue;
-    request.service = share.service;
-    break;
-  }
-  request.is_service_call = request.arrival.facts.model.empty();
-}
-
-std::optional<Refusal> RequestFlow::CheckTarget(const Request& request) const {
-  const bool is_offered = IsFleet()
-                              ? fleet_.OffersService(request.service)
-                              : context_.hosts.OffersService(request.service);
-  if (IsService(request) && !is_offered) {
-    return NotRun(
-        RefusalReason::kNoBackend,
-        absl::StrCat("no backend server offers \"", request.service, "\""),
-        kRetrySoon);
-  }
-  if (!IsService(request) && !context_.catalogue.contains(request.target)) {
-    if (context_.catalogue.empty()) {
-      return NotRun(RefusalReason::kNoBackend,
-                    "the models of the weight store are not known yet",
-                    kRetrySoon);
-    }
-    return NotRun(RefusalReason::kBadRequest,
-                  absl::StrCat("there is no model \"", request.target, "\""));
-  }
-  return std::nullopt;
-}
-
-// The first of the rule's models that is ready; else the first of all, which
-// will be loaded.
-std::string RequestFlow::ChooseTarget(Request& request) const {
-  const RequestFacts& facts = request.arrival.facts;
-  if (IsService(request)) return kServicePrefix + request.service;
-  // Where rules name the service, models stand in the catalogue by service.
-  if (!request.rule().then.services.empty()) {
-    return absl::StrCat(request.service, "/", facts.model);
-  }
-  const RuleOutcome& then = request.rule().then;
-  if (!then.adapter.empty()) return then.adapter;
-  if (then.models.empty()) return facts.model;
-  for (size_t i = 0; i < then.models.size(); ++i) {
-    if (context_.view.ReadyReplicas(then.models[i]) == 0) continue;
-    request.model_index = i;
-    return then.models[i];
-  }
-  return then.models.front();
-}
-
 std::optional<Refusal> RequestFlow::BeginClaim(Request& request) {
   const std::string& key = request.arrival.idempotency_key;
   if (key.empty()) {
@@ -501,7 +344,7 @@
   dispatch.backend = backend;
   dispatch.address = address;
   dispatch.model = IsService(request) ? "" : request.target;
-  dispatch.rule = RuleLabel(request);
+  dispatch.rule = request.RuleLabel();
   dispatch.is_background = request.rule().then.is_background();
   dispatch.priority = request.team_priority >= 0 ? request.team_priority
                                                  : request.rule().then.priority;
@@ -575,7 +418,7 @@
     Settle(event.handle, "answered", Verdict::kRan, "");
   } else {
     if (event.result == AttemptResult::kBroken) request->may_have_run = true;
-    LogFailedAttempt(*request, event);
+    log_.AttemptFailed(*request, event);
     if (event.is_cut && was_local) NoteCut(*request, event);
     // An engine that turned it away unharmed may well take it a moment later.
     const bool is_harmful = event.result == AttemptResult::kBroken ||
@@ -592,20 +435,6 @@
   if (was_local) PumpEngine(backend);
 }
 
-void RequestFlow::LogFailedAttempt(const Request& request,
-                                   const AttemptEnded& event) const {
-  LogEvent(LogLevel::kInfo, "attempt_failed")
-      .With("request", request.arrival.request_id)
-      .With("fingerprint", FingerprintText(request.arrival.fingerprint))
-      .With("attempt", event.attempt)
-      .With("backend", request.backend)
-      .With("result", AttemptResultName(event.result))
-      .With("cut", event.is_cut ? "yes" : "no")
-      .With("answered_ms", ToMillis(event.answered_for))
-      .With("sent_ms_ago", ToMillis(context_.now - request.sent_at))
-      .With("detail", event.detail);
-}
-
 void RequestFlow::NoteCut(const Request& request, const AttemptEnded& event) {
   const EngineDigest* server = context_.view.Find(request.backend);
   if (server == nullptr || request.arrival.fingerprint == 0) return;
@@ -782,49 +611,7 @@
   } else {
     claims_.Abandon(handle, context_.now);
   }
-  Decision decision;
-  decision.request_id = request->arrival.request_id;
-  decision.caller = request->arrival.facts.caller;
-  decision.target = request->target;
-  decision.rule = RuleLabel(*request);
-  decision.action = action;
-  decision.backend = request->backend;
-  decision.reason = reason;
-  decision.model_state = request->was_cold ? "cold" : "warm";
-  decision.verdict = verdict;
-  decision.attempts = request->attempt;
-  decision.arrived_at = request->arrived_at;
-  decision.took = context_.now - request->arrived_at;
-  decision.waited = request->attempt > 0
-                        ? request->first_sent_at - request->arrived_at
-                        : decision.took;
-  context_.metrics.Count(absl::StrCat("requests_total{action=\"", action,
-                                      "\",rule=\"", request->rule().name,
-                                      "\"}"));
-  context_.metrics.Observe("request", decision.took);
-  if (request->was_cold && verdict == Verdict::kRan) {
-    context_.metrics.Observe("cold_start", decision.waited);
-  }
-  LogEvent(LogLevel::kInfo, "request_end")
-      .With("request", decision.request_id)
-      .With("fingerprint", FingerprintText(request->arrival.fingerprint))
-      .With("caller", decision.caller)
-      .With("rule", decision.rule)
-      .With("target", decision.target)
-      .With("waited_ms", ToMillis(decision.waited))
-      .With("model_state", decision.model_state)
-      .With("action", decision.action)
-      .With("verdict", VerdictName(verdict))
-      .With("backend", decision.backend)
-      .With("reason", reason)
-      .With("key", request->arrival.idempotency_key)
-      .With("attempts", request->attempt)
-      .With("first_ms", request->has_started ? ToMillis(request->started_at -
-                                                        request->arrived_at)
-                                             : ToMillis(decision.took))
-      .With("pause_ms", ToMillis(request->longest_pause))
-      .With("took_ms", ToMillis(decision.took));
-  context_.decisions.Add(std::move(decision));
+  log_.Settled(*request, action, verdict, reason);
 }
 
 void RequestFlow::Refuse(RequestHandle handle, Refusal refusal) {
@@ -834,7 +621,7 @@
     // An earlier attempt may have had its effect, whatever came after it.
     refusal.verdict = Verdict::kMayHaveRun;
   }
-  context_.Emit(RefuseRequest{handle, RuleLabel(*request), refusal});
+  context_.Emit(RefuseRequest{handle, request->RuleLabel(), refusal});
   const Verdict verdict = refusal.verdict;
   Settle(handle, "refused", verdict,
          absl::StrCat(RefusalReasonName(refusal.reason), ": ", refusal.detail));
@@ -843,29 +630,7 @@
 void RequestFlow::RefuseNow(const RequestArrived& event,
                             const std::string& rule, const Refusal& refusal) {
   context_.Emit(RefuseRequest{event.handle, rule, refusal});
-  Decision decision;
-  decision.request_id = event.request_id;
-  decision.caller = event.facts.caller;
-  decision.target =
-      event.facts.model.empty() ? event.facts.service : event.facts.model;
-  decision.rule = rule;
-  decision.action = "refused";
-  decision.reason =
-      absl::StrCat(RefusalReasonName(refusal.reason), ": ", refusal.detail);
-  decision.verdict = refusal.verdict;
-  decision.arrived_at = context_.now;
-  context_.metrics.Count(absl::StrCat("refused_on_arrival_total{reason=\"",
-                                      RefusalReasonName(refusal.reason),
-                                      "\"}"));
-  LogEvent(LogLevel::kInfo, "request_end")
-      .With("request", event.request_id)
-      .With("fingerprint", FingerprintText(event.fingerprint))
-      .With("caller", event.facts.caller)
-      .With("rule", rule)
-      .With("action", "refused")
-      .With("verdict", VerdictName(refusal.verdict))
-      .With("reason", decision.reason);
-  context_.decisions.Add(std::move(decision));
+  log_.RefusedOnArrival(event, rule, refusal);
 }
 
 void RequestFlow::CallerLeft(const CallerGone& event) {
@@ -1203,7 +968,7 @@
 void RequestFlow::RunDemands() {
   std::vector<std::string> wanting;
   for (auto& [target, state] : targets_) {
-    if (state.queue.empty() || target.starts_with(kServicePrefix)) continue;
+    if (state.queue.empty() || IsServiceTarget(target)) continue;
     wanting.push_back(target);
   }
   for (const std::string& target : wanting) {
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -13,14 +13,17 @@
 #include "node/gossip.h"
 #include "node/group_keeper.h"
 #include "node/node_context.h"
+#include "node/open_request.h"
 #include "node/quota_keeper.h"
+#include "node/request_decider.h"
+#include "node/request_log.h"
 #include "node/server_ends.h"
 #include "routing/retry_budget.h"
 
 namespace applehall {
 
-// Takes every request from its arrival to its one outcome: the rule that
-// decides it, the claim of its key, its wait, its attempts and its end.
+// Takes every request from its arrival to its one outcome: the claim of its
+// key, its wait, its attempts and its end.
 class RequestFlow {
  public:
   RequestFlow(NodeContext& context, GroupKeeper& groups, Gossip& gossip,
@@ -58,45 +61,8 @@
   Json ToJson() const;
 
  private:
-  enum class Phase : uint8_t { kClaiming, kWaiting, kBackoff, kSent };
-
-  struct Request {
-    RequestArrived arrival;
-    std::shared_ptr<const CompiledRules> rules;  // Those that decided it.
-    int rule_index = 0;
-    std::string target;
-    std::string service;  // Whose backend servers take it; empty: not named.
-    bool is_service_call = false;  // To a plain service, not to a model.
-    size_t model_index = 0;        // Into the rule's list of preferences.
-    Phase phase = Phase::kWaiting;
-    TimePoint arrived_at;
-    TimePoint deadline;
-    TimePoint first_sent_at;
-    TimePoint sent_at;
-    TimePoint started_at;       // First piece of the answer, if `has_started`.
-    Duration longest_pause{0};  // Between two pieces of it.
-    TimePoint resume_at;        // In kBackoff.
-    int attempt = 0;
-    int retries = 0;
-    bool was_cold = false;
-    double luck = 0;  // Which share of arrivals it belongs to, from 0 to 1.
-    bool is_granted = false;
-    bool has_started = false;   // The caller has part of the answer.
-    bool has_arrived = false;   // At an engine, which may have refused it.
-    bool may_have_run = false;  // By an earlier attempt.
-    bool may_resume = false;
-    std::string failed_backend;  // The last one that failed it.
-    bool was_forwarded = false;  // Tried in another data centre already.
-    std::string backend;
-    BackendKind backend_kind = BackendKind::kEngine;
-    std::string detail;
-    // As in DispatchRequest.
-    std::optional<std::string> team;
-    int team_priority = -1;  // Negative: the rule's holds.
-    double quota_cost = 0;   // Counted against its team's quota.
-
-    const Rule& rule() const { return rules->set.rules[rule_index]; }
-  };
+  using Request = OpenRequest;
+  using Phase = RequestPhase;
 
   struct TargetState {
     AdmissionQueue queue;
@@ -119,11 +85,7 @@
   // Arrival.
   std::optional<Refusal> CheckLimits(const RequestArrived& event);
   std::optional<Refusal> CheckCaller(const std::string& caller) const;
-  std::optional<Refusal> Decide(Request& request);
-  std::optional<Refusal> Authenticate(Request& request);
-  std::optional<Refusal> AskQuota(Request& request);
   std::optional<Refusal> BeginClaim(Request& request);
-  std::string ChooseTarget(Request& request) const;
   void Enqueue(Request& request);
 
   // Dispatch.
@@ -138,8 +100,6 @@
                    const std::string& backend, const std::string& address);
 
   // Ends.
-  void LogFailedAttempt(const Request& request,
-                        const AttemptEnded& event) const;
   void NoteCut(const Request& request, const AttemptEnded& event);
   // Its content ends the servers that run it.
   std::optional<Refusal> CheckQuarantine(uint64_t fingerprint) const;
@@ -173,10 +133,7 @@
   bool IsFleet() const {
     return context_.settings.placement == PlacementStyle::kFleet;
   }
-  std::optional<Refusal> CheckTarget(const Request& request) const;
-  void ChooseService(Request& request);
   bool MaySpendRetry(Request& request);
-  std::string RuleLabel(const Request& request) const;
   Request* Find(RequestHandle handle);
 
   NodeContext& context_;
@@ -185,6 +142,8 @@
   FleetKeeper& fleet_;
   QuarantineKeeper& quarantine_;
   QuotaKeeper& quotas_;
+  RequestDecider decider_;
+  RequestLog log_;
   ClaimGuard claims_;
   ServerEnds ends_;
   absl::flat_hash_map<RequestHandle, std::unique_ptr<Request>> requests_;
--- a/routing/engine_digest.h
+++ b/routing/engine_digest.h
@@ -9,6 +9,17 @@
 
 namespace applehall {
 
+inline constexpr char kServicePrefix[] = "service:";
+
+// What requests to a plain service need, as models have their names. Requires:
+// nothing. Thread-safe.
+inline std::string ServiceTarget(const std::string& service) {
+  return kServicePrefix + service;
+}
+inline bool IsServiceTarget(const std::string& target) {
+  return target.starts_with(kServicePrefix);
+}
+
 // What an owner tells the other hosts of its data centre about one engine.
 // Versioned by (token, sequence): a later owner's digest beats an earlier
 // one's, whatever the order of arrival.
