Requests of a host's first moments wait for its rules

Ruled out: a shorter Retry-After (costs the caller its one retry all the same); holding without a bound (the hopeless is refused at once). Change: held for 0.8 s after the start at most, none if the store is known to be away; deadlines count from the arrival. Figures: EarlyRequestTest, six tests, of which the first fails without the change.

--- a/node/node.cc
+++ b/node/node.cc
@@ -62,8 +62,8 @@
                   std::vector<Action>& actions) {
   context_.now = now;
   context_.actions = &actions;
-  if (started_at_ == TimePoint{}) {
-    started_at_ = now;
+  if (context_.started_at == TimePoint{}) {
+    context_.started_at = now;
     context_.log_answered_at = now;
   }
   std::visit([this](const auto& e) { On(e); }, event);
--- a/node/node.h
+++ b/node/node.h
@@ -103,7 +103,6 @@
   LogOffset bounds_version_ = 0;
   uint64_t service_sequence_ = 0;
   bool is_drained_ = false;
-  TimePoint started_at_;
   TimePoint last_tick_;
   TimePoint carried_at_;
 };
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -40,6 +40,7 @@
   Metrics metrics;
   Random random;
   DecisionLog decisions;
+  TimePoint started_at;  // First event of this process.
   bool is_draining = false;
   TimePoint drain_began;
   // Entry hosts that share the placement owner; at least this many until told.
--- a/node/request_decider.cc
+++ b/node/request_decider.cc
@@ -26,7 +26,7 @@
   if (request.arrival.deadline) {
     limit = std::min(limit, *request.arrival.deadline);
   }
-  request.deadline = context_.now + limit;
+  request.deadline = request.arrived_at + limit;
   if (then.refuse) {
     return NotRun(RefusalReason::kRefusedByRule, *then.refuse);
   }
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -83,6 +83,7 @@
       fleet_(fleet),
       quarantine_(quarantine),
       quotas_(quotas),
+      early_(context),
       decider_(context, fleet, quotas),
       log_(context),
       claims_(context.settings.self, context.settings.claims) {}
@@ -135,7 +136,25 @@
                 "the caller has too many requests open", kRetrySoon);
 }
 
+// Rules or servers are still to be read.
+bool RequestFlow::IsLearning() const {
+  return IsFleet() && !context_.is_draining &&
+         (!context_.control.rules().current() || !fleet_.is_known());
+}
+
 void RequestFlow::Arrive(const RequestArrived& event) {
+  if (IsLearning() && early_.TryHold(event)) return;
+  Admit(event, context_.now);
+}
+
+void RequestFlow::RunEarly() {
+  for (const EarlyRequests::Held& held :
+       IsLearning() ? early_.TakeOverdue() : early_.TakeAll()) {
+    Admit(held.arrival, held.arrived_at);
+  }
+}
+
+void RequestFlow::Admit(const RequestArrived& event, TimePoint arrived_at) {
   if (const auto refusal = CheckLimits(event)) {
     RefuseNow(event, "", *refusal);
     return;
@@ -144,7 +163,7 @@
   Request& request = *owned;
   request.arrival = event;
   request.rules = context_.control.rules().current();
-  request.arrived_at = context_.now;
+  request.arrived_at = arrived_at;
   request.luck = context_.random.Unit();
   auto refusal = decider_.Decide(request);
   const std::string& caller = request.arrival.facts.caller;
@@ -634,6 +653,7 @@
 }
 
 void RequestFlow::CallerLeft(const CallerGone& event) {
+  if (early_.Drop(event.handle)) return;
   Request* request = Find(event.handle);
   if (request == nullptr) return;
   const bool was_sent = request->phase == Phase::kSent;
@@ -987,6 +1007,7 @@
 }
 
 void RequestFlow::RunTick() {
+  RunEarly();
   RefuseQuarantined();
   RunTimers();
   RunClaims();
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "claims/claim_guard.h"
+#include "node/early_requests.h"
 #include "node/fleet_keeper.h"
 #include "node/gossip.h"
 #include "node/group_keeper.h"
@@ -54,7 +55,7 @@
   // Dispatches what waits for what became ready. Not thread-safe.
   void PumpAll();
 
-  size_t open_requests() const { return requests_.size(); }
+  size_t open_requests() const { return requests_.size() + early_.size(); }
   size_t waiting() const;
   // Requests that may not be repeated can be guarded.
   bool has_read_claims() const { return claims_.fold().is_read(); }
@@ -83,6 +84,9 @@
   };
 
   // Arrival.
+  void Admit(const RequestArrived& event, TimePoint arrived_at);
+  bool IsLearning() const;
+  void RunEarly();
   std::optional<Refusal> CheckLimits(const RequestArrived& event);
   std::optional<Refusal> CheckCaller(const std::string& caller) const;
   std::optional<Refusal> BeginClaim(Request& request);
@@ -142,6 +146,7 @@
   FleetKeeper& fleet_;
   QuarantineKeeper& quarantine_;
   QuotaKeeper& quotas_;
+  EarlyRequests early_;
   RequestDecider decider_;
   RequestLog log_;
   ClaimGuard claims_;
--- a/tests/node/fleet_fixture.h
+++ b/tests/node/fleet_fixture.h
@@ -55,6 +55,12 @@
   };
 
   void Add(const std::string& name, const std::string& centre = "hall") {
+    Start(name, centre);
+    Teach(name);
+  }
+
+  // A process that has read nothing yet.
+  void Start(const std::string& name, const std::string& centre = "hall") {
     NodeSettings settings;
     settings.self = {name, incarnation_};
     settings.data_centre = centre;
@@ -68,6 +74,10 @@
     settings.retry_slack = retry_slack_;
     Host& host = hosts_[name];
     host.node = std::make_unique<Node>(settings);
+  }
+
+  // It reads rules, models and servers.
+  void Teach(const std::string& name) {
     Handle(name, RuleSetRead{1, *ParseJson(kRules)});
     CatalogueRead catalogue;
     for (const char* model : {"llm/m0", "llm/m1"}) {
