--- a/admission/quota_gate.cc
+++ b/admission/quota_gate.cc
@@ -12,15 +12,13 @@
 // Twice the longest interval of the owner's plans; longer, and what hosts
 // without an owner admit by an old share adds up.
 constexpr Duration kShareLife = milliseconds(1000);
+// Over which the rates are taken: one to notice a team that asks for more, one
+// to tell where its requests usually come.
 constexpr Duration kRecentSpan = milliseconds(500);
+constexpr Duration kUsualSpan = seconds(5);
 // Until told. Of a fleet that lost all its hosts at one moment each host keeps
 // to one part of so many, or the team that was at its limit gets it anew.
 constexpr int kAssumedHosts = 100;
-constexpr Duration kUsualSpan = seconds(5);
-// Of the tolerance, for the buckets of hosts that are alone.
-constexpr double kToleranceShare = 0.4;
-// What a host has admitted beyond its part longer ago than this is forgiven.
-constexpr Duration kMostDebt = seconds(3);
 // A team that has been over its quota for a while will mostly be so for as long
 // again; within these bounds that is when its callers may come back. Sooner
 // they would be refused once more.
@@ -93,16 +91,11 @@
 void QuotaGate::Fill(const TeamQuota& quota, TeamState& state,
                      TimePoint now) const {
   if (state.part <= 0) state.part = 1.0 / hosts_;
-  const double rate = state.part * quota.tokens_per_second;
-  const double depth =
-      state.part * (quota.burst_tokens + kToleranceShare * tolerance_.tokens);
-  if (state.filled_at == TimePoint{}) {
-    state.level = depth;
-  } else {
-    state.level += rate * ToSeconds(now - state.filled_at);
+  const bool is_new = state.bucket.filled_at == TimePoint{};
+  if (is_new) {
+    state.bucket.level = QuotaBucket::Depth(quota, tolerance_, state.part);
   }
-  state.filled_at = now;
-  state.level = std::clamp(state.level, -rate * ToSeconds(kMostDebt), depth);
+  state.bucket.Fill(quota, tolerance_, state.part, now);
 }
 
 QuotaDecision QuotaGate::Ask(const Team& team, double cost, double luck,
@@ -124,7 +117,7 @@
   if (told_at_ != TimePoint{}) decision.told_ago = now - told_at_;
   if (decision.is_admitted) {
     state.admitted += cost;
-    state.level -= cost;
+    state.bucket.level -= cost;
     return decision;
   }
   // Refusals that stand further apart than this are not of one overload.
@@ -150,7 +143,7 @@
   QuotaDecision decision;
   decision.mode = QuotaMode::kAlone;
   decision.share = state.part;
-  decision.is_admitted = state.level > 0;
+  decision.is_admitted = state.bucket.level > 0;
   return decision;
 }
 
@@ -158,7 +151,7 @@
   const auto it = teams_.find(team);
   if (it == teams_.end()) return;
   it->second.admitted -= cost;
-  it->second.level += cost;
+  it->second.bucket.level += cost;
 }
 
 QuotaUsage QuotaGate::Usage(TimePoint now) const {
--- a/admission/quota_gate.h
+++ b/admission/quota_gate.h
@@ -88,9 +88,8 @@
     Rate usual;
     TeamShare told;
     double centre_share = 1;
-    double part = 0;   // Of the quota, from when the owner spoke last.
-    double level = 0;  // Of the bucket of this host's part.
-    TimePoint filled_at;
+    double part = 0;     // Of the quota, from when the owner spoke last.
+    QuotaBucket bucket;  // Of this host's part.
     TimePoint refused_since;
     TimePoint refused_at;
   };
--- a/admission/quota_ledger.cc
+++ b/admission/quota_ledger.cc
@@ -17,12 +17,6 @@
 // What is left in a bucket, or owed to it, is evened out over this time: as
 // long as it takes until the hosts act on a share and report what came of it.
 constexpr Duration kHorizon = milliseconds(1000);
-// Of the tolerance, for bursts of small teams: a single request may be more
-// than a second of their rate.
-constexpr double kToleranceShare = 0.4;
-// What was spent beyond the quota longer ago than this is not paid back; it
-// was at hosts that could not be reached.
-constexpr Duration kMostDebt = seconds(3);
 
 }  // namespace
 
@@ -130,20 +124,6 @@
   }
 }
 
-void QuotaLedger::Fill(const Team& team, const Demand& demand, Bucket& bucket,
-                       TimePoint now) const {
-  const double rate = team.quota.tokens_per_second;
-  // Silent hosts have their part of the burst with them.
-  const double depth =
-      (team.quota.burst_tokens + kToleranceShare * settings_.tolerance.tokens) *
-      std::max(0.0, 1 - demand.silent_part);
-  if (bucket.filled_at != TimePoint{}) {
-    bucket.level += rate * ToSeconds(now - bucket.filled_at);
-  }
-  bucket.filled_at = now;
-  bucket.level = std::clamp(bucket.level, -rate * ToSeconds(kMostDebt), depth);
-}
-
 void QuotaLedger::SumParts(const std::map<std::string, Demand>& demands) {
   parts_.clear();
   const int expected = std::max(hosts(), settings_.expected_hosts);
@@ -171,8 +151,13 @@
   for (const auto& [name, team] : teams_->teams()) {
     if (!team.quota.is_limited()) continue;
     const Demand& demand = demands[name];
-    Bucket& bucket = buckets_[name];
-    Fill(team, demand, bucket, now);
+    QuotaBucket& bucket = buckets_[name];
+    bucket.Fill(team.quota, settings_.tolerance, 1, now);
+    // Silent hosts have their part of the burst with them.
+    const double heard_part = std::max(0.0, 1 - demand.silent_part);
+    bucket.level = std::min(
+        bucket.level,
+        QuotaBucket::Depth(team.quota, settings_.tolerance, heard_part));
     if (demand.usual_rate <= 0) continue;
     const double allowed =
         team.quota.tokens_per_second + bucket.level / ToSeconds(kHorizon);
--- a/admission/quota_ledger.h
+++ b/admission/quota_ledger.h
@@ -67,11 +67,6 @@
     TimePoint charged_to;
     std::map<std::string, HostTeam> teams;
   };
-  struct Bucket {
-    double level = 0;
-    TimePoint filled_at;
-  };
-
   // Of all hosts.
   struct Demand {
     double recent_rate = 0;  // Of those that are not silent.
@@ -85,16 +80,13 @@
   void ChargeMissingHosts(std::map<std::string, Demand>& demands,
                           TimePoint now);
   void Spend(const std::string& team, double tokens);
-  void Fill(const Team& team, const Demand& demand, Bucket& bucket,
-            TimePoint now) const;
-
   void SumParts(const std::map<std::string, Demand>& demands);
 
   Settings settings_;
   QuotaParts parts_;
   std::shared_ptr<const TeamBook> teams_;
   std::map<std::string, Host> hosts_;
-  std::map<std::string, Bucket> buckets_;
+  std::map<std::string, QuotaBucket> buckets_;
   TimePoint began_at_;
   TimePoint missing_charged_to_;
 };
--- a/admission/quota_types.h
+++ b/admission/quota_types.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "rules/team_book.h"
 
 namespace applehall {
 
@@ -38,6 +39,20 @@
   double tokens = 0;  // Beyond rate and burst, in any window.
 };
 
+// The tokens that are left of a quota, or of a part of it. Below zero: owed.
+struct QuotaBucket {
+  double level = 0;
+  TimePoint filled_at;
+
+  // Lets the bucket run until `now` with `part` of the quota. A new one begins
+  // empty. Not thread-safe.
+  void Fill(const TeamQuota& quota, QuotaTolerance tolerance, double part,
+            TimePoint now);
+  // As much as it can hold with `part` of the quota. Thread-safe.
+  static double Depth(const TeamQuota& quota, QuotaTolerance tolerance,
+                      double part);
+};
+
 // What a host that hears nothing of the others may use of a team's quota, as a
 // share of it: mostly by what of the team's requests came to it, and some for
 // what may come to it next. Sums to one over all hosts that were told the same.
--- a/main/applehall_capacity.cc
+++ b/main/applehall_capacity.cc
@@ -506,9 +506,12 @@
 int Run(const std::string& docs, bool check) {
   const auto slopes = ReadSlopes(docs + "/capacity/slopes.json");
   const auto live_text = ReadFile(docs + "/capacity/live.json");
-  if (!slopes.ok() || !live_text.ok()) {
+  // Figures of whole fleets, as the users' sweep shows them.
+  const auto fleets = ReadFile(docs + "/capacity/fleets.md");
+  if (!slopes.ok() || !live_text.ok() || !fleets.ok()) {
     std::cerr << "applehall-capacity: " << slopes.status().message() << " "
-              << live_text.status().message() << "\n";
+              << live_text.status().message() << " "
+              << fleets.status().message() << "\n";
     return 2;
   }
   const absl::StatusOr<Json> live = ParseJson(*live_text);
@@ -517,7 +520,7 @@
     return 2;
   }
   const std::map<std::string, std::string> files = {
-      {docs + "/CAPACITY.md", Page(*slopes, *live).Write()},
+      {docs + "/CAPACITY.md", Page(*slopes, *live).Write() + *fleets},
       {docs + "/capacity/time.svg",
        Plot(*slopes, &Point::nanos, "processor time, ns, by size")},
       {docs + "/capacity/state.svg",
--- a/rules/team_book.cc
+++ b/rules/team_book.cc
@@ -1,10 +1,13 @@
 #include "rules/team_book.h"
 
+#include <algorithm>
+
 namespace applehall {
 
 double Team::CostOf(std::optional<double> declared) const {
   if (unit == QuotaUnit::kRequests) return 1;
-  return declared.value_or(plain_tokens);
+  // Nothing runs for nothing, whatever a caller declares.
+  return std::max(1.0, declared.value_or(plain_tokens));
 }
 
 void TeamBook::Add(Team team, const std::vector<std::string>& keys) {
--- a/tests/rules/team_book_test.cc
+++ b/tests/rules/team_book_test.cc
@@ -34,6 +34,7 @@
   team.unit = QuotaUnit::kTokens;
   EXPECT_EQ(team.CostOf(1540), 1540);
   EXPECT_EQ(team.CostOf(std::nullopt), 200);
+  EXPECT_EQ(team.CostOf(0), 1);  // No free ride.
 }
 
 }  // namespace
