--- a/tests/node/team_test.cc
+++ b/tests/node/team_test.cc
@@ -133,17 +133,25 @@
 }
 
 // A content under quarantine came again with a new key of the same team, and
-// ended two more servers.
+// ended two more servers. Another team that sends the same is not held for it.
 TEST_F(TeamTest, ContentIsTheTeamsWhateverItsKey) {
-  Handle("a", Tick{});
-  Ask("a", 1, "/once/x", "key-1", 77);
-  Ask("a", 2, "/once/x", "key-2", 77);
-  Json log = hosts_.at("a").node->StateDump();
   EXPECT_NE(FingerprintForCaller(77, "studs"),
             FingerprintForCaller(77, "agents"));
-  Install(3, {{"studs", "key-3"}});
-  Ask("a", 3, "/once/x", "key-3", 77);
-  EXPECT_EQ(Done<DispatchRequest>("a").size(), 3u);
+  quarantined_[FingerprintForCaller(77, "studs")] =
+      now_ + std::chrono::hours(1);
+  Add("b");
+  Install(3, {{"studs", "key-3"}, {"agents", "key-2"}});
+  Run(seconds(1));
+  Ask("b", 1, "/once/x", "key-3", 77);
+  Install(4, {{"studs", "key-4"}, {"agents", "key-2"}});
+  Ask("b", 2, "/once/x", "key-4", 77);
+  const auto refused = Done<RefuseRequest>("b");
+  ASSERT_EQ(refused.size(), 2u);
+  for (const RefuseRequest& one : refused) {
+    EXPECT_EQ(one.refusal.reason, RefusalReason::kQuarantined);
+  }
+  Ask("b", 3, "/once/x", "key-2", 77);
+  EXPECT_EQ(Done<DispatchRequest>("b").size(), 1u);
 }
 
 // No dump of a host gives a key away, nor do the decisions it keeps.
