Limits that servers name in their answers are read and logged

Now the adapter decodes the header (docs: what is malformed, doubled or beyond measure stands in its test), and a host logs server_limit once for each change that it hears: who named it, before and after, and how long ago the request was sent. Repeated fields of one name are read as a list; the last had counted. No decision changes.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -227,12 +227,21 @@
     DiscardOnClose(stream_->socket().native_handle(), false);
     head_.status = static_cast<int>(parser_.get().result_int());
     for (const auto& field : parser_.get()) {
-      head_.headers[absl::AsciiStrToLower(absl::string_view(
-          field.name_string().data(), field.name_string().size()))] =
-          std::string(field.value());
+      const std::string name = absl::AsciiStrToLower(absl::string_view(
+          field.name_string().data(), field.name_string().size()));
+      AddHeader(name, std::string(field.value()));
     }
   }
 
+  // Several fields of one name are a list (RFC 9110 section 5.3), except for
+  // cookies, of which the last counts.
+  void AddHeader(const std::string& name, std::string value) {
+    const auto [it, is_new] = head_.headers.try_emplace(name, value);
+    if (is_new) return;
+    const bool is_list = name != "set-cookie";
+    it->second = is_list ? it->second + ", " + value : std::move(value);
+  }
+
   asio::io_context& io_;
   std::shared_ptr<IdleConnections> idle_;
   const HttpCall call_;
--- a/node/messages.h
+++ b/node/messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "admission/admission_queue.h"
+#include "admission/server_limit.h"
 #include "core/api_key.h"
 #include "core/log_record.h"
 #include "core/peer_message.h"
@@ -50,6 +51,7 @@
 // The first byte of an answer went to the caller.
 struct AttemptStarted {
   RequestHandle handle = 0;
+  ServerLimitWord limit = {};  // In the head of the answer.
 };
 
 enum class AttemptResult : uint8_t {
@@ -96,6 +98,8 @@
   bool is_cut = false;
   // From the first piece of this attempt's answer to its end.
   Duration answered_for{0};
+  // In the head of the answer, if one came.
+  ServerLimitWord limit = {};
 };
 
 enum class ServerState : uint8_t { kUnknown, kListening, kGone };
--- a/node/node.cc
+++ b/node/node.cc
@@ -54,8 +54,9 @@
       gossip_(context_, groups_),
       quarantine_(context_, writer_),
       quotas_(context_),
+      limits_(context_),
       fleet_(context_, quarantine_, quotas_),
-      flow_(context_, groups_, gossip_, fleet_, quarantine_, quotas_),
+      flow_(context_, groups_, gossip_, fleet_, quarantine_, quotas_, limits_),
       relay_(context_) {}
 
 void Node::Handle(const Event& event, TimePoint now,
--- a/node/node.h
+++ b/node/node.h
@@ -7,6 +7,7 @@
 #include "node/fleet_keeper.h"
 #include "node/gossip.h"
 #include "node/group_keeper.h"
+#include "node/limit_keeper.h"
 #include "node/log_writer.h"
 #include "node/node_context.h"
 #include "node/quarantine_keeper.h"
@@ -97,6 +98,7 @@
   Gossip gossip_;
   QuarantineKeeper quarantine_;
   QuotaKeeper quotas_;
+  LimitKeeper limits_;
   FleetKeeper fleet_;
   RequestFlow flow_;
   StoreRelay relay_;
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -76,13 +76,15 @@
 
 RequestFlow::RequestFlow(NodeContext& context, GroupKeeper& groups,
                          Gossip& gossip, FleetKeeper& fleet,
-                         QuarantineKeeper& quarantine, QuotaKeeper& quotas)
+                         QuarantineKeeper& quarantine, QuotaKeeper& quotas,
+                         LimitKeeper& limits)
     : context_(context),
       groups_(groups),
       gossip_(gossip),
       fleet_(fleet),
       quarantine_(quarantine),
       quotas_(quotas),
+      limits_(limits),
       early_(context),
       decider_(context, fleet, quotas),
       log_(context),
@@ -409,6 +411,9 @@
   Request* request = Find(event.handle);
   if (request == nullptr) return;
   if (!request->has_started) request->started_at = context_.now;
+  if (request->phase == Phase::kSent) {
+    limits_.TakeWord(request->backend, event.limit, request->sent_at);
+  }
   request->has_started = true;
 }
 
@@ -422,6 +427,7 @@
   const std::string backend = request->backend;
   const bool was_local = request->backend_kind != BackendKind::kEntryHost;
   if (was_local) {
+    limits_.TakeWord(backend, event.limit, request->sent_at);
     context_.view.EndRequest(backend, request->target, ViewEnd(event.result),
                              context_.now);
   }
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -13,6 +13,7 @@
 #include "node/fleet_keeper.h"
 #include "node/gossip.h"
 #include "node/group_keeper.h"
+#include "node/limit_keeper.h"
 #include "node/node_context.h"
 #include "node/open_request.h"
 #include "node/quota_keeper.h"
@@ -29,7 +30,7 @@
  public:
   RequestFlow(NodeContext& context, GroupKeeper& groups, Gossip& gossip,
               FleetKeeper& fleet, QuarantineKeeper& quarantine,
-              QuotaKeeper& quotas);
+              QuotaKeeper& quotas, LimitKeeper& limits);
 
   // Events of one request; all may come late, doubled or after its end. Not
   // thread-safe.
@@ -146,6 +147,7 @@
   FleetKeeper& fleet_;
   QuarantineKeeper& quarantine_;
   QuotaKeeper& quotas_;
+  LimitKeeper& limits_;
   EarlyRequests early_;
   RequestDecider decider_;
   RequestLog log_;
--- /dev/null
+++ b/tests/platform/server_limit_header_test.cc
@@ -0,0 +1,58 @@
+#include "platform/server_limit_header.h"
+
+#include <gtest/gtest.h>
+
+namespace applehall {
+namespace {
+
+using Kind = ServerLimitWord::Kind;
+
+ServerLimitWord Read(const std::string& value, int status = 200) {
+  HttpResponse head;
+  head.status = status;
+  head.headers["x-server-stamp"] = "s";
+  head.headers["server-limit"] = value;
+  return ReadServerLimit(head);
+}
+
+TEST(ServerLimitHeaderTest, DecimalsAreRead) {
+  EXPECT_EQ(Read("1.2").kind, Kind::kNamed);
+  EXPECT_DOUBLE_EQ(Read("1.2").per_second, 1.2);
+  EXPECT_DOUBLE_EQ(Read(" 3 ").per_second, 3);
+  EXPECT_DOUBLE_EQ(Read(".5").per_second, 0.5);
+  EXPECT_EQ(Read("0").kind, Kind::kNamed);
+  EXPECT_DOUBLE_EQ(Read("0").per_second, 0);
+  EXPECT_DOUBLE_EQ(Read("2", 503).per_second, 2);
+}
+
+TEST(ServerLimitHeaderTest, LowestOfSeveralCounts) {
+  EXPECT_DOUBLE_EQ(Read("3, 1.5").per_second, 1.5);
+  EXPECT_DOUBLE_EQ(Read("1.5,1.5").per_second, 1.5);
+}
+
+TEST(ServerLimitHeaderTest, WhatMakesNoSenseIsUnreadable) {
+  for (const char* text : {"", "-1", "+1", "nan", "inf", "1e3", "0x1", "1.2.3",
+                           ".", "one", "1 2", "1,,2", "1,-2"}) {
+    EXPECT_EQ(Read(text).kind, Kind::kUnreadable) << text;
+  }
+  EXPECT_LE(Read(std::string(10000, 'x')).text.size(), 100u);
+}
+
+TEST(ServerLimitHeaderTest, LimitBeyondAllMeasureIsNone) {
+  EXPECT_EQ(Read("1000000000").kind, Kind::kNone);
+  EXPECT_EQ(Read(std::string(400, '9')).kind, Kind::kNone);
+}
+
+// Guards against a limit that is taken for withdrawn because a proxy's error or
+// an unsigned answer does not repeat it.
+TEST(ServerLimitHeaderTest, OnlyWholeAnswersWithdrawALimit) {
+  HttpResponse head;
+  EXPECT_EQ(ReadServerLimit(head).kind, Kind::kUnsaid);
+  head.headers["x-server-stamp"] = "s";
+  EXPECT_EQ(ReadServerLimit(head).kind, Kind::kNone);
+  head.status = 500;
+  EXPECT_EQ(ReadServerLimit(head).kind, Kind::kUnsaid);
+}
+
+}  // namespace
+}  // namespace applehall
