--- a/tests/admission/quota_fixture.h
+++ b/tests/admission/quota_fixture.h
@@ -29,12 +29,12 @@
 
 class QuotaFleet {
  public:
-  QuotaFleet(int hosts, uint64_t seed, QuotaSplit split = QuotaSplit::kByDemand)
-      : random_(seed), split_(split) {
+  QuotaFleet(int hosts, uint64_t seed, QuotaSplit split = QuotaSplit::kByDemand,
+             QuotaTolerance tolerance = {kQuotaSlack})
+      : random_(seed), split_(split), tolerance_(tolerance) {
     for (int i = 0; i < hosts; ++i) {
-      hosts_.push_back(
-          {std::make_unique<QuotaGate>(QuotaTolerance{kQuotaSlack}, split_),
-           milliseconds(500) * i / hosts});
+      hosts_.push_back({std::make_unique<QuotaGate>(tolerance_, split_),
+                        milliseconds(500) * i / hosts});
     }
     StartOwner();
   }
@@ -67,8 +67,7 @@
     for (size_t i = 0; i < count; ++i) Cut(i, is_cut);
   }
   void Restart(size_t host) {
-    hosts_[host].gate =
-        std::make_unique<QuotaGate>(QuotaTolerance{kQuotaSlack}, split_);
+    hosts_[host].gate = std::make_unique<QuotaGate>(tolerance_, split_);
     ++hosts_[host].incarnation;
   }
   void RestartAll() {
@@ -123,6 +122,12 @@
   Count TakeCount(const std::string& name) {
     return std::exchange(counts_[name], {});
   }
+  // When each request of a team was admitted.
+  std::vector<TimePoint> AdmittedAt(const std::string& name) const {
+    std::vector<TimePoint> times;
+    for (const auto& [at, cost] : admitted_.at(name)) times.push_back(at);
+    return times;
+  }
   TimePoint now() const { return now_; }
   size_t size() const { return hosts_.size(); }
   Random& random() { return random_; }
@@ -162,9 +167,8 @@
   }
 
   void StartOwner() {
-    ledger_ = std::make_unique<QuotaLedger>(
-        QuotaLedger::Settings{.tolerance = {kQuotaSlack},
-                              .expected_hosts = static_cast<int>(size())});
+    ledger_ = std::make_unique<QuotaLedger>(QuotaLedger::Settings{
+        .tolerance = tolerance_, .expected_hosts = static_cast<int>(size())});
     ledger_->SetTeams(book_ ? book_ : std::make_shared<TeamBook>(), now_);
     planned_at_ = {};
   }
@@ -232,6 +236,7 @@
 
   Random random_;
   QuotaSplit split_;
+  QuotaTolerance tolerance_;
   std::vector<Host> hosts_;
   std::map<std::string, Load> teams_;
   std::shared_ptr<const TeamBook> book_;
