--- a/admission/host_presence.h
+++ b/admission/host_presence.h
@@ -22,6 +22,7 @@
   // Drops hosts that have said nothing for so long that they have no callers.
   void Expire(TimePoint now);
 
+  bool Knows(const std::string& host) const { return heard_at_.contains(host); }
   bool IsSilent(const std::string& host, TimePoint now) const;
   // Expected, not heard yet, and not given up.
   int Missing(TimePoint now) const;
--- a/admission/quota_ledger.cc
+++ b/admission/quota_ledger.cc
@@ -9,11 +9,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Before a host without word stops to trust its share, so that its part is set
-// aside when it begins to use it.
-constexpr Duration kSilence = milliseconds(900);
-// A host that has said nothing for this long has no callers left.
-constexpr Duration kHostLife = seconds(15);
 // What is left in a bucket, or owed to it, is evened out over this time: as
 // long as it takes until the hosts act on a share and report what came of it.
 constexpr Duration kHorizon = milliseconds(1000);
@@ -22,7 +17,7 @@
 
 void QuotaLedger::SetTeams(std::shared_ptr<const TeamBook> teams,
                            TimePoint now) {
-  if (began_at_ == TimePoint{}) began_at_ = now;
+  presence_.Start(now);
   if (teams_ == teams) return;
   teams_ = std::move(teams);
   std::erase_if(buckets_, [this](const auto& item) {
@@ -31,16 +26,8 @@
 }
 
 bool QuotaLedger::IsReady(TimePoint now) const {
-  return began_at_ != TimePoint{} && now - began_at_ >= settings_.gathering;
-}
-
-int QuotaLedger::MissingHosts(TimePoint now) const {
-  if (now - began_at_ > kHostLife) return 0;
-  return std::max(0, settings_.expected_hosts - hosts());
-}
-
-int QuotaLedger::KnownHosts(TimePoint now) const {
-  return hosts() + MissingHosts(now);
+  const TimePoint began_at = presence_.began_at();
+  return began_at != TimePoint{} && now - began_at >= settings_.gathering;
 }
 
 void QuotaLedger::Spend(const std::string& team, double tokens) {
@@ -56,7 +43,7 @@
   const bool is_new = known.incarnation != incarnation;
   if (is_new) known = {};
   // A host that was never heard before may have admitted its counts long ago.
-  const bool is_first = known.heard_at == TimePoint{} && !IsReady(now);
+  const bool is_first = is_new && !IsReady(now);
   for (const auto& [team, counts] : usage) {
     HostTeam& before = known.teams[team];
     if (!is_first) {
@@ -66,19 +53,15 @@
   }
   known.incarnation = incarnation;
   known.data_centre = data_centre;
-  known.heard_at = now;
+  presence_.Note(host, now);
   known.charged_to = now;
 }
 
-bool QuotaLedger::IsSilent(const Host& host, TimePoint now) const {
-  return now - host.heard_at >= kSilence;
-}
-
 std::map<std::string, QuotaLedger::Demand> QuotaLedger::SumDemand(
     TimePoint now) const {
   std::map<std::string, Demand> sums;
   for (const auto& [name, host] : hosts_) {
-    const bool is_silent = IsSilent(host, now);
+    const bool is_silent = presence_.IsSilent(name, now);
     for (const auto& [team, counts] : host.teams) {
       Demand& sum = sums[team];
       sum.usual_rate += counts.usage.usual_rate;
@@ -91,7 +74,7 @@
 void QuotaLedger::ChargeSilentHosts(std::map<std::string, Demand>& demands,
                                     TimePoint now) {
   for (auto& [name, host] : hosts_) {
-    if (!IsSilent(host, now)) continue;
+    if (!presence_.IsSilent(name, now)) continue;
     const double spell = ToSeconds(now - host.charged_to);
     host.charged_to = now;
     for (auto& [team_name, counts] : host.teams) {
@@ -112,9 +95,9 @@
 // the hosts around it: the next one never heard those, and they serve on.
 void QuotaLedger::ChargeMissingHosts(std::map<std::string, Demand>& demands,
                                      TimePoint now) {
-  const TimePoint from = std::max(missing_charged_to_, began_at_);
+  const TimePoint from = std::max(missing_charged_to_, presence_.began_at());
   missing_charged_to_ = now;
-  const int missing = MissingHosts(now);
+  const int missing = presence_.Missing(now);
   if (missing == 0) return;
   const double part = static_cast<double>(missing) / settings_.expected_hosts;
   for (const auto& [name, team] : teams_->teams()) {
@@ -141,8 +124,9 @@
 QuotaShares QuotaLedger::Shares(TimePoint now) {
   QuotaShares shares;
   if (!teams_) return shares;
-  std::erase_if(hosts_, [now](const auto& item) {
-    return now - item.second.heard_at > kHostLife;
+  presence_.Expire(now);
+  std::erase_if(hosts_, [this](const auto& item) {
+    return !presence_.Knows(item.first);
   });
   std::map<std::string, Demand> demands = SumDemand(now);
   ChargeSilentHosts(demands, now);
--- a/admission/quota_ledger.h
+++ b/admission/quota_ledger.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "admission/host_presence.h"
 #include "admission/quota_types.h"
 #include "core/clock.h"
 #include "rules/team_book.h"
@@ -34,7 +35,8 @@
     Duration gathering = std::chrono::milliseconds(1100);
   };
 
-  explicit QuotaLedger(const Settings& settings) : settings_(settings) {}
+  explicit QuotaLedger(const Settings& settings)
+      : settings_(settings), presence_(settings.expected_hosts) {}
 
   // The teams in force. Not thread-safe.
   void SetTeams(std::shared_ptr<const TeamBook> teams, TimePoint now);
@@ -49,12 +51,10 @@
   bool IsReady(TimePoint now) const;
   // Hosts that have spoken lately or may serve on silently, those that were
   // never heard here included. Not thread-safe.
-  int KnownHosts(TimePoint now) const;
+  int KnownHosts(TimePoint now) const { return presence_.Known(now); }
 
  private:
   int hosts() const { return static_cast<int>(hosts_.size()); }
-  // Expected, not heard yet, and not gone for good.
-  int MissingHosts(TimePoint now) const;
 
   struct HostTeam {
     TeamUsage usage;
@@ -63,7 +63,6 @@
   struct Host {
     uint64_t incarnation = 0;
     std::string data_centre;
-    TimePoint heard_at;
     TimePoint charged_to;
     std::map<std::string, HostTeam> teams;
   };
@@ -74,7 +73,6 @@
     double silent_part = 0;  // Of the quota, that silent hosts may use.
   };
 
-  bool IsSilent(const Host& host, TimePoint now) const;
   std::map<std::string, Demand> SumDemand(TimePoint now) const;
   void ChargeSilentHosts(std::map<std::string, Demand>& demands, TimePoint now);
   void ChargeMissingHosts(std::map<std::string, Demand>& demands,
@@ -87,7 +85,7 @@
   std::shared_ptr<const TeamBook> teams_;
   std::map<std::string, Host> hosts_;
   std::map<std::string, QuotaBucket> buckets_;
-  TimePoint began_at_;
+  HostPresence presence_;
   TimePoint missing_charged_to_;
 };
 
