Soak: servers name limits, change them and take them back

Judged from what each server received and when each host had passed on the first answer that said so; restarts, freezes and cuts excuse their host.

--- a/soak/applehall_soak.cc
+++ b/soak/applehall_soak.cc
@@ -23,6 +23,8 @@
   app.add_option("--callers", options.callers_per_host, "For each host");
   app.add_flag("--poison", options.has_poison,
                "Some requests end the servers that run them");
+  app.add_flag("--limits", options.has_limits,
+               "Servers name limits of the requests that they take");
   CLI11_PARSE(app, argc, argv);
   options.length = std::chrono::seconds(seconds);
   std::signal(SIGPIPE, SIG_IGN);
--- a/soak/platform_standin.cc
+++ b/soak/platform_standin.cc
@@ -322,6 +322,18 @@
   }
 }
 
+void PlatformStandin::NameLimit(const std::string& id,
+                                std::optional<double> per_second) {
+  limits_[id].push_back({clock_.Now(), per_second});
+}
+
+void PlatformStandin::Sign(const std::string& id, HttpHeaders& headers) const {
+  headers[kServerHeader] = id;
+  const auto named = limits_.find(id);
+  if (named == limits_.end() || !named->second.back().per_second) return;
+  headers[kLimitHeader] = absl::StrCat(*named->second.back().per_second);
+}
+
 asio::awaitable<void> PlatformStandin::ServeServer(std::string id,
                                                    HttpExchange& exchange) {
   const std::shared_ptr<Server> server = servers_.at(id);
@@ -333,6 +345,7 @@
     co_return;
   }
   if (server->engine) server->engine->Advance(clock_.Now());
+  if (!attempt.empty()) arrivals_[id].push_back({attempt, clock_.Now()});
   HttpResponse response;
   if (!expected.empty() && expected != id) {
     response = TurnedAway(attempt, 421);
@@ -363,12 +376,13 @@
     }
     runs_[attempt].push_back({id, clock_.Now()});
     if (server->engine) {
-      co_await ServeStream(*server, exchange);
+      co_await ServeStream(id, exchange);
       co_return;
     }
     co_await Sleep(io_, milliseconds(5));
     response = Stamped(attempt, absl::StrCat("answer to ", attempt));
   }
+  Sign(id, response.headers);
   co_await exchange.Respond(std::move(response));
 }
 
@@ -387,13 +401,15 @@
   }
 }
 
-asio::awaitable<void> PlatformStandin::ServeStream(Server& server,
+asio::awaitable<void> PlatformStandin::ServeStream(std::string id,
                                                    HttpExchange& exchange) {
+  const Server& server = *servers_.at(id);
   const std::string attempt = exchange.request().Header("x-attempt-id");
   int from = 0;
   (void)absl::SimpleAtoi(exchange.request().Header("last-event-id"), &from);
   HttpResponse head = Stamped(attempt, "");
   head.headers["content-type"] = "text/event-stream";
+  Sign(id, head.headers);
   const bool breaks = break_every_ > 0 && ++streams_ % break_every_ == 0;
   bool is_ok = co_await exchange.BeginStream(200, head.headers);
   for (int event = from + 1; event <= kEvents && is_ok; ++event) {
--- a/soak/platform_standin.h
+++ b/soak/platform_standin.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,12 +26,22 @@
 // the whole body tells one such content from the others.
 inline constexpr char kPoisonBody[] = "poison";
 
-// A server that ended under such a request.
-struct PoisonRun {
+// A request as it reached a server.
+struct AttemptSeen {
   std::string attempt;
   TimePoint at;
 };
 
+// A limit that a server names from `since` on; nothing: none any more.
+struct NamedLimit {
+  TimePoint since;
+  std::optional<double> per_second;
+};
+
+// The server that wrote an answer, for whoever checks it.
+inline constexpr char kServerHeader[] = "x-soak-server";
+inline constexpr char kLimitHeader[] = "server-limit";
+
 // The users' platform as far as entry hosts see it: its store, model engines
 // and plain services, over HTTP on loopback. Thread of all methods: the one
 // that runs `io`.
@@ -53,16 +64,26 @@
   void Drain(const std::string& id);
   // Ends it without a word, or takes it off the list.
   void Stop(const std::string& id, bool is_delisted);
+  // It names this limit in all its answers; nothing: none.
+  void NameLimit(const std::string& id, std::optional<double> per_second);
   // Every so many-th stream breaks off in the middle; zero: none.
   void SetBreakEvery(int every) { break_every_ = every; }
 
   // By content, in the order of time.
-  const std::map<std::string, std::vector<PoisonRun>>& poison_runs() const {
+  const std::map<std::string, std::vector<AttemptSeen>>& poison_runs() const {
     return poison_runs_;
   }
   const std::map<std::string, std::vector<ServedRun>>& runs() const {
     return runs_;
   }
+  // By server, the limits it named and the requests that reached it, run or
+  // not, in the order of time.
+  const std::map<std::string, std::vector<NamedLimit>>& limits() const {
+    return limits_;
+  }
+  const std::map<std::string, std::vector<AttemptSeen>>& arrivals() const {
+    return arrivals_;
+  }
   // When a server was listed as leaving or gone.
   const std::map<std::string, TimePoint>& left_at() const { return left_at_; }
   const std::vector<std::string>& violations() const { return violations_; }
@@ -92,7 +113,7 @@
   // Ends the server; another one starts at another address a moment later.
   Awaitable<void> EndUnderPoison(std::string id, std::string attempt,
                                  std::string body);
-  Awaitable<void> ServeStream(Server& server, HttpExchange& exchange);
+  Awaitable<void> ServeStream(std::string id, HttpExchange& exchange);
   void TakeOrder(Server& server, const HttpRequest& request,
                  HttpResponse& response);
   void Put(const std::string& topic, const std::string& key,
@@ -102,6 +123,8 @@
                     const std::string& service);
 
   std::string NextId() const;
+  // Adds what all answers of the server `id` say.
+  void Sign(const std::string& id, HttpHeaders& headers) const;
 
   boost::asio::io_context& io_;
   uint64_t seed_;
@@ -111,7 +134,9 @@
   std::map<std::string, std::vector<Record>> topics_;
   std::map<std::string, std::shared_ptr<Server>> servers_;
   std::map<std::string, std::vector<ServedRun>> runs_;
-  std::map<std::string, std::vector<PoisonRun>> poison_runs_;
+  std::map<std::string, std::vector<AttemptSeen>> poison_runs_;
+  std::map<std::string, std::vector<NamedLimit>> limits_;
+  std::map<std::string, std::vector<AttemptSeen>> arrivals_;
   std::map<std::string, TimePoint> left_at_;
   std::vector<std::string> violations_;
   uint64_t config_version_ = 0;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -35,6 +35,13 @@
 // Without other faults, so that all hosts are held to it: two servers of a
 // kind end in 3 s, as they are back after 1.5 s, and the hosts agree in 4.5 s.
 constexpr Duration kPoisonAlone = seconds(15);
+// A limited server may get half as much again in 4 s, and five more, from hosts
+// that had passed its word on half a second before; 3 s after its first word.
+constexpr Duration kLimitWindow = seconds(4);
+constexpr double kLimitFactor = 1.5;
+constexpr int kLimitSlack = 5;
+constexpr Duration kLearning = seconds(3);
+constexpr Duration kTold = milliseconds(500);
 constexpr const char* kPoisonKinds[] = {"once", "again", "stream", "rare"};
 
 bool IsPromiseOfNotRun(int status) {
@@ -88,6 +95,7 @@
     ++callers_running_;
     asio::co_spawn(io_, PoisonCaller(kind), asio::detached);
   }
+  if (options_.has_limits) asio::co_spawn(io_, Limits(), asio::detached);
   const TimePoint last = ends_at_ + kCoolDown;
   while (callers_running_ > 0 && clock_.Now() < last) {
     io_.run_for(milliseconds(50));
@@ -102,6 +110,7 @@
   CheckAnswers(broken);
   CheckRuns(broken);
   CheckPoison(broken);
+  CheckLimits(broken);
   return broken;
 }
 
@@ -138,6 +147,7 @@
     if (result.state == SendState::kAnswered) {
       view.status = result.response.status;
       view.body = result.response.body;
+      NoteLimit(host, result.response);
       const auto stamp = result.response.headers.find("x-server-stamp");
       if (stamp != result.response.headers.end()) view.stamp = stamp->second;
     }
@@ -177,12 +187,105 @@
   --callers_running_;
 }
 
+asio::awaitable<void> Soak::Limits() {
+  // Its own, as with poison.
+  Random random(options_.seed + 2);
+  co_await Sleep(io_, kWarmUp);
+  while (clock_.Now() < ends_at_) {
+    const std::vector<std::string> servers =
+        platform_.Servers(random.Below(2) == 0);
+    if (!servers.empty()) {
+      const std::string& id = servers[random.Below(servers.size())];
+      std::optional<double> limit = 0.3 + 6 * random.Unit();
+      if (random.Below(4) == 0) limit.reset();
+      if (random.Below(8) == 0) limit = 0;
+      platform_.NameLimit(id, limit);
+      faults_.push_back(limit ? absl::StrCat("limit ", id, " ", *limit)
+                              : absl::StrCat("no limit ", id));
+    }
+    co_await Sleep(io_, milliseconds(1000 + random.Below(7000)));
+  }
+}
+
+void Soak::NoteLimit(int host, const HttpResponse& response) {
+  const auto server = response.headers.find(kServerHeader);
+  if (server == response.headers.end() ||
+      !response.headers.contains(kLimitHeader)) {
+    return;
+  }
+  told_at_.try_emplace({host, server->second}, clock_.Now());
+}
+
+void Soak::Excuse(int host, Duration lasts) {
+  const TimePoint now = clock_.Now();
+  excused_[host].push_back({now, now + lasts + kLearning});
+}
+
+bool Soak::IsExcused(int host, TimePoint at) const {
+  const auto spans = excused_.find(host);
+  if (spans == excused_.end()) return false;
+  return std::any_of(
+      spans->second.begin(), spans->second.end(),
+      [at](const auto& span) { return at >= span.first && at < span.second; });
+}
+
+std::vector<TimePoint> Soak::KnowingArrivals(const std::string& server) const {
+  std::vector<TimePoint> times;
+  const auto arrivals = platform_.arrivals().find(server);
+  if (arrivals == platform_.arrivals().end()) return times;
+  for (const AttemptSeen& arrival : arrivals->second) {
+    const auto asked = asked_.find(arrival.attempt);
+    if (asked == asked_.end()) continue;
+    const int host = asked->second.host;
+    const auto told = told_at_.find({host, server});
+    const bool is_told =
+        told != told_at_.end() && arrival.at >= told->second + kTold;
+    if (is_told && !IsExcused(host, arrival.at)) times.push_back(arrival.at);
+  }
+  return times;
+}
+
+std::optional<double> Soak::HighestLimit(const std::vector<NamedLimit>& named,
+                                         TimePoint from, TimePoint to) {
+  double highest = 0;
+  bool has_begun = false;
+  for (size_t i = 0; i < named.size(); ++i) {
+    const bool is_over = i + 1 < named.size() && named[i + 1].since <= from;
+    if (is_over || named[i].since > to) continue;
+    if (!named[i].per_second) return std::nullopt;
+    has_begun = has_begun || named[i].since <= from;
+    highest = std::max(highest, *named[i].per_second);
+  }
+  if (!has_begun) return std::nullopt;
+  return highest;
+}
+
+void Soak::CheckLimits(std::vector<std::string>& broken) const {
+  for (const auto& [server, named] : platform_.limits()) {
+    const std::vector<TimePoint> arrivals = KnowingArrivals(server);
+    size_t first = 0;
+    for (size_t i = 0; i < arrivals.size(); ++i) {
+      while (arrivals[i] - arrivals[first] > kLimitWindow) ++first;
+      const std::optional<double> limit =
+          HighestLimit(named, arrivals[first] - kLearning, arrivals[i]);
+      if (!limit) continue;
+      const double allowed =
+          *limit * ToSeconds(kLimitWindow) * kLimitFactor + kLimitSlack;
+      const size_t count = i - first + 1;
+      if (static_cast<double>(count) <= allowed) continue;
+      broken.push_back(absl::StrCat("LIMIT ", server, " takes ", *limit,
+                                    " a second and got ", count, " in 4 s"));
+      break;
+    }
+  }
+}
+
 void Soak::CheckPoison(std::vector<std::string>& broken) const {
   for (const auto& [body, runs] : platform_.poison_runs()) {
     if (runs.size() < 3) continue;
     const TimePoint agreed = runs[2].at + kAgreed;
     const auto repeats =
-        std::count_if(runs.begin(), runs.end(), [&](const PoisonRun& run) {
+        std::count_if(runs.begin(), runs.end(), [&](const AttemptSeen& run) {
           return run.at > agreed && is_calm_.at(run.attempt);
         });
     if (repeats > kMostRepeats) {
@@ -211,6 +314,7 @@
 }
 
 asio::awaitable<void> Soak::Restart(int host, int signal) {
+  Excuse(host, seconds(6));
   hosts_.Signal(host, signal);
   for (int i = 0; i < 500 && hosts_.IsRunning(host); ++i) {
     co_await Sleep(io_, milliseconds(10));
@@ -236,6 +340,7 @@
       break;
     case 2:
       Note(absl::StrCat("freeze ", host));
+      Excuse(host, span);
       hosts_.Signal(host, SIGSTOP);
       co_await Sleep(io_, span);
       hosts_.Signal(host, SIGCONT);
@@ -243,6 +348,7 @@
     case 3: {
       const auto mode = static_cast<FaultProxy::Mode>(1 + random_.Below(3));
       Note(absl::StrCat("store link ", host, " mode ", static_cast<int>(mode)));
+      Excuse(host, span);
       proxy.SetMode(mode);
       co_await Sleep(io_, span);
       proxy.SetMode(FaultProxy::Mode::kPass);
@@ -299,7 +405,10 @@
       break;
     default:
       Note("kill all");
-      for (int i = 0; i < hosts_.count(); ++i) hosts_.Signal(i, SIGKILL);
+      for (int i = 0; i < hosts_.count(); ++i) {
+        Excuse(i, seconds(1));
+        hosts_.Signal(i, SIGKILL);
+      }
       co_await Sleep(io_, milliseconds(300));
       for (int i = 0; i < hosts_.count(); ++i) hosts_.Start(i);
       break;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -25,6 +25,8 @@
   int callers_per_host = 4;
   // Some requests end the servers that run them, and are repeated.
   bool has_poison = false;
+  // Some servers name limits, change them and take them back.
+  bool has_limits = false;
 };
 
 // What callers got for one request.
@@ -57,6 +59,8 @@
   Awaitable<void> Caller(int host, uint64_t seed);
   // Repeats a request of `kind` that ends servers, at all hosts.
   Awaitable<void> PoisonCaller(std::string kind);
+  // Has servers name limits and change them.
+  Awaitable<void> Limits();
   Awaitable<void> Faults();
   Awaitable<void> OneFault();
   Awaitable<void> Restart(int host, int signal);
@@ -67,6 +71,16 @@
   void CheckAnswers(std::vector<std::string>& broken) const;
   void CheckRuns(std::vector<std::string>& broken) const;
   void CheckPoison(std::vector<std::string>& broken) const;
+  void CheckLimits(std::vector<std::string>& broken) const;
+  // Requests to `server` by hosts that knew of its limit and were well.
+  std::vector<TimePoint> KnowingArrivals(const std::string& server) const;
+  // The highest limit that was in force in a span; nothing: once none was.
+  static std::optional<double> HighestLimit(
+      const std::vector<NamedLimit>& named, TimePoint from, TimePoint to);
+  void NoteLimit(int host, const HttpResponse& response);
+  // A restart, freeze or cut excuses its host, and the time after it.
+  void Excuse(int host, Duration lasts);
+  bool IsExcused(int host, TimePoint at) const;
 
   SoakOptions options_;
   boost::asio::io_context io_;
@@ -84,6 +98,9 @@
   // Requests sent while nothing was wrong; those must be held to times too.
   std::map<std::string, bool> is_calm_;
   std::map<int, int> poison_answers_;  // By status; zero: none.
+  // By host and server: when an answer with the limit had passed.
+  std::map<std::pair<int, std::string>, TimePoint> told_at_;
+  std::map<int, std::vector<std::pair<TimePoint, TimePoint>>> excused_;
   int callers_running_ = 0;
 };
 
