--- a/tests/node/server_limit_fixture.h
+++ b/tests/node/server_limit_fixture.h
@@ -34,6 +34,7 @@
   RequestHandle Ask(const std::string& host, const std::string& path,
                     const std::string& model = "") {
     const RequestHandle handle = ++last_handle_;
+    asked_at_[handle] = now_;
     Arrive(host, handle, path, model);
     return handle;
   }
@@ -46,7 +47,6 @@
       for (double due = per_second * 0.025; due > 0; due -= 1) {
         if (random_.Unit() >= due) continue;
         Ask(hosts[random_.Below(hosts.size())], path, model);
-        ++asked_;
       }
       Step();
     }
@@ -67,7 +67,9 @@
     const std::multimap<TimePoint, Answer> ended(running_.begin(), due);
     running_.erase(running_.begin(), due);
     for (const auto& [at, answer] : ended) {
-      AttemptEnded end = EndOf(answer.sent, AttemptResult::kCompleted, "");
+      const AttemptResult result =
+          is_failing_ ? AttemptResult::kBroken : AttemptResult::kCompleted;
+      AttemptEnded end = EndOf(answer.sent, result, "");
       end.limit = answer.word;
       Handle(answer.host, end);
     }
@@ -84,7 +86,8 @@
     hosts_.at(name).done.clear();
     for (const Action& action : done) {
       if (const auto* refused = std::get_if<RefuseRequest>(&action)) {
-        refusals_.push_back({now_, refused->refusal});
+        refusals_.push_back(
+            {now_, refused->refusal, now_ - asked_at_[refused->handle]});
       }
       const auto* sent = std::get_if<DispatchRequest>(&action);
       if (sent == nullptr) continue;
@@ -140,11 +143,13 @@
   struct Refused {
     TimePoint at;
     Refusal refusal;
+    Duration waited{0};
   };
 
   Random random_{20261203};
   RequestHandle last_handle_ = 1000;
-  int asked_ = 0;
+  std::map<RequestHandle, TimePoint> asked_at_;
+  bool is_failing_ = false;
   Duration service_time_ = milliseconds(100);
   std::map<std::string, double> limits_;
   std::map<std::string, std::vector<Arrival>> arrivals_;  // By server.
--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -691,6 +691,24 @@
   EXPECT_FALSE(IsReady(ModelName(2)));
 }
 
+// Guards against a model that stays with a server which takes little of what is
+// asked for it: the rest has nowhere to go.
+TEST_F(FleetPlannerTest, ReplicaIsLoadedBesideALimitedServer) {
+  Use(/*engines=*/3, /*models=*/2);
+  engines_["e0"]->Hold(ModelName(0), kModelBytes);
+  engines_["e1"]->Drop("none");
+  List();
+  Run(seconds(1));
+  planner_->SetLimits({{"e0", 0.1}});
+  for (int i = 0; i < 40; ++i) {
+    Report(ModelName(0), 0, i % 4 == 0 ? 1 : 0);
+    Run(milliseconds(250));
+  }
+  const int holders =
+      engines_["e1"]->Holds(ModelName(0)) + engines_["e2"]->Holds(ModelName(0));
+  EXPECT_GE(holders, 1);
+}
+
 // An order that nobody answered may be carried out seconds later, after newer
 // ones; an engine that is then ordered to load more than fits crashes with all
 // it runs. The count in each order makes the late one void.
