--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -14,7 +14,6 @@
 constexpr Duration kMostBackoff = std::chrono::seconds(2);
 // An engine that says "not run" costs nothing, but must not be asked forever.
 constexpr int kMostAttempts = 50;
-constexpr Duration kAnswerLife = std::chrono::seconds(2);
 // Another host can take the request at once.
 constexpr Duration kRetryElsewhere = std::chrono::milliseconds(100);
 // From disk, with what stands before it.
@@ -22,31 +21,8 @@
 // Of its worth that an answer earns when it is late; users tell from 0.1 to
 // 0.5.
 constexpr double kLateShare = 0.2;
-// Of the time in which an answer must start; what waits longer for a model that
-// is not being loaded is refused.
-constexpr double kPatienceShare = 0.7;
-// Requests for each slot of an engine, of all hosts, beyond which it gets no
-// further one. What is sent beyond its slots waits there, and callers of
-// streams leave after 2.4 s: with four for each slot an engine worked for
-// callers that had left already, and of 28 requests a second for one model none
-// was in time.
-constexpr double kMostEngineLoad = 1.25;
-// Of the hoped-for latency: a request that has not found a free engine by then
-// would be late, in place of a fresh one that would not.
-constexpr double kFullWaitShare = 0.6;
-// When to come back to engines that are full: a request takes about 2 s there,
-// and they should not all come back at once.
-constexpr Duration kRetryFull = std::chrono::milliseconds(1500);
-constexpr Duration kRetryFullSpread = std::chrono::milliseconds(1500);
-// Of the time in which a call to a plain service must end, for how long it may
-// wait for a permit.
-constexpr double kServicePatience = 0.5;
-// A broken stream goes on within a pause that its caller bears.
-constexpr Duration kResumePatience = std::chrono::milliseconds(300);
 // Without an owner, until a limited server is tried again.
 constexpr Duration kAloneRetry = std::chrono::milliseconds(100);
-// Callers that were refused together return over this share of the time more.
-constexpr double kPermitRetrySpread = 0.5;
 // Background work leaves this share of an engine to others.
 constexpr double kBackgroundShare = 0.5;
 constexpr double kServiceTimeSmoothing = 0.2;
@@ -97,7 +73,8 @@
       early_(context),
       decider_(context, fleet, quotas),
       log_(context),
-      claims_(context.settings.self, context.settings.claims) {}
+      claims_(context.settings.self, context.settings.claims),
+      waits_(context, limits, requests_) {}
 
 RequestFlow::Request* RequestFlow::Find(RequestHandle handle) {
   const auto it = requests_.find(handle);
@@ -257,6 +234,23 @@
   if (left != nullptr && left->phase == Phase::kWaiting) RefuseIfHeld(*left);
 }
 
+void RequestFlow::RefuseIfHeld(Request& request) {
+  if (std::optional<Refusal> held = waits_.Held(request)) {
+    Refuse(request.arrival.handle, *std::move(held));
+  }
+}
+
+void RequestFlow::RefuseAll(const std::vector<WaitPolicy::Refused>& refused) {
+  for (const WaitPolicy::Refused& one : refused) {
+    Refuse(one.handle, one.refusal);
+  }
+}
+
+const TargetState* RequestFlow::StateOf(const std::string& target) const {
+  const auto it = targets_.find(target);
+  return it == targets_.end() ? nullptr : &it->second;
+}
+
 void RequestFlow::AddToQueue(Request& request) {
   request.phase = Phase::kWaiting;
   const RuleOutcome& then = request.rule().then;
@@ -283,23 +277,6 @@
   }
 }
 
-// At once, so that its caller can go elsewhere: a request whose servers have
-// all had what they take is not kept until its deadline.
-bool RequestFlow::RefuseIfHeld(Request& request) {
-  const std::optional<TimePoint> until =
-      context_.view.HeldUntil(request.target, context_.now);
-  if (!until || *until <= LatestPermit(request)) return true;
-  const Duration wait = *until - context_.now;
-  const double spread = 1 + kPermitRetrySpread * context_.random.Unit();
-  Refuse(request.arrival.handle,
-         NotRun(RefusalReason::kServerLimited,
-                absl::StrCat("all servers with ", request.target,
-                             " have had what they take for ", ToMillis(wait),
-                             " ms: ", limits_.Describe(request.permit_server)),
-                FromSeconds(ToSeconds(wait) * spread)));
-  return false;
-}
-
 // ---- Dispatch ----
 
 bool RequestFlow::HasIdleCapacity(const EngineDigest& engine) const {
@@ -308,22 +285,6 @@
   return busy < engine.slots * kBackgroundShare;
 }
 
-EngineView::Preference RequestFlow::PreferenceOf(const Request& request) const {
-  EngineView::Preference preference;
-  if (!IsFleet()) return preference;
-  preference.avoid = request.failed_backend;
-  preference.data_centre = context_.settings.data_centre;
-  const auto target = targets_.find(request.target);
-  if (IsService(request) || target == targets_.end()) return preference;
-  // A broken stream goes on at once: its caller leaves after the next pause.
-  if (request.has_started) return preference;
-  preference.most_load = kMostEngineLoad;
-  preference.service_time = target->second.unloaded_time;
-  // What was let through once counts already.
-  preference.luck = request.attempt > 0 ? 0 : request.luck;
-  return preference;
-}
-
 bool RequestFlow::TryDispatchBest(const std::string& target) {
   const auto it = targets_.find(target);
   if (it == targets_.end() || it->second.queue.empty()) return false;
@@ -332,9 +293,9 @@
   const std::optional<RequestHandle> urgent = queue.Best(context_.now, false);
   if (!best) return false;
   Request* request = Find(*best);
-  const EngineDigest* engine =
-      context_.view.Choose(target, request->arrival.prefix_hash,
-                           PreferenceOf(*request), context_.now);
+  const EngineDigest* engine = context_.view.Choose(
+      target, request->arrival.prefix_hash,
+      waits_.PreferenceOf(*request, &it->second), context_.now);
   if (engine == nullptr) return false;
   if (best != urgent && !HasIdleCapacity(*engine)) return false;
   queue.Remove(*best);
@@ -376,31 +337,18 @@
   for (const std::string& target : targets) PumpTarget(target);
 }
 
-// A request that waited longer would be late, in place of a fresh one that
-// would not.
-TimePoint RequestFlow::LatestPermit(const Request& request) const {
-  const RuleOutcome& then = request.rule().then;
-  const Duration whole = request.deadline - request.arrived_at;
-  if (request.has_started) return context_.now + kResumePatience;
-  if (IsService(request)) {
-    return request.arrived_at +
-           FromSeconds(ToSeconds(whole) * kServicePatience);
-  }
-  if (then.target_latency == Duration::zero()) return LastStart(request);
-  return request.arrived_at +
-         FromSeconds(ToSeconds(then.target_latency) * kFullWaitShare);
-}
-
 // None where another server can take it now: it goes there instead.
 Duration RequestFlow::PermitPatience(const Request& request,
                                      const EngineDigest& engine) {
-  EngineView::Preference others = PreferenceOf(request);
+  EngineView::Preference others =
+      waits_.PreferenceOf(request, StateOf(request.target));
   others.avoid = engine.engine;
   const EngineDigest* other = context_.view.Choose(
       request.target, request.arrival.prefix_hash, others, context_.now);
   const bool has_other = other != nullptr && other->engine != engine.engine;
   if (has_other && !request.has_started) return Duration{0};
-  return std::max<Duration>(Duration{0}, LatestPermit(request) - context_.now);
+  return std::max<Duration>(Duration{0},
+                            waits_.LatestPermit(request) - context_.now);
 }
 
 bool RequestFlow::MayDispatch(Request& request, const EngineDigest& engine) {
@@ -1003,19 +951,6 @@
   return true;
 }
 
-// Those that wait in a target's queue and fulfil `condition`, in the order of
-// their arrival: a queue's own order differs from run to run.
-template <typename Condition>
-std::vector<RequestHandle> RequestFlow::SelectWaiting(
-    const TargetState& state, const Condition& condition) const {
-  std::vector<RequestHandle> selected;
-  for (const auto& [handle, entry] : state.queue.entries()) {
-    if (condition(*requests_.at(handle))) selected.push_back(handle);
-  }
-  std::sort(selected.begin(), selected.end());
-  return selected;
-}
-
 // Requests that cannot be met are told so now, while their caller can still
 // do something else; first, other models and other data centres are tried.
 void RequestFlow::RefuseEarly(const std::string& target, TargetState& state) {
@@ -1030,7 +965,7 @@
       status == DemandStatus::kNoPlace || status == DemandStatus::kFailed;
   const TimePoint ready_at = state.answered_at + state.answer.expected;
   const std::vector<RequestHandle> late =
-      SelectWaiting(state, [&](const Request& request) {
+      waits_.Select(state, [&](const Request& request) {
         return is_hopeless || request.deadline < ready_at;
       });
   for (const RequestHandle handle : late) {
@@ -1056,75 +991,6 @@
   }
 }
 
-// The latest time at which the first piece of an answer still finds its caller.
-TimePoint RequestFlow::LastStart(const Request& request) const {
-  const Duration patience = request.rule().then.patience;
-  if (patience == Duration::zero()) return request.deadline;
-  return std::min(request.deadline, request.arrived_at + patience);
-}
-
-// Callers of streams leave long before their deadline if nothing comes, and a
-// caller that left is not served at all; one that is told when to come back may
-// be. So what cannot start in time is refused as soon as that is known, and
-// what nobody knows anything of when most of the caller's patience is over.
-void RequestFlow::RefuseHopeless(const std::string& target,
-                                 TargetState& state) {
-  if (!context_.settings.policies.Has(Policy::kEarlyRefusal)) return;
-  const bool is_fresh =
-      state.has_answer && context_.now - state.answered_at <= kAnswerLife;
-  const DemandStatus status =
-      is_fresh ? state.answer.status : DemandStatus::kUnknown;
-  const Duration expected = is_fresh ? state.answer.expected : Duration{0};
-  const TimePoint ready_at = state.answered_at + expected;
-  const bool is_dated =
-      status == DemandStatus::kLoading || status == DemandStatus::kQueued;
-  const std::vector<RequestHandle> hopeless =
-      SelectWaiting(state, [&](const Request& request) {
-        const TimePoint last_start = LastStart(request);
-        const Duration span = last_start - request.arrived_at;
-        const bool is_late = is_dated && ready_at > last_start;
-        const bool is_due = context_.now - request.arrived_at >
-                            FromSeconds(ToSeconds(span) * kPatienceShare);
-        const bool may_still_come =
-            status == DemandStatus::kLoading && !is_late;
-        return is_late || (is_due && !may_still_come);
-      });
-  for (const RequestHandle handle : hopeless) {
-    const PutOff put_off = is_fresh ? state.answer.put_off : PutOff::kNone;
-    Refuse(handle, NotRun(RefusalReason::kCannotMeetDeadline,
-                          absl::StrCat(target, " is ", DemandStatusName(status),
-                                       ", expected in ", ToMillis(expected),
-                                       " ms, put off: ", PutOffName(put_off)),
-                          std::max(expected, kRetrySoon)));
-  }
-}
-
-// Engines that hold the model have all they can run. The queue is kept as short
-// as lets each request that leaves it be in time; without that bound a queue
-// under lasting overload makes all late.
-void RequestFlow::RefuseOverflow(const std::string& target,
-                                 TargetState& state) {
-  if (!context_.settings.policies.Has(Policy::kShortQueues)) return;
-  const std::vector<RequestHandle> overflow =
-      SelectWaiting(state, [&](const Request& request) {
-        const Duration hoped_for = request.rule().then.target_latency;
-        if (hoped_for == Duration::zero() || request.has_started) return false;
-        const Duration waited = context_.now - request.arrived_at;
-        return waited > FromSeconds(ToSeconds(hoped_for) * kFullWaitShare) &&
-               context_.view.IsSaturated(target, PreferenceOf(request),
-                                         context_.now);
-      });
-  for (const RequestHandle handle : overflow) {
-    const Duration retry_after =
-        kRetryFull +
-        FromSeconds(ToSeconds(kRetryFullSpread) * context_.random.Unit());
-    Refuse(handle, NotRun(RefusalReason::kEnginesFull,
-                          absl::StrCat("all engines with ", target,
-                                       " run as much as they can"),
-                          retry_after));
-  }
-}
-
 void RequestFlow::RunDemands() {
   std::vector<std::string> wanting;
   for (auto& [target, state] : targets_) {
@@ -1135,8 +1001,8 @@
     TargetState& state = targets_[target];
     if (IsFleet()) {
       fleet_.SetWaiting(DemandOf(target, state));
-      RefuseHopeless(target, state);
-      RefuseOverflow(target, state);
+      RefuseAll(waits_.Hopeless(target, state));
+      RefuseAll(waits_.Overflow(target, state));
       continue;
     }
     if (context_.now - state.demanded_at >= context_.settings.demand_interval) {
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -20,6 +20,8 @@
 #include "node/request_decider.h"
 #include "node/request_log.h"
 #include "node/server_ends.h"
+#include "node/target_state.h"
+#include "node/wait_policy.h"
 #include "routing/retry_budget.h"
 
 namespace applehall {
@@ -69,19 +71,6 @@
   using Request = OpenRequest;
   using Phase = RequestPhase;
 
-  struct TargetState {
-    AdmissionQueue queue;
-    TimePoint demanded_at;
-    size_t group_rank = 0;  // Which owner is asked now.
-    bool has_answer = false;
-    DemandAnswer answer;
-    TimePoint answered_at;
-    Duration service_time{0};  // Smoothed, of completed attempts.
-    // The same, without what they waited at full engines: follows quick ones
-    // soon and slow ones slowly.
-    Duration unloaded_time{0};
-  };
-
   struct CallerState {
     size_t open = 0;
     RetryBudget retries;
@@ -100,7 +89,6 @@
   // Dispatch.
   void PumpTarget(const std::string& target);
   void PumpEngine(const std::string& engine);
-  EngineView::Preference PreferenceOf(const Request& request) const;
   bool TryDispatchBest(const std::string& target);
   bool HasIdleCapacity(const EngineDigest& engine) const;
   void Dispatch(Request& request, const EngineDigest& engine);
@@ -109,11 +97,8 @@
   void Send(Request& request, const EngineDigest& engine);
   bool MayDispatch(Request& request, const EngineDigest& engine);
   Duration PermitPatience(const Request& request, const EngineDigest& engine);
-  TimePoint LatestPermit(const Request& request) const;
   void TakePermit(const LimitKeeper::Outcome& outcome);
   void TakeDenial(Request& request, Duration retry_after);
-  // False if all servers that may take it are held for longer than it can wait.
-  bool RefuseIfHeld(Request& request);
   bool TryForward(Request& request);
   void SendAttempt(Request& request, BackendKind kind,
                    const std::string& backend, const std::string& address);
@@ -126,13 +111,11 @@
   static void LearnServiceTime(Duration took, TargetState& state);
   void Retry(Request& request, AttemptResult result);
   void Backoff(Request& request);
-  TimePoint LastStart(const Request& request) const;
-  void RefuseHopeless(const std::string& target, TargetState& state);
-  template <typename Condition>
-  std::vector<RequestHandle> SelectWaiting(const TargetState& state,
-                                           const Condition& condition) const;
-  void RefuseOverflow(const std::string& target, TargetState& state);
   void RefuseEarly(const std::string& target, TargetState& state);
+  void RefuseIfHeld(Request& request);
+  void RefuseAll(const std::vector<WaitPolicy::Refused>& refused);
+  // Nothing if no request for `target` was seen lately.
+  const TargetState* StateOf(const std::string& target) const;
   bool TryNextModel(Request& request);
   void Settle(RequestHandle handle, const std::string& action, Verdict verdict,
               const std::string& reason);
@@ -167,7 +150,8 @@
   RequestLog log_;
   ClaimGuard claims_;
   ServerEnds ends_;
-  absl::flat_hash_map<RequestHandle, std::unique_ptr<Request>> requests_;
+  OpenRequests requests_;
+  WaitPolicy waits_;  // Reads `requests_`.
   std::map<std::string, TargetState> targets_;
   absl::flat_hash_map<std::string, CallerState> callers_;
   absl::flat_hash_map<std::string, RetryBudget> backend_retries_;
