--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -339,7 +339,8 @@
   body["p"] = context_.settings.peer_address;
   body["d"] = context_.settings.data_centre;
   body["c"] = context_.settings.cpu_share;
-  if (context_.settings.link_mbps > 0) body["b"] = context_.settings.link_mbps;
+  const double link = context_.settings.link_mbps;
+  if (link > 0 && link < kReaderLink) body["b"] = link;
   body["s"] = CanReadStore();
   Json ends = quarantine_.TakeReportRows(lease_.token());
   if (!ends.empty()) body["q"] = std::move(ends);
--- a/node/reader_choice.cc
+++ b/node/reader_choice.cc
@@ -6,12 +6,8 @@
 namespace applehall {
 namespace {
 
-// A configuration of some 100 KB goes to 30 hosts in a quarter of a second at
-// this speed; a wider link does not matter.
-constexpr double kEnoughLink = 100;  // Mbit/s.
-
 double UsableLink(double mbps) {
-  return mbps > 0 ? std::min(mbps, kEnoughLink) : kEnoughLink;
+  return mbps > 0 ? std::min(mbps, kReaderLink) : kReaderLink;
 }
 
 }  // namespace
--- a/node/reader_choice.h
+++ b/node/reader_choice.h
@@ -56,6 +56,10 @@
   std::map<std::string, std::string> chosen_;  // By data centre.
 };
 
+// In Mbit/s. A configuration of some 100 KB goes to 30 hosts in a quarter of a
+// second at this speed; a wider link does not matter and is not told.
+inline constexpr double kReaderLink = 100;
+
 // A host that has not reported for two beats and a half reads for nobody.
 inline constexpr Duration kReaderSilence = std::chrono::milliseconds(1250);
 
