Names of the limits' parts, and an owner that forgets servers that left

Read as a newcomer: ServerLimitWord is ReportedLimit, a Wish a PermitRequest, Seek Acquire, and what may come of it granted, pending or denied. With it, as both touch the same lines: a server that left kept its bucket and queue at the owner until some other limit changed, so that hosts which had asked for it waited out their timeout (found by reading; ServerLimitTest OwnerForgetsTheLimitOfAServerThatLeft, not run without the change).

--- a/admission/permit_ledger.h
+++ b/admission/permit_ledger.h
@@ -25,7 +25,7 @@
   return per_second > kTrialRate ? per_second : kTrialRate;
 }
 
-// A host's wish to send one request to a server that limits itself.
+// A host asks to send one request to a server that limits itself.
 struct PermitAsk {
   std::string host;
   uint64_t id = 0;  // The host's own.
@@ -46,7 +46,7 @@
 };
 
 // Hands out what limited servers take, one request at a time, to all hosts: a
-// token bucket for each server, and a queue of the wishes that can wait.
+// token bucket for each server, and a queue of the asks that can wait.
 //
 // Whole requests do not divide among hosts. A server that takes one a second
 // would leave each of 300 hosts one request in five minutes, so nobody has a
@@ -91,7 +91,7 @@
   void ServeServer(Server& server, TimePoint now);
   void Answer(Server& server, RequestHandle handle, bool is_granted,
               TimePoint now);
-  // Until a further wish would be granted.
+  // Until a further ask would be granted.
   Duration Backlog(const Server& server, TimePoint now) const;
 
   HostPresence presence_;
--- a/admission/server_limit.h
+++ b/admission/server_limit.h
@@ -7,16 +7,16 @@
 namespace applehall {
 
 // What one answer of a backend server says of the requests that it takes.
-struct ServerLimitWord {
+struct ReportedLimit {
   enum class Kind : uint8_t {
-    kUnsaid,      // The answer tells nothing about it.
-    kNone,        // A whole answer without a limit: it takes what it can run.
-    kNamed,       // It takes `per_second` from all hosts together.
-    kUnreadable,  // It names one, but `text` makes no sense.
+    kUnknown,    // The answer tells nothing about it.
+    kNone,       // A whole answer without a limit: it takes what it can run.
+    kNamed,      // It takes `per_second` from all hosts together.
+    kMalformed,  // It names one, but `text` makes no sense.
   };
-  Kind kind = Kind::kUnsaid;
+  Kind kind = Kind::kUnknown;
   double per_second = 0;
-  std::string text;  // Of kUnreadable; cut to a bounded length.
+  std::string text;  // Of kMalformed; cut to a bounded length.
 };
 
 }  // namespace applehall
--- a/node/limit_book.cc
+++ b/node/limit_book.cc
@@ -28,15 +28,16 @@
 // A lower limit counts at once, whoever says it. A higher one, or none, may be
 // in an answer that is older than what is known, unless its request was sent
 // later.
-bool LimitBook::TakeWord(const std::string& server, const ServerLimitWord& word,
-                         TimePoint sent_at, TimePoint now) {
-  using Kind = ServerLimitWord::Kind;
-  if (word.kind == Kind::kUnsaid || word.kind == Kind::kUnreadable) {
+bool LimitBook::TakeReported(const std::string& server,
+                             const ReportedLimit& reported, TimePoint sent_at,
+                             TimePoint now) {
+  using Kind = ReportedLimit::Kind;
+  if (reported.kind == Kind::kUnknown || reported.kind == Kind::kMalformed) {
     return false;
   }
   const auto life = lives_.find(server);
   if (life != lives_.end() && sent_at < life->second) return false;
-  const bool is_named = word.kind == Kind::kNamed;
+  const bool is_named = reported.kind == Kind::kNamed;
   auto it = entries_.find(server);
   if (it == entries_.end()) {
     if (!is_named) return false;
@@ -45,14 +46,14 @@
   Entry& entry = it->second;
   if (is_named) {
     entry.named_at = now;
-    if (entry.per_second == word.per_second) return false;
+    if (entry.per_second == reported.per_second) return false;
   }
   if (!is_named && !entry.per_second) return false;
-  const bool is_lower =
-      is_named && (!entry.per_second || word.per_second < *entry.per_second);
+  const bool is_lower = is_named && (!entry.per_second ||
+                                     reported.per_second < *entry.per_second);
   if (!is_lower && sent_at <= entry.known_since) return false;
-  Set(server, entry, is_named ? std::optional(word.per_second) : std::nullopt,
-      now);
+  Set(server, entry,
+      is_named ? std::optional(reported.per_second) : std::nullopt, now);
   entry.base = entry.version;
   entry.is_own = true;
   entry.is_unsent = true;
--- a/node/limit_book.h
+++ b/node/limit_book.h
@@ -27,8 +27,8 @@
   // ---- What answers say. Not thread-safe, as all below. ----
   // An answer of `server` to a request that was sent at `sent_at`. True if that
   // changes its limit here.
-  bool TakeWord(const std::string& server, const ServerLimitWord& word,
-                TimePoint sent_at, TimePoint now);
+  bool TakeReported(const std::string& server, const ReportedLimit& reported,
+                    TimePoint sent_at, TimePoint now);
   // It left, or what is listed under its id is a later life: a limit ends with
   // the life that named it.
   void Forget(const std::string& server, TimePoint now);
--- a/node/limit_keeper.cc
+++ b/node/limit_keeper.cc
@@ -77,20 +77,21 @@
 
 // ---- Limits ----
 
-void LimitKeeper::TakeWord(const std::string& server,
-                           const ServerLimitWord& word, TimePoint sent_at) {
-  if (word.kind == ServerLimitWord::Kind::kUnreadable) {
+void LimitKeeper::TakeReported(const std::string& server,
+                               const ReportedLimit& reported,
+                               TimePoint sent_at) {
+  if (reported.kind == ReportedLimit::Kind::kMalformed) {
     context_.metrics.Count("server_limits_unreadable_total");
     LogEvent(LogLevel::kWarning, "server_limit_unreadable")
         .With("server", server)
-        .With("text", word.text);
+        .With("text", reported.text);
     return;
   }
   const std::optional<double> before = book_.Find(server);
-  if (!book_.TakeWord(server, word, sent_at, context_.now)) return;
+  if (!book_.TakeReported(server, reported, sent_at, context_.now)) return;
   LogEvent(LogLevel::kInfo, "server_limit_heard")
       .With("server", server)
-      .With("per_second", word.per_second)
+      .With("per_second", reported.per_second)
       .With("named", book_.Find(server) ? "yes" : "no")
       .With("before", before.value_or(-1))
       .With("sent_ms_ago", ToMillis(context_.now - sent_at));
@@ -117,6 +118,11 @@
   }
 }
 
+void LimitKeeper::Forget(const std::string& server) {
+  book_.Forget(server, context_.now);
+  ApplyChanges();
+}
+
 std::string LimitKeeper::Describe(const std::string& server) const {
   return absl::StrFormat("%s takes %.3g requests a second, named %d ms ago",
                          server, book_.Find(server).value_or(0),
@@ -125,9 +131,9 @@
 
 // ---- Permits ----
 
-LimitKeeper::Permit LimitKeeper::Seek(const std::string& server,
-                                      const Wish& wish) {
-  if (gate_.TakeSpare(server, context_.now)) return Permit::kTaken;
+LimitKeeper::Permit LimitKeeper::Acquire(const std::string& server,
+                                         const PermitRequest& wanted) {
+  if (gate_.TakeSpare(server, context_.now)) return Permit::kGranted;
   if (!ledger_ && !is_owner_heard_) {
     const int hosts = told_hosts_ > 0 ? told_hosts_ : kAssumedHosts;
     const bool is_taken =
@@ -135,31 +141,31 @@
                        context_.random.Unit(), context_.now);
     context_.metrics.Count(is_taken ? "server_limit_alone_total"
                                     : "server_limit_alone_held_total");
-    return is_taken ? Permit::kTaken : Permit::kNone;
+    return is_taken ? Permit::kGranted : Permit::kDenied;
   }
-  if (asks_.size() >= kMostOpenAsks) return Permit::kNone;
+  if (asks_.size() >= kMostOpenAsks) return Permit::kDenied;
   PermitAsk ask;
   ask.host = context_.settings.self.host;
   ask.id = ++last_ask_;
   ask.server = server;
-  ask.caller = wish.caller;
-  ask.worth = wish.worth;
-  ask.is_background = wish.is_background;
-  ask.patience = wish.patience;
-  asks_[ask.id] = {wish.handle, server, context_.now,
-                   context_.now + wish.patience + kPermitLife};
+  ask.caller = wanted.caller;
+  ask.worth = wanted.worth;
+  ask.is_background = wanted.is_background;
+  ask.patience = wanted.patience;
+  asks_[ask.id] = {wanted.handle, server, context_.now,
+                   context_.now + wanted.patience + kPermitLife};
   context_.metrics.Count("server_limit_asks_total");
   if (ledger_) {
     ledger_->Ask(ask, context_.now);
     SendAnswers();
-    return Permit::kAsked;
+    return Permit::kPending;
   }
   unsent_.push_back(AskRow(ask));
   if (context_.now - asks_sent_at_ >= kAskSpacing) SendAsks();
-  return Permit::kAsked;
+  return Permit::kPending;
 }
 
-void LimitKeeper::GiveSpare(const std::string& server) {
+void LimitKeeper::ReturnPermit(const std::string& server) {
   gate_.AddSpare(server, context_.now + kPermitLife);
 }
 
--- a/node/limit_keeper.h
+++ b/node/limit_keeper.h
@@ -28,18 +28,18 @@
 
   // ---- What this host's requests say and want. Not thread-safe. ----
   // An answer of `server` to an attempt that was sent at `sent_at`.
-  void TakeWord(const std::string& server, const ServerLimitWord& word,
-                TimePoint sent_at);
+  void TakeReported(const std::string& server, const ReportedLimit& reported,
+                    TimePoint sent_at);
   bool IsLimited(const std::string& server) const {
     return book_.Find(server).has_value();
   }
   enum class Permit : uint8_t {
-    kTaken,  // Send it now.
-    kAsked,  // An outcome will follow.
-    kNone,   // Not now, and the owner cannot be asked.
+    kGranted,  // Send it now.
+    kPending,  // The owner was asked; an outcome follows.
+    kDenied,   // Not now, and the owner cannot be asked.
   };
   // What a request says for itself when it asks.
-  struct Wish {
+  struct PermitRequest {
     RequestHandle handle = 0;
     std::string caller;
     double worth = 1;
@@ -47,7 +47,7 @@
     Duration patience{0};
   };
   // A permit to send one request to `server`. Requires: IsLimited(server).
-  Permit Seek(const std::string& server, const Wish& wish);
+  Permit Acquire(const std::string& server, const PermitRequest& wanted);
   struct Outcome {
     RequestHandle handle = 0;
     std::string server;
@@ -57,11 +57,11 @@
   // Outcomes of what was asked, since the last call.
   std::vector<Outcome> TakeOutcomes() { return std::exchange(outcomes_, {}); }
   // A granted permit that its request does not need any more.
-  void GiveSpare(const std::string& server);
+  void ReturnPermit(const std::string& server);
   // How the limit of `server` stands, for a log line or a refusal.
   std::string Describe(const std::string& server) const;
   // The server left, or starts another life.
-  void Forget(const std::string& server) { book_.Forget(server, context_.now); }
+  void Forget(const std::string& server);
 
   // ---- Between the hosts. Not thread-safe. ----
   void StartPlanning(uint64_t& last_news);
--- a/node/messages.h
+++ b/node/messages.h
@@ -51,7 +51,7 @@
 // The first byte of an answer went to the caller.
 struct AttemptStarted {
   RequestHandle handle = 0;
-  ServerLimitWord limit = {};  // In the head of the answer.
+  ReportedLimit limit = {};  // In the head of the answer.
 };
 
 enum class AttemptResult : uint8_t {
@@ -99,7 +99,7 @@
   // From the first piece of this attempt's answer to its end.
   Duration answered_for{0};
   // In the head of the answer, if one came.
-  ServerLimitWord limit = {};
+  ReportedLimit limit = {};
 };
 
 enum class ServerState : uint8_t { kUnknown, kListening, kGone };
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -354,20 +354,20 @@
 bool RequestFlow::MayDispatch(Request& request, const EngineDigest& engine) {
   if (!limits_.IsLimited(engine.engine)) return true;
   const RuleOutcome& then = request.rule().then;
-  LimitKeeper::Wish wish;
-  wish.handle = request.arrival.handle;
-  wish.caller = request.team.value_or(request.arrival.facts.caller);
-  wish.worth = then.worth;
-  wish.is_background = then.is_background();
-  wish.patience = PermitPatience(request, engine);
+  LimitKeeper::PermitRequest wanted;
+  wanted.handle = request.arrival.handle;
+  wanted.caller = request.team.value_or(request.arrival.facts.caller);
+  wanted.worth = then.worth;
+  wanted.is_background = then.is_background();
+  wanted.patience = PermitPatience(request, engine);
   request.permit_server = engine.engine;
-  switch (limits_.Seek(request.permit_server, wish)) {
-    case LimitKeeper::Permit::kTaken:
+  switch (limits_.Acquire(request.permit_server, wanted)) {
+    case LimitKeeper::Permit::kGranted:
       return true;
-    case LimitKeeper::Permit::kAsked:
+    case LimitKeeper::Permit::kPending:
       request.phase = Phase::kPermit;
       return false;
-    case LimitKeeper::Permit::kNone:
+    case LimitKeeper::Permit::kDenied:
       TakeDenial(request, kAloneRetry);
       return false;
   }
@@ -401,7 +401,7 @@
                        request->permit_server == outcome.server;
   const EngineDigest* engine = context_.view.Find(outcome.server);
   const bool can_send = is_open && engine != nullptr;
-  if (outcome.is_granted && !can_send) limits_.GiveSpare(outcome.server);
+  if (outcome.is_granted && !can_send) limits_.ReturnPermit(outcome.server);
   if (!is_open) return;
   if (outcome.is_granted && can_send) {
     Send(*request, *engine);
@@ -494,7 +494,7 @@
   if (request == nullptr) return;
   if (!request->has_started) request->started_at = context_.now;
   if (request->phase == Phase::kSent) {
-    limits_.TakeWord(request->backend, event.limit, request->sent_at);
+    limits_.TakeReported(request->backend, event.limit, request->sent_at);
   }
   request->has_started = true;
 }
@@ -509,7 +509,7 @@
   const std::string backend = request->backend;
   const bool was_local = request->backend_kind != BackendKind::kEntryHost;
   if (was_local) {
-    limits_.TakeWord(backend, event.limit, request->sent_at);
+    limits_.TakeReported(backend, event.limit, request->sent_at);
     context_.view.EndRequest(backend, request->target, ViewEnd(event.result),
                              context_.now);
   }
--- a/tests/node/limit_book_test.cc
+++ b/tests/node/limit_book_test.cc
@@ -9,15 +9,15 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using Kind = ServerLimitWord::Kind;
+using Kind = ReportedLimit::Kind;
 
 constexpr char kServer[] = "i-1";
 constexpr FencingToken kToken = 7;
 
-ServerLimitWord Named(double per_second) {
+ReportedLimit Named(double per_second) {
   return {Kind::kNamed, per_second, {}};
 }
-const ServerLimitWord kNone{Kind::kNone, 0, {}};
+const ReportedLimit kNone{Kind::kNone, 0, {}};
 
 class LimitBookTest : public testing::Test {
  protected:
@@ -49,7 +49,7 @@
 };
 
 TEST_F(LimitBookTest, LimitReachesAllHosts) {
-  EXPECT_TRUE(a_.TakeWord(kServer, Named(1.5), now_, now_));
+  EXPECT_TRUE(a_.TakeReported(kServer, Named(1.5), now_, now_));
   EXPECT_TRUE(a_.HasNewRows());
   Exchange(a_, b_);
   EXPECT_EQ(b_.Find(kServer), 1.5);
@@ -61,24 +61,24 @@
 TEST_F(LimitBookTest, OlderAnswersNeitherRaiseNorLiftALimit) {
   const TimePoint before = now_;
   now_ += seconds(1);
-  a_.TakeWord(kServer, Named(1), now_, now_);
-  EXPECT_FALSE(a_.TakeWord(kServer, kNone, before, now_ + seconds(1)));
-  EXPECT_FALSE(a_.TakeWord(kServer, Named(9), before, now_ + seconds(1)));
+  a_.TakeReported(kServer, Named(1), now_, now_);
+  EXPECT_FALSE(a_.TakeReported(kServer, kNone, before, now_ + seconds(1)));
+  EXPECT_FALSE(a_.TakeReported(kServer, Named(9), before, now_ + seconds(1)));
   EXPECT_EQ(a_.Find(kServer), 1);
-  EXPECT_TRUE(a_.TakeWord(kServer, Named(0.5), before, now_ + seconds(1)));
+  EXPECT_TRUE(a_.TakeReported(kServer, Named(0.5), before, now_ + seconds(1)));
   const TimePoint after = now_ + seconds(2);
-  EXPECT_TRUE(a_.TakeWord(kServer, kNone, after, after));
+  EXPECT_TRUE(a_.TakeReported(kServer, kNone, after, after));
   EXPECT_FALSE(a_.Find(kServer).has_value());
 }
 
 // Guards against a host that reports a limit as lifted which another host has
 // heard lowered meanwhile.
 TEST_F(LimitBookTest, OwnerTakesOnlyWordsOnItsNewestVersion) {
-  a_.TakeWord(kServer, Named(4), now_, now_);
+  a_.TakeReported(kServer, Named(4), now_, now_);
   Exchange(a_, b_);
   now_ += seconds(1);
-  a_.TakeWord(kServer, kNone, now_, now_);
-  b_.TakeWord(kServer, Named(1), now_, now_);
+  a_.TakeReported(kServer, kNone, now_, now_);
+  b_.TakeReported(kServer, Named(1), now_, now_);
   Exchange(b_, b_);
   Exchange(a_, b_);
   EXPECT_EQ(owner_.Find(kServer), 1);
@@ -87,9 +87,9 @@
 }
 
 TEST_F(LimitBookTest, LiftedLimitIsLiftedEverywhere) {
-  a_.TakeWord(kServer, Named(4), now_, now_);
+  a_.TakeReported(kServer, Named(4), now_, now_);
   Exchange(a_, b_);
-  b_.TakeWord(kServer, kNone, now_, now_);
+  b_.TakeReported(kServer, kNone, now_, now_);
   Exchange(b_, a_);
   EXPECT_FALSE(owner_.Find(kServer).has_value());
   EXPECT_FALSE(a_.Find(kServer).has_value());
@@ -99,27 +99,27 @@
 // Guards against a server that starts again under its id and is held to what
 // its earlier life named, by a late answer or by a host that has not heard.
 TEST_F(LimitBookTest, LimitEndsWithTheLifeThatNamedIt) {
-  a_.TakeWord(kServer, Named(1), now_, now_);
+  a_.TakeReported(kServer, Named(1), now_, now_);
   Exchange(a_, b_);
   const TimePoint sent_before = now_;
   now_ += seconds(1);
   List(now_);
   for (LimitBook* book : {&owner_, &a_}) book->Forget(kServer, now_);
-  EXPECT_FALSE(a_.TakeWord(kServer, Named(1), sent_before, now_));
+  EXPECT_FALSE(a_.TakeReported(kServer, Named(1), sent_before, now_));
   EXPECT_FALSE(a_.Find(kServer).has_value());
   EngineList earlier = servers_;
   earlier[kServer].started_at = sent_before;
-  b_.TakeWord(kServer, Named(0.5), now_, now_);
+  b_.TakeReported(kServer, Named(0.5), now_, now_);
   owner_.TakeReport(b_.ReportRows(kToken, earlier, now_), servers_, now_);
   EXPECT_FALSE(owner_.Find(kServer).has_value());
 }
 
 TEST_F(LimitBookTest, LimitThatNobodyNamesAnyMoreEnds) {
-  a_.TakeWord(kServer, Named(1), now_, now_);
+  a_.TakeReported(kServer, Named(1), now_, now_);
   Exchange(a_, b_);
   for (int i = 0; i < 3; ++i) {
     now_ += seconds(25);
-    a_.TakeWord(kServer, Named(1), now_, now_);
+    a_.TakeReported(kServer, Named(1), now_, now_);
     Exchange(a_, b_);
     owner_.Expire(now_);
   }
@@ -133,7 +133,7 @@
 
 // A new owner knows nothing; what all hosts know reaches it with their reports.
 TEST_F(LimitBookTest, NewOwnerLearnsFromTheHosts) {
-  a_.TakeWord(kServer, Named(2), now_, now_);
+  a_.TakeReported(kServer, Named(2), now_, now_);
   Exchange(a_, b_);
   LimitBook next;
   next.TakeReport(a_.ReportRows(kToken + 1, servers_, now_), servers_, now_);
@@ -142,7 +142,7 @@
 
 // Guards against rows of another version of the program, or of none.
 TEST_F(LimitBookTest, MalformedRowsAreLeftOut) {
-  a_.TakeWord(kServer, Named(2), now_, now_);
+  a_.TakeReported(kServer, Named(2), now_, now_);
   const Json good = a_.ReportRows(kToken, servers_, now_);
   Random random(20261203);
   const std::string text = good.dump();
--- a/tests/node/limit_fleet.h
+++ b/tests/node/limit_fleet.h
@@ -166,7 +166,7 @@
     size_t host = 0;
     uint64_t incarnation = 0;
     TimePoint sent_at;
-    ServerLimitWord word;
+    ReportedLimit word;
   };
 
   void Start(size_t i) {
@@ -287,7 +287,7 @@
       if (outcome.is_granted && is_open) {
         Arrive(i);
       } else if (outcome.is_granted) {
-        host.keeper->GiveSpare(kServer);
+        host.keeper->ReturnPermit(kServer);
       } else {
         host.held_until = now_ + outcome.retry_after;
       }
@@ -357,18 +357,18 @@
     }
     if (host.held_until > now_) return;
     const RequestHandle handle = ++host.last_handle;
-    LimitKeeper::Wish wish;
-    wish.handle = handle;
-    wish.caller = "c";
-    wish.patience = patience_;
-    switch (host.keeper->Seek(kServer, wish)) {
-      case LimitKeeper::Permit::kTaken:
+    LimitKeeper::PermitRequest wanted;
+    wanted.handle = handle;
+    wanted.caller = "c";
+    wanted.patience = patience_;
+    switch (host.keeper->Acquire(kServer, wanted)) {
+      case LimitKeeper::Permit::kGranted:
         Arrive(i);
         break;
-      case LimitKeeper::Permit::kAsked:
+      case LimitKeeper::Permit::kPending:
         host.open[handle] = now_ + patience_ + seconds(1);
         break;
-      case LimitKeeper::Permit::kNone:
+      case LimitKeeper::Permit::kDenied:
         host.held_until = now_ + milliseconds(100);
         break;
     }
@@ -380,10 +380,10 @@
     ++count_.sent;
     const bool is_told = host.told_at && now_ >= *host.told_at + kTold;
     arrivals_.push_back({now_, is_told, IsExcused(host)});
-    using Kind = ServerLimitWord::Kind;
-    const ServerLimitWord word =
-        limit_ < 0 ? ServerLimitWord{Kind::kNone, 0, {}}
-                   : ServerLimitWord{Kind::kNamed, limit_, {}};
+    using Kind = ReportedLimit::Kind;
+    const ReportedLimit word = limit_ < 0
+                                   ? ReportedLimit{Kind::kNone, 0, {}}
+                                   : ReportedLimit{Kind::kNamed, limit_, {}};
     const Duration takes = milliseconds(50 + random_.Below(400));
     answers_.push_back({now_ + takes, i, host.incarnation, now_, word});
   }
@@ -398,8 +398,8 @@
         continue;
       }
       host.context->now = now_;
-      host.keeper->TakeWord(kServer, answer.word, answer.sent_at);
-      const bool is_named = answer.word.kind == ServerLimitWord::Kind::kNamed;
+      host.keeper->TakeReported(kServer, answer.word, answer.sent_at);
+      const bool is_named = answer.word.kind == ReportedLimit::Kind::kNamed;
       if (is_named && !host.told_at) host.told_at = now_;
       AfterEvent(answer.host);
     }
--- a/tests/node/server_limit_fixture.h
+++ b/tests/node/server_limit_fixture.h
@@ -75,10 +75,10 @@
     }
   }
 
-  ServerLimitWord WordOf(const std::string& server) const {
+  ReportedLimit WordOf(const std::string& server) const {
     const auto named = limits_.find(server);
-    if (named == limits_.end()) return {ServerLimitWord::Kind::kNone, 0, {}};
-    return {ServerLimitWord::Kind::kNamed, named->second, {}};
+    if (named == limits_.end()) return {ReportedLimit::Kind::kNone, 0, {}};
+    return {ReportedLimit::Kind::kNamed, named->second, {}};
   }
 
   void Serve(const std::string& name) {
@@ -92,9 +92,9 @@
       const auto* sent = std::get_if<DispatchRequest>(&action);
       if (sent == nullptr) continue;
       arrivals_[sent->backend].push_back({now_, name});
-      const ServerLimitWord word = WordOf(sent->backend);
+      const ReportedLimit word = WordOf(sent->backend);
       const auto key = std::pair(sent->backend, name);
-      const bool is_named = word.kind == ServerLimitWord::Kind::kNamed;
+      const bool is_named = word.kind == ReportedLimit::Kind::kNamed;
       if (is_named) told_.try_emplace(key, now_ + service_time_);
       running_.emplace(now_ + service_time_, Answer{name, *sent, word});
     }
@@ -138,7 +138,7 @@
   struct Answer {
     std::string host;
     DispatchRequest sent;
-    ServerLimitWord word;
+    ReportedLimit word;
   };
   struct Refused {
     TimePoint at;
--- a/tests/node/server_limit_test.cc
+++ b/tests/node/server_limit_test.cc
@@ -107,6 +107,26 @@
   EXPECT_GE(ArrivedAt("app-1", from, now_), 15);
 }
 
+// Guards against an owner that keeps the bucket and the queue of a server that
+// has left.
+TEST_F(ServerLimitTest, OwnerForgetsTheLimitOfAServerThatLeft) {
+  Name("app-1", 1);
+  AskFor(seconds(4), 20, "/once/x");
+  const std::string owner = Holders().at(0);
+  const auto limited = [&] {
+    const Json dump = hosts_.at(owner).node->StateDump();
+    return dump["server_limits"]["ledger"]["servers"].size();
+  };
+  EXPECT_EQ(limited(), 1u);
+  ServersListed listed;
+  listed.gone = {"app-1"};
+  for (const auto& [name, host] : hosts_) {
+    Handle(name, StoreReached{});
+    Handle(name, listed);
+  }
+  EXPECT_EQ(limited(), 0u);
+}
+
 // Guards against a fleet that sends nothing, or all, while no owner is heard.
 TEST_F(ServerLimitTest, HostsWithoutAnOwnerGoOnWithinTheLimit) {
   AskFor(seconds(2), 12, "/once/x");
--- a/tests/platform/server_limit_header_test.cc
+++ b/tests/platform/server_limit_header_test.cc
@@ -5,9 +5,9 @@
 namespace applehall {
 namespace {
 
-using Kind = ServerLimitWord::Kind;
+using Kind = ReportedLimit::Kind;
 
-ServerLimitWord Read(const std::string& value, int status = 200) {
+ReportedLimit Read(const std::string& value, int status = 200) {
   HttpResponse head;
   head.status = status;
   head.headers["x-server-stamp"] = "s";
@@ -33,7 +33,7 @@
 TEST(ServerLimitHeaderTest, WhatMakesNoSenseIsUnreadable) {
   for (const char* text : {"", "-1", "+1", "nan", "inf", "1e3", "0x1", "1.2.3",
                            ".", "one", "1 2", "1,,2", "1,-2"}) {
-    EXPECT_EQ(Read(text).kind, Kind::kUnreadable) << text;
+    EXPECT_EQ(Read(text).kind, Kind::kMalformed) << text;
   }
   EXPECT_LE(Read(std::string(10000, 'x')).text.size(), 100u);
 }
@@ -47,11 +47,11 @@
 // an unsigned answer does not repeat it.
 TEST(ServerLimitHeaderTest, OnlyWholeAnswersWithdrawALimit) {
   HttpResponse head;
-  EXPECT_EQ(ReadServerLimit(head).kind, Kind::kUnsaid);
+  EXPECT_EQ(ReadServerLimit(head).kind, Kind::kUnknown);
   head.headers["x-server-stamp"] = "s";
   EXPECT_EQ(ReadServerLimit(head).kind, Kind::kNone);
   head.status = 500;
-  EXPECT_EQ(ReadServerLimit(head).kind, Kind::kUnsaid);
+  EXPECT_EQ(ReadServerLimit(head).kind, Kind::kUnknown);
 }
 
 }  // namespace
