A request that its full queue refuses is not read afterwards

Pumping a queue and refusing at once what all servers hold back stood twice, in Enqueue and after a denied permit; PumpOrRefuse serves both.

--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -225,18 +225,20 @@
                           kRetrySoon));
     return;
   }
-  AddToQueue(request);
-  // By handle: a refused request is gone.
+  // A full queue may refuse the request at once, which is gone then.
   const RequestHandle handle = request.arrival.handle;
   const std::string target = request.target;
-  PumpTarget(target);
-  Request* left = Find(handle);
-  if (left != nullptr && left->phase == Phase::kWaiting) RefuseIfHeld(*left);
+  AddToQueue(request);
+  PumpOrRefuse(handle, target);
 }
 
-void RequestFlow::RefuseIfHeld(Request& request) {
-  if (std::optional<Refusal> held = waits_.Held(request)) {
-    Refuse(request.arrival.handle, *std::move(held));
+void RequestFlow::PumpOrRefuse(RequestHandle handle,
+                               const std::string& target) {
+  PumpTarget(target);
+  const Request* left = Find(handle);
+  if (left == nullptr || left->phase != Phase::kWaiting) return;
+  if (std::optional<Refusal> held = waits_.Held(*left)) {
+    Refuse(handle, *std::move(held));
   }
 }
 
@@ -410,10 +412,7 @@
   TakeDenial(*request, outcome.retry_after);
   request = Find(outcome.handle);
   if (request == nullptr || request->phase != Phase::kWaiting) return;
-  PumpTarget(request->target);
-  request = Find(outcome.handle);
-  if (request == nullptr || request->phase != Phase::kWaiting) return;
-  RefuseIfHeld(*request);
+  PumpOrRefuse(outcome.handle, std::string(request->target));
 }
 
 void RequestFlow::Dispatch(Request& request, const EngineDigest& engine) {
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -112,7 +112,9 @@
   void Retry(Request& request, AttemptResult result);
   void Backoff(Request& request);
   void RefuseEarly(const std::string& target, TargetState& state);
-  void RefuseIfHeld(Request& request);
+  // Sends what waits for `target`; of the request with `handle`, if it still
+  // waits, tells its caller at once where all its servers are held too long.
+  void PumpOrRefuse(RequestHandle handle, const std::string& target);
   void RefuseAll(const std::vector<WaitPolicy::Refused>& refused);
   // Nothing if no request for `target` was seen lately.
   const TargetState* StateOf(const std::string& target) const;
