--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -229,19 +229,10 @@
     for (const auto& field : parser_.get()) {
       const std::string name = absl::AsciiStrToLower(absl::string_view(
           field.name_string().data(), field.name_string().size()));
-      AddHeader(name, std::string(field.value()));
+      AddHeader(name, std::string(field.value()), head_.headers);
     }
   }
 
-  // Several fields of one name are a list (RFC 9110 section 5.3), except for
-  // cookies, of which the last counts.
-  void AddHeader(const std::string& name, std::string value) {
-    const auto [it, is_new] = head_.headers.try_emplace(name, value);
-    if (is_new) return;
-    const bool is_list = name != "set-cookie";
-    it->second = is_list ? it->second + ", " + value : std::move(value);
-  }
-
   asio::io_context& io_;
   std::shared_ptr<IdleConnections> idle_;
   const HttpCall call_;
--- a/drivers/http_message.h
+++ b/drivers/http_message.h
@@ -9,6 +9,17 @@
 // Header fields; names in lower case.
 using HttpHeaders = std::map<std::string, std::string>;
 
+// Adds a field as it was read. Several fields of one name are a list (RFC 9110
+// section 5.3): kept apart, the last one would hide the others. Of cookies that
+// an answer sets the last counts. Requires: `name` in lower case. Not
+// thread-safe.
+inline void AddHeader(const std::string& name, const std::string& value,
+                      HttpHeaders& headers) {
+  const auto [known, is_first] = headers.insert({name, value});
+  if (is_first) return;
+  known->second = name == "set-cookie" ? value : known->second + ", " + value;
+}
+
 struct HttpRequest {
   std::string method;
   std::string target;  // Path with query, as received.
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -1,7 +1,6 @@
 #include "drivers/http_server.h"
 
 #include <absl/strings/ascii.h>
-#include <absl/strings/str_cat.h>
 #include <sys/socket.h>
 
 #include <atomic>
@@ -39,11 +38,7 @@
   for (const auto& field : message) {
     const std::string name = absl::AsciiStrToLower(absl::string_view(
         field.name_string().data(), field.name_string().size()));
-    const auto [known, is_first] =
-        request.headers.insert({name, std::string(field.value())});
-    // RFC 9110, section 5.3. Kept apart, the last one would hide the others.
-    if (!is_first)
-      absl::StrAppend(&known->second, ", ", std::string(field.value()));
+    AddHeader(name, std::string(field.value()), request.headers);
   }
   request.body = std::move(message.body());
   return request;
