Logs: when a configuration was read, passed on and taken, and what slowed it

The timeline could not tell a full link from a proof about something else or from a starved host: rules_in_force says only when it ended. No logic changes.

--- a/node/store_relay.cc
+++ b/node/store_relay.cc
@@ -62,6 +62,15 @@
   next_[news.topic] = news.next;
   if (news.records.empty()) return;
   Remember(news);
+  if (!followers_.empty()) {
+    LogEvent(LogLevel::kInfo, "store_news_passed")
+        .With("topic", news.topic)
+        .With("from", news.from)
+        .With("to", news.next)
+        .With("bytes", news.records.size())
+        .With("followers", followers_.size())
+        .With("vouched", context_.log_failed ? "no" : "yes");
+  }
   for (auto& [host, follower] : followers_) SendNews(host, follower, &news);
 }
 
@@ -166,9 +175,20 @@
   const auto from = FieldOr<LogOffset>(body, "from", 0);
   const auto to = FieldOr<LogOffset>(body, "to", 0);
   const auto own = next_.find(topic);
-  // Records before a gap are missing here; the own read brings them.
-  if (own == next_.end() || own->second < from || own->second >= to) return;
   const Json::binary_t& bytes = records->get_binary();
+  // Records before a gap are missing here; the own read brings them.
+  const bool is_next =
+      own != next_.end() && own->second >= from && own->second < to;
+  LogEvent(LogLevel::kInfo, is_next ? "store_news_taken" : "store_news_unfit")
+      .With("topic", topic)
+      .With("from", from)
+      .With("to", to)
+      .With("known", own == next_.end() ? 0 : own->second)
+      .With("bytes", bytes.size())
+      .With("reader", host)
+      .With("delay_ms", ToMillis(context_.now - stamp - held))
+      .With("proof_age_ms", ToMillis(context_.now - current_as_of_));
+  if (!is_next) return;
   context_.Emit(TakeStoreNews{topic, from, to, {bytes.begin(), bytes.end()}});
   own->second = to;
   Remember({topic, from, to, {bytes.begin(), bytes.end()}});
