--- /dev/null
+++ b/tests/node/news_delivery_test.cc
@@ -0,0 +1,89 @@
+// How soon news of the store are in force at the hosts of a data centre.
+
+#include <cstdio>
+
+#include "core/random.h"
+#include "tests/node/news_fleet.h"
+
+namespace applehall {
+namespace {
+
+constexpr Duration kBound = seconds(3);
+
+// A configuration of `bytes` whose versions differ in their number and one
+// route.
+class Configuration {
+ public:
+  explicit Configuration(size_t bytes) {
+    Random random(20261203);
+    while (text_.size() < bytes) {
+      text_ += R"({"name":"r-)" + std::to_string(random.Below(1'000'000'000)) +
+               R"(","timeout_ms":15000},)";
+    }
+  }
+  std::string Version(int version) const {
+    std::string text = text_;
+    text.replace(text.size() / 3, 40, "changed in " + std::to_string(version));
+    return R"({"version":)" + std::to_string(version) + "," + text;
+  }
+
+ private:
+  std::string text_;
+};
+
+class NewsDeliveryTest : public testing::Test {
+ protected:
+  // `wide` hosts with links of 200 Mbit/s, `narrow` with 10.
+  void Build(int wide, int narrow) {
+    for (int i = 0; i < wide; ++i) fleet_.Add("wide-" + std::to_string(i), 200);
+    for (int i = 0; i < narrow; ++i) {
+      fleet_.Add("narrow-" + std::to_string(i), 10);
+    }
+  }
+
+  // A change each `gap`, from now on.
+  void Storm(int changes, Duration gap, size_t bytes) {
+    const Configuration configuration(bytes);
+    for (int i = 0; i < changes; ++i) {
+      fleet_.At(fleet_.now() + gap * i,
+                [this, record = configuration.Version(++version_)] {
+                  fleet_.Append(kConfigNews, record);
+                });
+    }
+  }
+
+  NewsFleet fleet_{kBound};
+  int version_ = 0;
+};
+
+// Guards against changes that wait behind older ones on the link of a reader
+// that cannot bear what it passes on.
+TEST_F(NewsDeliveryTest, StormIsInForceInTimeBehindAReaderWithANarrowLink) {
+  Build(/*wide=*/2, /*narrow=*/20);
+  fleet_.SetReader("narrow-0");
+  fleet_.Run(seconds(3));
+  Storm(/*changes=*/17, milliseconds(300), /*bytes=*/25'000);
+  fleet_.Run(seconds(20));
+  EXPECT_LE(fleet_.late().most, kBound) << fleet_.late().host;
+}
+
+// Guards against a host that vouches for the configuration with answers about
+// something else, while its read of the configuration hangs.
+TEST_F(NewsDeliveryTest, ReaderWhoseReadOfTheConfigurationHangsIsLeftInTime) {
+  Build(/*wide=*/2, /*narrow=*/6);
+  fleet_.SetReader("wide-0");
+  for (int i = 0; i < 44; ++i) {
+    fleet_.At(fleet_.now() + milliseconds(250) * i,
+              [this] { fleet_.Append(kServerNews, "server"); });
+  }
+  fleet_.Run(seconds(3));
+  fleet_.host("wide-0").silent_topics = {kConfigNews};
+  fleet_.host("wide-0").is_excused = true;
+  fleet_.Run(milliseconds(100));
+  Storm(/*changes=*/1, seconds(1), /*bytes=*/25'000);
+  fleet_.Run(seconds(8));
+  EXPECT_LE(fleet_.late().most, kBound) << fleet_.late().host;
+}
+
+}  // namespace
+}  // namespace applehall
--- /dev/null
+++ b/tests/node/news_fleet.h
@@ -0,0 +1,386 @@
+// Hosts of one data centre that follow the platform's store, under a paused
+// clock: their relays, their own reads, and links with a rate and a queue.
+
+#ifndef APPLEHALL_TESTS_NODE_NEWS_FLEET_H_
+#define APPLEHALL_TESTS_NODE_NEWS_FLEET_H_
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "node/store_relay.h"
+
+namespace applehall {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline constexpr char kConfigNews[] = "config";
+inline constexpr char kServerNews[] = "servers";
+
+// The log of one topic, as the store keeps it.
+struct TopicLog {
+  struct Entry {
+    TimePoint acknowledged_at;
+    std::string bytes;
+  };
+  std::vector<Entry> entries;
+
+  LogOffset end() const { return entries.size(); }
+};
+
+class NewsFleet {
+ public:
+  struct Link {
+    double bytes_per_second = 0;
+    TimePoint free_at;
+
+    // When `bytes` that are sent at `now` have gone.
+    TimePoint Send(size_t bytes, TimePoint now) {
+      const TimePoint begin = std::max(now, free_at);
+      free_at = begin + FromSeconds(static_cast<double>(bytes) /
+                                    bytes_per_second);
+      return free_at;
+    }
+  };
+
+  struct Host {
+    explicit Host(NodeSettings settings) : context(std::move(settings)) {}
+
+    struct Reading {
+      LogOffset next = 0;
+      int calls = 0;        // To the store.
+      uint64_t call = 0;    // The one that is open; 0: none.
+      Duration wait{0};     // Of the next one.
+      bool is_due = true;
+    };
+    NodeContext context;
+    StoreRelay relay{context};
+    Link up;
+    Link down;
+    std::map<std::string, Reading> topics;
+    bool is_reading = true;
+    bool is_down = false;
+    bool is_frozen = false;
+    std::set<std::string> silent_topics;  // Reads of them are never answered.
+    bool is_refused = false;              // By the store.
+    bool is_excused = false;  // Trouble of its own: it may be late.
+  };
+
+  struct Late {
+    Duration most{0};
+    std::string host;
+    TimePoint at;
+  };
+
+  explicit NewsFleet(Duration bound) : bound_(bound) {}
+
+  Host& Add(const std::string& name, double mbps) {
+    NodeSettings settings;
+    settings.self = {name, 1};
+    settings.peer_address = name;
+    settings.store_relay_trust = bound_ / 2;
+    auto& host = hosts_[name];
+    host = std::make_unique<Host>(settings);
+    constexpr double kBytesPerMegabit = 125'000;
+    host->up.bytes_per_second = mbps * kBytesPerMegabit;
+    host->down.bytes_per_second = mbps * kBytesPerMegabit;
+    host->context.log_answered_at = now_;
+    host->context.started_at = now_;
+    for (const char* topic : {kConfigNews, kServerNews}) {
+      const LogOffset end = logs_[topic].end();
+      host->topics[topic].next = end;
+      Enter(name, [&](Host& h) { h.relay.TakeNews({topic, end, end, ""}); });
+    }
+    return *host;
+  }
+
+  Host& host(const std::string& name) { return *hosts_.at(name); }
+  TimePoint now() const { return now_; }
+  const Late& late() const { return late_; }
+  void ForgetLate() { late_ = {}; }
+  int calls() const {
+    int sum = 0;
+    for (const auto& [name, host] : hosts_) {
+      for (const auto& [topic, reading] : host->topics) sum += reading.calls;
+    }
+    return sum;
+  }
+  size_t bytes_between_hosts() const { return bytes_between_hosts_; }
+
+  void SetReader(const std::string& name) {
+    for (auto& [own, host] : hosts_) host->relay.SetReader({name, name});
+  }
+  void SetBackup(const std::string& name) {
+    for (auto& [own, host] : hosts_) host->relay.SetBackup({name, name});
+  }
+
+  // The store acknowledges a record now.
+  void Append(const std::string& topic, std::string bytes) {
+    logs_[topic].entries.push_back({now_, std::move(bytes)});
+    for (auto& [name, host] : hosts_) AnswerIfNews(name, topic);
+  }
+
+  void At(TimePoint when, std::function<void()> what) {
+    events_.push({when, ++event_count_, std::move(what)});
+  }
+
+  void Run(Duration duration) {
+    const TimePoint end = now_ + duration;
+    while (now_ < end) {
+      const TimePoint next_tick = ticked_at_ + kTick;
+      if (!events_.empty() && events_.top().at <= next_tick) {
+        const EventAt event = events_.top();
+        events_.pop();
+        now_ = std::max(now_, event.at);
+        event.what();
+        continue;
+      }
+      now_ = ticked_at_ = next_tick;
+      Tick();
+    }
+  }
+
+ private:
+  static constexpr Duration kTick = milliseconds(25);
+  static constexpr Duration kOneWay = milliseconds(1);
+  static constexpr Duration kStoreTime = milliseconds(4);
+  static constexpr size_t kRequestBytes = 300;
+  static constexpr Duration kWait = seconds(2);
+  static constexpr Duration kTimeout = seconds(1);
+  static constexpr Duration kRetryPause = milliseconds(250);
+  static constexpr Duration kPause = milliseconds(100);
+
+  struct EventAt {
+    TimePoint at;
+    uint64_t order;
+    std::function<void()> what;
+    bool operator<(const EventAt& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+  // A read that the store holds until there are news.
+  struct Held {
+    uint64_t call = 0;
+    LogOffset from = 0;
+  };
+
+  bool Runs(const Host& host) const { return !host.is_down && !host.is_frozen; }
+
+  template <typename Fn>
+  void Enter(const std::string& name, Fn&& fn) {
+    Host& host = *hosts_.at(name);
+    std::vector<Action> actions;
+    host.context.now = now_;
+    host.context.actions = &actions;
+    fn(host);
+    for (Action& action : actions) Perform(name, host, action);
+  }
+
+  void Perform(const std::string& name, Host& host, const Action& action) {
+    if (const auto* sent = std::get_if<SendPeer>(&action)) {
+      Carry(name, *sent);
+    } else if (const auto* follow = std::get_if<FollowStore>(&action)) {
+      host.is_reading = follow->is_reading;
+      for (auto& [topic, reading] : host.topics) {
+        reading.wait = Duration{0};
+        if (reading.call == 0) reading.is_due = true;
+      }
+    } else if (const auto* news = std::get_if<TakeStoreNews>(&action)) {
+      Host::Reading& reading = host.topics.at(news->topic);
+      if (reading.next < news->from || reading.next >= news->next) return;
+      EXPECT_EQ(news->records, Bytes(news->topic, news->from, news->next));
+      reading.next = news->next;
+      const std::string topic = news->topic;
+      const LogOffset from = news->from;
+      At(now_, [this, name, topic, from] {
+        Enter(name, [&](Host& h) {
+          h.relay.TakeNews({topic, from, h.topics.at(topic).next, ""});
+        });
+      });
+    }
+  }
+
+  void Carry(const std::string& from, const SendPeer& sent) {
+    if (!hosts_.contains(sent.host)) return;
+    const std::vector<uint8_t> bytes = sent.message.Encode();
+    constexpr size_t kOverhead = 80;
+    bytes_between_hosts_ += bytes.size();
+    const TimePoint gone =
+        hosts_.at(from)->up.Send(bytes.size() + kOverhead, now_);
+    const std::string to = sent.host;
+    const PeerMessage message = sent.message;
+    const size_t size = bytes.size() + kOverhead;
+    At(gone + kOneWay, [this, from, to, message, size] {
+      At(hosts_.at(to)->down.Send(size, now_),
+         [this, from, to, message] { Deliver(from, to, message); });
+    });
+  }
+
+  void Deliver(const std::string& from, const std::string& to,
+               const PeerMessage& message) {
+    Host& host = *hosts_.at(to);
+    if (host.is_down) return;
+    if (host.is_frozen) {
+      At(now_ + kTick, [this, from, to, message] { Deliver(from, to, message); });
+      return;
+    }
+    Enter(to, [&](Host& h) {
+      if (message.type == PeerMessageType::kStoreFollow) {
+        h.relay.TakeFollow(from, message.body);
+      } else if (message.type == PeerMessageType::kStoreNews) {
+        h.relay.TakeRelayed(from, message.body);
+      }
+    });
+  }
+
+  std::string Bytes(const std::string& topic, LogOffset from,
+                    LogOffset to) const {
+    std::string bytes;
+    for (LogOffset i = from; i < to; ++i) {
+      bytes += logs_.at(topic).entries[i].bytes;
+    }
+    return bytes;
+  }
+
+  // ---- Own reads, as platform/store_client makes them ----
+
+  void Ask(const std::string& name, const std::string& topic) {
+    Host& host = *hosts_.at(name);
+    Host::Reading& reading = host.topics.at(topic);
+    reading.is_due = false;
+    const uint64_t call = ++call_count_;
+    reading.call = call;
+    ++reading.calls;
+    const Duration wait = reading.wait;
+    const LogOffset from = reading.next;
+    const TimePoint asked_at = now_;
+    At(now_ + wait + kTimeout,
+       [this, name, topic, call] { Fail(name, topic, call); });
+    const bool is_silent =
+        host.silent_topics.contains(topic) || host.is_refused;
+    const TimePoint gone = host.up.Send(kRequestBytes, now_);
+    if (is_silent) return;
+    At(gone + kOneWay, [this, name, topic, call, from, wait, asked_at] {
+      held_[{name, topic}] = {call, from};
+      AnswerIfNews(name, topic);
+      At(now_ + wait, [this, name, topic, call] {
+        const auto held = held_.find({name, topic});
+        if (held == held_.end() || held->second.call != call) return;
+        held_.erase(held);
+        Answer(name, topic, call, 0);
+      });
+    });
+  }
+
+  void AnswerIfNews(const std::string& name, const std::string& topic) {
+    const auto held = held_.find({name, topic});
+    if (held == held_.end() || logs_[topic].end() <= held->second.from) return;
+    const Held read = held->second;
+    held_.erase(held);
+    Answer(name, topic, read.call, logs_[topic].end());
+  }
+
+  // `to` is 0 if there are no news.
+  void Answer(const std::string& name, const std::string& topic, uint64_t call,
+              LogOffset to) {
+    const Host& asker = *hosts_.at(name);
+    if (asker.silent_topics.contains(topic) || asker.is_refused) return;
+    const LogOffset from = asker.topics.at(topic).next;
+    const size_t size =
+        kRequestBytes + (to > from ? Bytes(topic, from, to).size() : 0);
+    At(now_ + kStoreTime, [this, name, topic, call, from, to, size] {
+      At(hosts_.at(name)->down.Send(size, now_) + kOneWay,
+         [this, name, topic, call, from, to] {
+           TakeAnswer(name, topic, call, from, to);
+         });
+    });
+  }
+
+  void TakeAnswer(const std::string& name, const std::string& topic,
+                  uint64_t call, LogOffset from, LogOffset to) {
+    Host& host = *hosts_.at(name);
+    Host::Reading& reading = host.topics.at(topic);
+    if (host.is_down || reading.call != call) return;
+    if (host.is_frozen) {
+      At(now_ + kTick, [this, name, topic, call, from, to] {
+        TakeAnswer(name, topic, call, from, to);
+      });
+      return;
+    }
+    reading.call = 0;
+    reading.wait = kWait;
+    Enter(name, [&](Host& h) {
+      h.context.NoteLogAnswer(now_);
+      if (to <= h.topics.at(topic).next) return;
+      h.topics.at(topic).next = to;
+      h.relay.TakeNews({topic, from, to, Bytes(topic, from, to)});
+    });
+    DueAfter(name, topic, kPause);
+  }
+
+  void Fail(const std::string& name, const std::string& topic, uint64_t call) {
+    Host& host = *hosts_.at(name);
+    Host::Reading& reading = host.topics.at(topic);
+    if (host.is_down || reading.call != call) return;
+    held_.erase({name, topic});
+    reading.call = 0;
+    reading.wait = Duration{0};
+    host.context.log_failed = true;
+    DueAfter(name, topic, kRetryPause);
+  }
+
+  void DueAfter(const std::string& name, const std::string& topic,
+                Duration pause) {
+    At(now_ + pause, [this, name, topic] {
+      hosts_.at(name)->topics.at(topic).is_due = true;
+    });
+  }
+
+  void Tick() {
+    for (auto& [name, host] : hosts_) {
+      if (!Runs(*host)) continue;
+      Enter(name, [](Host& h) { h.relay.RunTick(); });
+      for (auto& [topic, reading] : host->topics) {
+        if (host->is_reading && reading.is_due && reading.call == 0) {
+          Ask(name, topic);
+        }
+      }
+      NoteLate(name, *host);
+    }
+  }
+
+  // How long ago the oldest record was acknowledged that `host` does not know.
+  void NoteLate(const std::string& name, const Host& host) {
+    if (host.is_excused) return;
+    for (const auto& [topic, reading] : host.topics) {
+      const TopicLog& log = logs_[topic];
+      if (reading.next >= log.end()) continue;
+      const Duration late = now_ - log.entries[reading.next].acknowledged_at;
+      if (late > late_.most) late_ = {late, name, now_};
+    }
+  }
+
+  Duration bound_;
+  TimePoint now_{std::chrono::hours(500000)};
+  TimePoint ticked_at_ = now_;
+  std::map<std::string, TopicLog> logs_{{kConfigNews, {}}, {kServerNews, {}}};
+  std::map<std::string, std::unique_ptr<Host>> hosts_;
+  std::map<std::pair<std::string, std::string>, Held> held_;
+  std::priority_queue<EventAt> events_;
+  uint64_t event_count_ = 0;
+  uint64_t call_count_ = 0;
+  size_t bytes_between_hosts_ = 0;
+  Late late_;
+};
+
+}  // namespace applehall
+
+#endif  // APPLEHALL_TESTS_NODE_NEWS_FLEET_H_
--- a/tests/node/reader_choice_test.cc
+++ b/tests/node/reader_choice_test.cc
@@ -35,5 +35,18 @@
   EXPECT_EQ(readers.Backup("hall", "b", kNow).host, "untold");
 }
 
+// Guards against a reader that a new owner chose before it had heard the fleet,
+// and kept for as long as it lived.
+TEST(ReaderChoiceTest, NarrowReaderMakesWayForAWiderOneThatIsHeardLater) {
+  FleetPeers peers{{"narrow", Peer(0.5, 10)}};
+  ReaderChoice readers(peers);
+  EXPECT_EQ(readers.Reader("hall", kNow).host, "narrow");
+  peers["wide"] = Peer(0.12, 200);
+  EXPECT_EQ(readers.Reader("hall", kNow).host, "wide");
+  // Of two with the same link the one that reads already goes on.
+  peers["strong"] = Peer(0.5, 200);
+  EXPECT_EQ(readers.Reader("hall", kNow).host, "wide");
+}
+
 }  // namespace
 }  // namespace applehall
