A host's proof of recent news is about the topic that was asked for

Callers saw a route refused that had been added seconds before.

Now each host knows, by topic, up to where and as of when it knows it (TopicProofs). Only an answer about that topic proves it, and only from when it was asked; an empty answer from the end of its wait. The terms between the store and a host are one budget, derived from the bound that the platform sets for changes and for leaving servers (NewsBudget); reads wait until their proof is due instead of 2 s.

AnswerThatLayUnreadIsNotVouchedForAsFresh read the age from a message that has one for each topic now; it checks the same age. The fixture of fleets proves topics as the adapter does. EdgeSettings checks config_apply_ms as well.

--- a/drivers/websocket_link.cc
+++ b/drivers/websocket_link.cc
@@ -126,7 +126,7 @@
     bool is_open = false;
     bool is_proven = false;
     bool is_full = false;  // The last message found no room.
-    std::string host;  // Known from the start on outgoing links.
+    std::string host;      // Known from the start on outgoing links.
     std::string challenge;
     std::deque<std::vector<uint8_t>> waiting;
   };
@@ -329,7 +329,8 @@
     const bool is_full = error == websocketpp::error::send_queue_full;
     if (is_full != link.is_full) {
       link.is_full = is_full;
-      on_event_(is_full ? "peer_link_full" : "peer_link_drained", link.host, "");
+      on_event_(is_full ? "peer_link_full" : "peer_link_drained", link.host,
+                "");
     }
     if (error) {
       ++dropped_;
--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -506,7 +506,8 @@
 }
 
 bool FleetKeeper::CanReadStore() const {
-  return !context_.is_draining && !context_.log_failed;
+  return !context_.is_draining && !context_.log_failed &&
+         context_.now - context_.news.AsOf() <= context_.settings.news.trust;
 }
 
 // Each of many hosts has a request or two at an engine and cannot see that
--- a/node/messages.h
+++ b/node/messages.h
@@ -163,13 +163,18 @@
 // The platform's store answered.
 struct StoreReached {};
 
-// Records of one topic of the store, as they stand there, were read by this
-// host or taken over from another; without records only the offset moved.
+// A question to the store about one topic was answered, or another host's news
+// of it were taken over.
 struct StoreNewsRead {
-  std::string topic;
+  std::string topic = {};
   LogOffset from = 0;
-  LogOffset next = 0;  // The first offset that is not in `records`.
-  std::string records;
+  LogOffset next = 0;        // The first offset that is not in `records`.
+  std::string records = {};  // As they stand in the store; may be empty.
+  // The record before `next`, if this is known from the answer.
+  std::string last_record = {};
+  // All records up to `next` were there at this time, and no others: proven by
+  // this host's own question. The epoch: by none.
+  TimePoint as_of = {};
 };
 
 // The answer to ReadLease.
--- /dev/null
+++ b/node/news_budget.h
@@ -0,0 +1,51 @@
+#ifndef APPLEHALL_NODE_NEWS_BUDGET_H_
+#define APPLEHALL_NODE_NEWS_BUDGET_H_
+
+#include "core/clock.h"
+
+namespace applehall {
+
+// The time within which a confirmed change must be in force at each host,
+// divided over what stands between the store and the host.
+//
+// As of when a host knows a topic is proven by an answer about that topic only,
+// its own or a reader's. A change is in force in time if these sums stay within
+// the bound (docs/design/news.md):
+//
+//   the reader is lost:   trust + read_timeout + retry_pause + apply <= bound
+//   own read hangs:       renewal + read_timeout + retry_pause + apply <= bound
+//   nothing fails:        renewal + beat + transit <= trust
+struct NewsBudget {
+  // A host that reads the store proves each topic anew this often.
+  Duration renewal;
+  // Readers tell their followers how recent their proofs are this often, and
+  // followers ask for it.
+  Duration beat;
+  // How long such a message may be under way without a follower's own read.
+  Duration transit;
+  // A follower reads for itself where a proof is older.
+  Duration trust;
+  // A read of the store, beyond its wait for news.
+  Duration read_timeout;
+  // After a first failed read; doubled with each further one.
+  Duration retry_pause;
+  // Of the last read, and of what it takes to put its news in force.
+  Duration apply;
+
+  // Requires: `bound` is positive. Thread-safe.
+  static constexpr NewsBudget Within(Duration bound) {
+    constexpr int kParts = 16;
+    const Duration part = bound / kParts;
+    return {.renewal = 5 * part,
+            .beat = 2 * part,
+            .transit = part,
+            .trust = 8 * part,
+            .read_timeout = 4 * part,
+            .retry_pause = part,
+            .apply = 3 * part};
+  }
+};
+
+}  // namespace applehall
+
+#endif  // APPLEHALL_NODE_NEWS_BUDGET_H_
--- a/node/node.cc
+++ b/node/node.cc
@@ -106,6 +106,7 @@
 void Node::On(const LogFailed&) {
   if (!context_.log_failed) LogEvent(LogLevel::kWarning, "store_lost");
   context_.log_failed = true;
+  context_.log_failed_at = context_.now;
 }
 
 // Guards against an answer that lay unread while this process was starved of
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -13,6 +13,7 @@
 #include "node/decision_log.h"
 #include "node/messages.h"
 #include "node/node_settings.h"
+#include "node/topic_proofs.h"
 #include "routing/engine_view.h"
 #include "rules/replica_bounds.h"
 
@@ -46,10 +47,13 @@
   // Entry hosts that share the placement owner; at least this many until told.
   int fleet_hosts = 8;
 
+  // As of when the topics of the store are known here.
+  TopicProofs news;
   // Whether the log service answered lately.
   TimePoint log_answered_at;
   bool log_failed = false;
-  TimePoint log_back_at;  // When it answered again after a failure.
+  TimePoint log_failed_at;  // The last failure of a call.
+  TimePoint log_back_at;    // When it answered again after a failure.
 
   TimePoint now;
   std::vector<Action>* actions = nullptr;
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -6,6 +6,7 @@
 #include "admission/quota_types.h"
 #include "claims/claim_guard.h"
 #include "core/policy_set.h"
+#include "node/news_budget.h"
 #include "placement/engine_owner.h"
 #include "placement/ownership_table.h"
 
@@ -60,8 +61,8 @@
   // the requests, for each service.
   double retry_slack = 50;
   QuotaTolerance quota_tolerance;
-  // How old the proof may be that another host's news of the store are recent.
-  Duration store_relay_trust = std::chrono::seconds(1);
+  // From the store's acknowledgement to a change in force here.
+  NewsBudget news = NewsBudget::Within(std::chrono::seconds(2));
   // The platform takes some time to send callers elsewhere; until then a
   // draining host serves them.
   Duration drain_least{0};
--- a/node/store_relay.cc
+++ b/node/store_relay.cc
@@ -7,22 +7,17 @@
 namespace applehall {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A follower's proof of recent news is at most this much older than the
-// reader's last read; a quarter of the usual trust of 1 s.
-constexpr Duration kNewsBeat = milliseconds(250);
-// A follower speaks this often: the reader's messages carry its last stamp, and
-// their proof is as old as that.
-constexpr Duration kFollowBeat = milliseconds(500);
-// A follower that is silent for this long has left or has another reader.
-constexpr Duration kFollowerLife = milliseconds(1600);
+// A follower that is silent for so many beats has left or has another reader.
+constexpr int kFollowerLife = 6;
 // News are kept for followers that come from another reader: as long as a
 // reader and its follower can have drifted apart, and within a host's memory.
 constexpr Duration kMemory = seconds(15);
 constexpr size_t kMostRemembered = 512 * 1024;
 
+constexpr char kStoreSource[] = "store";
+
 int64_t Micros(Duration duration) { return duration.count(); }
 
 }  // namespace
@@ -30,7 +25,7 @@
 void StoreRelay::SetReader(const PeerAddress& reader) {
   if (reader == reader_) return;
   reader_ = reader;
-  reader_next_.clear();
+  context_.news.ForgetClaims();
   followed_at_ = TimePoint{};
   LogEvent(LogLevel::kInfo, "store_reader").With("reader", reader_.host);
 }
@@ -44,22 +39,24 @@
   return host == reader_.host || (host == backup_.host && !host.empty());
 }
 
-// Half of the trust is left then for the backup's answer.
-bool StoreRelay::IsInDoubt() const {
-  return context_.now - current_as_of_ >
-         context_.settings.store_relay_trust / 2;
+TimePoint StoreRelay::RelayedAsOf() const {
+  TimePoint oldest = context_.now;
+  for (const auto& [topic, proof] : context_.news.known()) {
+    const auto relayed = relayed_as_of_.find(topic);
+    if (relayed == relayed_as_of_.end()) return {};
+    oldest = std::min(oldest, relayed->second);
+  }
+  return context_.news.known().empty() ? TimePoint{} : oldest;
 }
 
-bool StoreRelay::HasCaughtUp() const {
-  return std::all_of(reader_next_.begin(), reader_next_.end(),
-                     [this](const auto& item) {
-                       const auto own = next_.find(item.first);
-                       return own != next_.end() && own->second >= item.second;
-                     });
-}
+// Half of the trust is left then for the backup's answer.
+bool StoreRelay::IsInDoubt() const { return ProofAge() > budget().trust / 2; }
 
 void StoreRelay::TakeNews(const StoreNewsRead& news) {
-  next_[news.topic] = news.next;
+  context_.news.Know(news.topic, news.next);
+  if (news.as_of != TimePoint{}) {
+    context_.news.Prove(news.topic, news.next, news.as_of, kStoreSource);
+  }
   if (news.records.empty()) return;
   Remember(news);
   if (!followers_.empty()) {
@@ -69,7 +66,7 @@
         .With("to", news.next)
         .With("bytes", news.records.size())
         .With("followers", followers_.size())
-        .With("vouched", context_.log_failed ? "no" : "yes");
+        .With("read_ms_ago", ToMillis(context_.now - news.as_of));
   }
   for (auto& [host, follower] : followers_) SendNews(host, follower, &news);
 }
@@ -117,19 +114,22 @@
   if (is_new) SendNews(host, follower, nullptr);
 }
 
-// `age` tells how long ago the store answered here, `held` how long ago the
-// follower's stamp came. Both are spans of this host's clock, so the follower
-// needs no common time, and a message that was held up on its way proves no
-// more than the moment its stamp was made.
+// What is known of each topic goes out with the age of its proof, and `held`
+// tells how long ago the follower's stamp came. Both are spans of this host's
+// clock, so the follower needs no common time, and a message that was held up
+// on its way proves no more than the moment its stamp was made.
 void StoreRelay::SendNews(const std::string& host, Follower& follower,
                           const StoreNewsRead* news) {
-  // A host that cannot read vouches for nothing.
-  if (context_.log_failed || context_.is_draining) return;
+  if (context_.is_draining) return;
   follower.sent_at = context_.now;
+  Json known = Json::object();
+  for (const auto& [topic, proof] : context_.news.known()) {
+    known[topic] =
+        Json::array({proof.next, Micros(context_.now - proof.as_of)});
+  }
   Json body{{"t", follower.stamp},
             {"held", Micros(context_.now - follower.heard_at)},
-            {"age", Micros(context_.now - context_.log_answered_at)},
-            {"next", next_}};
+            {"known", std::move(known)}};
   if (!owner_.peer.host.empty()) {
     body["o"] =
         Json::array({owner_.peer.host, owner_.peer.address, owner_.token});
@@ -157,50 +157,60 @@
 
 void StoreRelay::TakeRelayed(const std::string& host, const Json& body) {
   if (!IsSource(host) || !IsFollowing()) return;
-  const auto next = body.find("next");
-  if (next == body.end() || !next->is_object()) return;
+  const auto known = body.find("known");
+  if (known == body.end() || !known->is_object()) return;
   const TimePoint stamp{Duration(FieldOr<int64_t>(body, "t", 0))};
   const Duration held(FieldOr<int64_t>(body, "held", 0));
-  const Duration age(FieldOr<int64_t>(body, "age", 0));
-  current_as_of_ = std::max(current_as_of_, stamp + held - age);
-  for (const auto& [topic, offset] : next->items()) {
-    if (offset.is_number_unsigned()) {
-      LogOffset& known = reader_next_[topic];
-      known = std::max(known, offset.get<LogOffset>());
-    }
+  TakeRecords(host, body, context_.now - stamp - held);
+  for (const auto& [topic, claim] : known->items()) {
+    const bool is_claim = claim.is_array() && claim.size() == 2 &&
+                          claim[0].is_number_unsigned() &&
+                          claim[1].is_number_integer();
+    if (!is_claim) continue;
+    const TimePoint as_of = stamp + held - Duration(claim[1].get<int64_t>());
+    TimePoint& relayed = relayed_as_of_[topic];
+    relayed = std::max(relayed, as_of);
+    context_.news.Prove(topic, claim[0].get<LogOffset>(), as_of, host);
   }
+}
+
+void StoreRelay::TakeRecords(const std::string& host, const Json& body,
+                             Duration delay) {
   const std::string topic = FieldOr<std::string>(body, "topic", "");
   const auto records = body.find("records");
   if (topic.empty() || records == body.end() || !records->is_binary()) return;
   const auto from = FieldOr<LogOffset>(body, "from", 0);
   const auto to = FieldOr<LogOffset>(body, "to", 0);
-  const auto own = next_.find(topic);
+  const LogOffset own = context_.news.Next(topic);
   const Json::binary_t& bytes = records->get_binary();
   // Records before a gap are missing here; the own read brings them.
-  const bool is_next =
-      own != next_.end() && own->second >= from && own->second < to;
+  const bool is_next = context_.news.Knows(topic) && from <= own && own < to;
   LogEvent(LogLevel::kInfo, is_next ? "store_news_taken" : "store_news_unfit")
       .With("topic", topic)
       .With("from", from)
       .With("to", to)
-      .With("known", own == next_.end() ? 0 : own->second)
+      .With("known", own)
       .With("bytes", bytes.size())
       .With("reader", host)
-      .With("delay_ms", ToMillis(context_.now - stamp - held))
-      .With("proof_age_ms", ToMillis(context_.now - current_as_of_));
+      .With("delay_ms", ToMillis(delay))
+      .With("proof_age_ms", ToMillis(ProofAge()));
   if (!is_next) return;
   context_.Emit(TakeStoreNews{topic, from, to, {bytes.begin(), bytes.end()}});
-  own->second = to;
+  context_.news.Know(topic, to);
   Remember({topic, from, to, {bytes.begin(), bytes.end()}});
 }
 
 void StoreRelay::SendFollow(const PeerAddress& reader) {
+  Json next = Json::object();
+  for (const auto& [topic, proof] : context_.news.known()) {
+    next[topic] = proof.next;
+  }
   context_.Emit(SendPeer{reader.host,
                          reader.address,
                          {PeerMessageType::kStoreFollow,
                           Json{{"p", context_.settings.peer_address},
                                {"t", Micros(context_.now.time_since_epoch())},
-                               {"next", next_}}}});
+                               {"next", std::move(next)}}}});
 }
 
 void StoreRelay::SetReading(bool is_reading) {
@@ -211,17 +221,17 @@
   LogEvent(LogLevel::kInfo,
            is_reading ? "store_read_own" : "store_read_relayed")
       .With("reader", reader_.host)
-      .With("proof_age_ms", ToMillis(context_.now - current_as_of_))
-      .With("caught_up", HasCaughtUp() ? "yes" : "no");
+      .With("proof_age_ms", ToMillis(ProofAge()))
+      .With("caught_up", context_.news.HasCaughtUp() ? "yes" : "no");
   context_.Emit(FollowStore{is_reading});
 }
 
 void StoreRelay::RunTick() {
   std::erase_if(followers_, [this](const auto& item) {
-    return context_.now - item.second.heard_at > kFollowerLife;
+    return context_.now - item.second.heard_at > kFollowerLife * budget().beat;
   });
   for (auto& [host, follower] : followers_) {
-    if (context_.now - follower.sent_at >= kNewsBeat) {
+    if (context_.now - follower.sent_at >= budget().beat) {
       SendNews(host, follower, nullptr);
     }
   }
@@ -229,29 +239,28 @@
     SetReading(true);
     return;
   }
-  if (context_.now - followed_at_ >= kFollowBeat) {
+  if (context_.now - followed_at_ >= budget().beat) {
     followed_at_ = context_.now;
     SendFollow(reader_);
     const bool has_backup =
         !backup_.host.empty() && backup_.host != context_.settings.self.host;
     if (has_backup && IsInDoubt()) SendFollow(backup_);
   }
-  const bool is_proven =
-      context_.now - current_as_of_ <= context_.settings.store_relay_trust;
-  SetReading(!is_proven || !HasCaughtUp());
+  const bool is_proven = ProofAge() <= budget().trust;
+  SetReading(!is_proven || !context_.news.HasCaughtUp());
   if (is_reading_) return;
   // What the reader vouches for, this host knows as well.
-  if (current_as_of_ > context_.log_answered_at) {
-    context_.NoteLogAnswer(current_as_of_);
+  const TimePoint as_of = context_.news.AsOf();
+  if (as_of > std::max(context_.log_answered_at, context_.log_failed_at)) {
+    context_.NoteLogAnswer(as_of);
   }
 }
 
 Json StoreRelay::ToJson() const {
   return Json{{"reader", reader_.host},
               {"reads_itself", is_reading_},
-              {"proof_age_ms", ToMillis(context_.now - current_as_of_)},
               {"followers", followers_.size()},
-              {"next", next_}};
+              {"topics", context_.news.ToJson(context_.now)}};
 }
 
 }  // namespace applehall
--- a/node/store_relay.h
+++ b/node/store_relay.h
@@ -11,13 +11,13 @@
 
 // Lets one host of a data centre read the platform's store for the others.
 //
-// Calls to the store grow with the number of hosts and are what a fleet of 72
-// spends most on: 0.033 to 0.037 of the worth of a day, by its price list. A
-// host that is told a reader follows it: it takes the news the reader passes on
-// and stops its own reads as long as it can prove that these are recent. No
-// proof within `store_relay_trust`, or a gap in the news, and it reads for
-// itself again, so a reader that dies, stands still, is cut off or has lost the
-// store delays a change by that time at most.
+// Calls to the store grow with the number of hosts. A host that is told a
+// reader follows it: it takes the news the reader passes on and stops its own
+// reads as long as it can prove, for each topic, that these are recent
+// (TopicProofs). No proof within the budget's trust, or a gap in the news, and
+// it reads for itself again, so a reader that dies, stands still, is cut off,
+// has lost the store or waits for an answer about one topic delays a change by
+// that time at most.
 //
 // News are passed on unread: what they mean is the platform's adapter's affair.
 class StoreRelay {
@@ -55,15 +55,19 @@
     int64_t stamp = 0;  // Of its last message, by its own clock.
   };
 
+  const NewsBudget& budget() const { return context_.settings.news; }
+  Duration ProofAge() const { return context_.now - RelayedAsOf(); }
   bool IsFollowing() const;
   bool IsSource(const std::string& host) const;
+  // As of when the readers have what this host knows; the epoch if they prove
+  // nothing of some topic.
+  TimePoint RelayedAsOf() const;
   // Proof is due from the backup as well.
   bool IsInDoubt() const;
   void Remember(const StoreNewsRead& news);
   void SendMissed(const std::string& host, Follower& follower,
                   const Json& next);
-  // The news up to the reader's offsets are here.
-  bool HasCaughtUp() const;
+  void TakeRecords(const std::string& host, const Json& body, Duration delay);
   void SendFollow(const PeerAddress& reader);
   void SendNews(const std::string& host, Follower& follower,
                 const StoreNewsRead* news);
@@ -74,10 +78,7 @@
   PeerAddress backup_;
   KnownOwner owner_;
   TimePoint followed_at_;  // Last message to the reader.
-  // The reader had read the store at this time or later.
-  TimePoint current_as_of_;
-  std::map<std::string, LogOffset> next_;         // By topic.
-  std::map<std::string, LogOffset> reader_next_;  // What the reader has.
+  std::map<std::string, TimePoint> relayed_as_of_;  // By topic.
   bool is_reading_ = true;
   std::map<std::string, Follower> followers_;
   // The latest news of each topic, for followers that missed some.
--- a/tests/node/fleet_fixture.h
+++ b/tests/node/fleet_fixture.h
@@ -50,6 +50,7 @@
     std::unique_ptr<Node> node;
     std::vector<Action> done;  // What was asked of it and not carried here.
     bool is_down = false;
+    bool is_reading = true;  // It follows the store by itself.
     bool is_cut_from_store = false;
     bool is_cut_from_hosts = false;
   };
@@ -112,6 +113,9 @@
 
   void Perform(const std::string& name, Action action) {
     Host& host = hosts_.at(name);
+    if (const auto* follow = std::get_if<FollowStore>(&action)) {
+      host.is_reading = follow->is_reading;
+    }
     if (const auto* read = std::get_if<ReadLease>(&action)) {
       if (host.is_cut_from_store) return;
       pending_.push_back(
@@ -188,7 +192,12 @@
       const auto due = std::move(pending_);
       pending_.clear();
       for (const auto& [name, event] : due) Handle(name, event);
-      for (const auto& [name, host] : hosts_) Handle(name, Tick{});
+      for (const auto& [name, host] : hosts_) {
+        if (host.is_reading && !host.is_cut_from_store) {
+          Handle(name, StoreNewsRead{.topic = "config", .as_of = now_});
+        }
+        Handle(name, Tick{});
+      }
     }
   }
 
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -140,11 +140,15 @@
   hosts_.at("b").is_down = true;
   pending_.clear();
   Handle("a", StoreReached{});
-  Handle("a", StoreNewsRead{"servers", 0, 1, "records"});
+  Handle("a", StoreNewsRead{.topic = "servers",
+                            .from = 0,
+                            .next = 1,
+                            .records = "records",
+                            .as_of = now_ - seconds(2)});
   ASSERT_EQ(pending_.size(), 1u);
   const auto& told = std::get<PeerMessageReceived>(pending_[0].second);
   ASSERT_EQ(told.message.type, PeerMessageType::kStoreNews);
-  EXPECT_GE(told.message.body["age"].get<int64_t>(), 1'900'000);
+  EXPECT_GE(told.message.body["known"]["servers"][1].get<int64_t>(), 1'900'000);
 }
 
 // The owner of engines that check no tokens dies. The next one waits until the
@@ -239,7 +243,9 @@
     for (const auto& [name, host] : hosts_) {
       if (!host.node->relay().reads_itself()) continue;
       Handle(name, StoreReached{});
-      Handle(name, StoreNewsRead{"servers", 5, 5, ""});
+      Handle(name,
+             StoreNewsRead{
+                 .topic = "servers", .from = 5, .next = 5, .as_of = now_});
     }
   };
   const auto readers = [&] {
--- a/tests/node/news_fleet.h
+++ b/tests/node/news_fleet.h
@@ -45,8 +45,8 @@
     // When `bytes` that are sent at `now` have gone.
     TimePoint Send(size_t bytes, TimePoint now) {
       const TimePoint begin = std::max(now, free_at);
-      free_at = begin + FromSeconds(static_cast<double>(bytes) /
-                                    bytes_per_second);
+      free_at =
+          begin + FromSeconds(static_cast<double>(bytes) / bytes_per_second);
       return free_at;
     }
   };
@@ -56,9 +56,10 @@
 
     struct Reading {
       LogOffset next = 0;
-      int calls = 0;        // To the store.
-      uint64_t call = 0;    // The one that is open; 0: none.
-      Duration wait{0};     // Of the next one.
+      int calls = 0;      // To the store.
+      uint64_t call = 0;  // The one that is open; 0: none.
+      TimePoint as_of;    // Of the last answer.
+      Duration retry_pause{0};
       bool is_due = true;
     };
     NodeContext context;
@@ -71,7 +72,7 @@
     bool is_frozen = false;
     std::set<std::string> silent_topics;  // Reads of them are never answered.
     bool is_refused = false;              // By the store.
-    bool is_excused = false;  // Trouble of its own: it may be late.
+    bool is_excused = false;              // Trouble of its own: it may be late.
   };
 
   struct Late {
@@ -80,13 +81,13 @@
     TimePoint at;
   };
 
-  explicit NewsFleet(Duration bound) : bound_(bound) {}
+  explicit NewsFleet(Duration bound) : budget_(NewsBudget::Within(bound)) {}
 
   Host& Add(const std::string& name, double mbps) {
     NodeSettings settings;
     settings.self = {name, 1};
     settings.peer_address = name;
-    settings.store_relay_trust = bound_ / 2;
+    settings.news = budget_;
     auto& host = hosts_[name];
     host = std::make_unique<Host>(settings);
     constexpr double kBytesPerMegabit = 125'000;
@@ -97,7 +98,9 @@
     for (const char* topic : {kConfigNews, kServerNews}) {
       const LogOffset end = logs_[topic].end();
       host->topics[topic].next = end;
-      Enter(name, [&](Host& h) { h.relay.TakeNews({topic, end, end, ""}); });
+      Enter(name, [&](Host& h) {
+        h.relay.TakeNews({.topic = topic, .from = end, .next = end});
+      });
     }
     return *host;
   }
@@ -153,9 +156,6 @@
   static constexpr Duration kOneWay = milliseconds(1);
   static constexpr Duration kStoreTime = milliseconds(4);
   static constexpr size_t kRequestBytes = 300;
-  static constexpr Duration kWait = seconds(2);
-  static constexpr Duration kTimeout = seconds(1);
-  static constexpr Duration kRetryPause = milliseconds(250);
   static constexpr Duration kPause = milliseconds(100);
 
   struct EventAt {
@@ -190,7 +190,6 @@
     } else if (const auto* follow = std::get_if<FollowStore>(&action)) {
       host.is_reading = follow->is_reading;
       for (auto& [topic, reading] : host.topics) {
-        reading.wait = Duration{0};
         if (reading.call == 0) reading.is_due = true;
       }
     } else if (const auto* news = std::get_if<TakeStoreNews>(&action)) {
@@ -202,7 +201,8 @@
       const LogOffset from = news->from;
       At(now_, [this, name, topic, from] {
         Enter(name, [&](Host& h) {
-          h.relay.TakeNews({topic, from, h.topics.at(topic).next, ""});
+          h.relay.TakeNews(
+              {.topic = topic, .from = from, .next = h.topics.at(topic).next});
         });
       });
     }
@@ -229,7 +229,8 @@
     Host& host = *hosts_.at(to);
     if (host.is_down) return;
     if (host.is_frozen) {
-      At(now_ + kTick, [this, from, to, message] { Deliver(from, to, message); });
+      At(now_ + kTick,
+         [this, from, to, message] { Deliver(from, to, message); });
       return;
     }
     Enter(to, [&](Host& h) {
@@ -259,16 +260,17 @@
     const uint64_t call = ++call_count_;
     reading.call = call;
     ++reading.calls;
-    const Duration wait = reading.wait;
+    const Duration wait = UntilRenewal(reading);
     const LogOffset from = reading.next;
     const TimePoint asked_at = now_;
-    At(now_ + wait + kTimeout,
+    At(now_ + wait + budget_.read_timeout,
        [this, name, topic, call] { Fail(name, topic, call); });
     const bool is_silent =
         host.silent_topics.contains(topic) || host.is_refused;
     const TimePoint gone = host.up.Send(kRequestBytes, now_);
     if (is_silent) return;
     At(gone + kOneWay, [this, name, topic, call, from, wait, asked_at] {
+      calls_[call] = {asked_at, wait};
       held_[{name, topic}] = {call, from};
       AnswerIfNews(name, topic);
       At(now_ + wait, [this, name, topic, call] {
@@ -316,14 +318,23 @@
       return;
     }
     reading.call = 0;
-    reading.wait = kWait;
+    reading.retry_pause = Duration{0};
+    const auto [asked_at, wait] = calls_.at(call);
+    calls_.erase(call);
+    const bool has_news = to > reading.next;
+    const TimePoint as_of = to == 0 ? asked_at + wait : asked_at;
+    reading.as_of = std::max(reading.as_of, as_of);
+    if (has_news) reading.next = to;
     Enter(name, [&](Host& h) {
       h.context.NoteLogAnswer(now_);
-      if (to <= h.topics.at(topic).next) return;
-      h.topics.at(topic).next = to;
-      h.relay.TakeNews({topic, from, to, Bytes(topic, from, to)});
+      h.relay.TakeNews({.topic = topic,
+                        .from = has_news ? from : reading.next,
+                        .next = reading.next,
+                        .records = has_news ? Bytes(topic, from, to) : "",
+                        .as_of = as_of});
     });
-    DueAfter(name, topic, kPause);
+    DueAfter(name, topic,
+             has_news ? std::min(kPause, UntilRenewal(reading)) : Duration{0});
   }
 
   void Fail(const std::string& name, const std::string& topic, uint64_t call) {
@@ -332,9 +343,16 @@
     if (host.is_down || reading.call != call) return;
     held_.erase({name, topic});
     reading.call = 0;
-    reading.wait = Duration{0};
+    calls_.erase(call);
     host.context.log_failed = true;
-    DueAfter(name, topic, kRetryPause);
+    reading.retry_pause = std::clamp(2 * reading.retry_pause,
+                                     budget_.retry_pause, 2 * budget_.beat);
+    DueAfter(name, topic, reading.retry_pause);
+  }
+
+  Duration UntilRenewal(const Host::Reading& reading) const {
+    const Duration age = now_ - reading.as_of;
+    return std::clamp(budget_.renewal - age, Duration{0}, budget_.renewal);
   }
 
   void DueAfter(const std::string& name, const std::string& topic,
@@ -368,12 +386,14 @@
     }
   }
 
-  Duration bound_;
+  NewsBudget budget_;
   TimePoint now_{std::chrono::hours(500000)};
   TimePoint ticked_at_ = now_;
   std::map<std::string, TopicLog> logs_{{kConfigNews, {}}, {kServerNews, {}}};
   std::map<std::string, std::unique_ptr<Host>> hosts_;
   std::map<std::pair<std::string, std::string>, Held> held_;
+  // When each open call was made, and how long it may wait.
+  std::map<uint64_t, std::pair<TimePoint, Duration>> calls_;
   std::priority_queue<EventAt> events_;
   uint64_t event_count_ = 0;
   uint64_t call_count_ = 0;
--- a/tests/node/store_relay_test.cc
+++ b/tests/node/store_relay_test.cc
@@ -13,7 +13,8 @@
 using std::chrono::seconds;
 
 constexpr char kTopic[] = "servers";
-constexpr Duration kTrust = seconds(1);
+constexpr NewsBudget kBudget = NewsBudget::Within(seconds(2));
+constexpr Duration kTrust = kBudget.trust;
 
 // Two hosts of a data centre, the link between them and a store with one topic
 // to which a record comes every 100 ms.
@@ -25,7 +26,7 @@
       NodeSettings settings;
       settings.self = {name, 1};
       settings.peer_address = name;
-      settings.store_relay_trust = kTrust;
+      settings.news = kBudget;
       return settings;
     }
     NodeContext context;
@@ -60,9 +61,12 @@
       return;
     }
     host.context.NoteLogAnswer(now_);
-    if (host.next == end_) return;
     const LogOffset from = std::exchange(host.next, end_);
-    host.relay.TakeNews({kTopic, from, end_, "records"});
+    host.relay.TakeNews({.topic = kTopic,
+                         .from = from,
+                         .next = end_,
+                         .records = from == end_ ? "" : "records",
+                         .as_of = now_});
   }
 
   void Perform(const std::string& name, Host& host,
--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -117,13 +117,14 @@
   fields["bounds"]["lease_ttl_ms"] = 2999.5;
   fields["bounds"]["require_fence"] = false;
   fields["bounds"]["drain_ms"] = 0.5e4;
+  fields["bounds"]["config_apply_ms"] = 6000.5;
   const auto settings = FromPlatform(fields);
   ASSERT_TRUE(settings.ok()) << settings.status().message();
   EXPECT_DOUBLE_EQ(settings->node.retry_slack, 52.5);
   EXPECT_GT(settings->node.drain_bound, std::chrono::seconds(7));
   EXPECT_LT(settings->node.drain_bound, std::chrono::milliseconds(8500));
   EXPECT_EQ(settings->node.order_lease, std::chrono::microseconds(2999500));
-  EXPECT_EQ(settings->node.store_relay_trust, std::chrono::milliseconds(2500));
+  EXPECT_EQ(settings->node.news.trust, std::chrono::milliseconds(2500));
 }
 
 // Whatever stands in one figure, hosts start, and go by sound figures.
@@ -132,9 +133,10 @@
                       Json(1e300), Json(INT64_MIN), Json("8"),     Json(true),
                       Json(false), Json::array(),   Json::object()};
   const std::pair<std::string, std::string> figures[] = {
-      {"bounds", "drain_ms"},      {"bounds", "grace_period_s"},
-      {"bounds", "retry_slack"},   {"bounds", "lease_ttl_ms"},
-      {"bounds", "require_fence"}, {"limits", "cpu_share"}};
+      {"bounds", "drain_ms"},       {"bounds", "config_apply_ms"},
+      {"bounds", "grace_period_s"}, {"bounds", "retry_slack"},
+      {"bounds", "lease_ttl_ms"},   {"bounds", "require_fence"},
+      {"limits", "cpu_share"}};
   for (const auto& [table, name] : figures) {
     for (const Json& value : odd) {
       Json fields = PlatformFields();
@@ -147,7 +149,7 @@
       EXPECT_GE(node.retry_slack, 0) << value;
       EXPECT_GT(node.drain_bound, Duration{0}) << name << " " << value;
       EXPECT_GT(node.order_lease, Duration{0}) << name << " " << value;
-      EXPECT_GT(node.store_relay_trust, Duration{0}) << name << " " << value;
+      EXPECT_GT(node.news.renewal, Duration{0}) << name << " " << value;
     }
     Json fields = PlatformFields();
     fields[table].erase(name);
