A new owner names no reader with a narrow link before it has heard the fleet

Now a reader makes way for a fit host with a wider link; in the first 1.25 s a new owner names only readers with wide links, and hosts keep the one they have; and an owner with a narrow link reads for itself alone.

--- a/node/fleet_keeper.cc
+++ b/node/fleet_keeper.cc
@@ -224,7 +224,7 @@
   quarantine_.RestartRows(last_news_);
   quotas_.StartPlanning();
   limits_.StartPlanning(last_news_);
-  readers_.Clear();
+  readers_.Restart(context_.now);
   reader_ = {};  // The owner reads for itself.
   backup_reader_ = {};
   context_.metrics.Count("leases_taken_total");
@@ -549,22 +549,29 @@
 PeerAddress FleetKeeper::ReaderOf(const std::string& data_centre) {
   if (!context_.settings.policies.Has(Policy::kStoreRelay)) return {};
   const bool is_own = data_centre == context_.settings.data_centre;
-  if (is_own && CanReadStore() && PeersIn(data_centre) <= kMostOwnFollowers) {
+  const bool is_settled = readers_.IsSettled(context_.now);
+  if (is_own && is_settled && CanReadStore() &&
+      IsWideLink(context_.settings.link_mbps) &&
+      PeersIn(data_centre) <= kMostOwnFollowers) {
     return {context_.settings.self.host, context_.settings.peer_address};
   }
   return readers_.Reader(data_centre, context_.now);
 }
 
 Json FleetKeeper::PlanBody(const std::string& data_centre, uint64_t since) {
-  const PeerAddress reader = ReaderOf(data_centre);
   Json body{{"k", lease_.token()},
             {"p", context_.settings.peer_address},
             {"e", Json::array()},
             {"w", Json::array()},
-            {"r", Json::array({reader.host, reader.address})},
             {"n", context_.fleet_hosts},
             {"f", since},
             {"u", last_news_}};
+  // Guards against a reader that a new owner names before it has heard the
+  // fleet. Without a word of it hosts keep the one that they have.
+  const PeerAddress reader = ReaderOf(data_centre);
+  if (readers_.IsSettled(context_.now) || readers_.HasWideLink(reader.host)) {
+    body["r"] = Json::array({reader.host, reader.address});
+  }
   for (const auto& [id, applied] : applied_) {
     if (applied.news <= since) continue;
     body["e"].push_back(Json::array({id, announced_[id]}));
--- a/node/reader_choice.cc
+++ b/node/reader_choice.cc
@@ -6,9 +6,7 @@
 namespace applehall {
 namespace {
 
-double UsableLink(double mbps) {
-  return mbps > 0 ? std::min(mbps, kReaderLink) : kReaderLink;
-}
+double UsableLink(double mbps) { return IsWideLink(mbps) ? kReaderLink : mbps; }
 
 }  // namespace
 
@@ -18,14 +16,26 @@
          now - peer.heard_at <= kReaderSilence;
 }
 
+void ReaderChoice::Restart(TimePoint now) {
+  chosen_.clear();
+  started_at_ = now;
+}
+
+bool ReaderChoice::HasWideLink(const std::string& host) const {
+  const auto peer = peers_.find(host);
+  return peer != peers_.end() && IsWideLink(peer->second.link_mbps);
+}
+
 PeerAddress ReaderChoice::Reader(const std::string& data_centre,
                                  TimePoint now) {
   std::string& chosen = chosen_[data_centre];
+  const PeerAddress best = Backup(data_centre, /*reader=*/"", now);
   const auto current = peers_.find(chosen);
-  if (current != peers_.end() && IsFit(current->second, data_centre, now)) {
+  if (current != peers_.end() && IsFit(current->second, data_centre, now) &&
+      UsableLink(current->second.link_mbps) >=
+          UsableLink(peers_.at(best.host).link_mbps)) {
     return {chosen, current->second.address};
   }
-  const PeerAddress best = Backup(data_centre, /*reader=*/"", now);
   chosen = best.host;
   return best;
 }
--- a/node/reader_choice.h
+++ b/node/reader_choice.h
@@ -28,6 +28,16 @@
 
 using FleetPeers = std::map<std::string, FleetPeer>;  // By host.
 
+// In Mbit/s. At this speed a whole configuration of some 100 KB goes to 30
+// hosts in a quarter of a second; a wider link does not matter and is not told.
+inline constexpr double kReaderLink = 100;
+
+// Zero: not told. Thread-safe.
+inline bool IsWideLink(double mbps) { return mbps <= 0 || mbps >= kReaderLink; }
+
+// A host that has not reported for two beats and a half reads for nobody.
+inline constexpr Duration kReaderSilence = std::chrono::milliseconds(1250);
+
 // Chooses, among the hosts that report to the owner, those that read the
 // platform's store for their data centre.
 class ReaderChoice {
@@ -35,18 +45,25 @@
   // `peers` must outlive this.
   explicit ReaderChoice(const FleetPeers& peers) : peers_(peers) {}
 
-  // The reader of `data_centre`: the one chosen before, as long as it lives and
-  // reaches the store, else the best that does; nobody if none does. A reader
-  // passes whole configurations on to all hosts of its data centre, which fills
-  // a narrow link for seconds, so a link that is wide enough goes before
+  // The reader of `data_centre`: the one chosen before, as long as it lives,
+  // reaches the store and no host with a wider link does, else the best that
+  // does; nobody if none does. What a reader passes on to all hosts of its data
+  // centre fills a narrow link, so a link that is wide enough goes before
   // processor. Not thread-safe.
   PeerAddress Reader(const std::string& data_centre, TimePoint now);
   // The best host after `reader`. Those that follow turn to it by themselves if
   // the reader fails while there is no owner to name another. Not thread-safe.
   PeerAddress Backup(const std::string& data_centre, const std::string& reader,
                      TimePoint now) const;
-  // Forgets what was chosen. Not thread-safe.
-  void Clear() { chosen_.clear(); }
+  // Forgets what was chosen; hosts are heard from `now` on. Not thread-safe.
+  void Restart(TimePoint now);
+  // Hosts may report that have not yet, so a choice for want of a better one
+  // would be taken back a moment later. Not thread-safe.
+  bool IsSettled(TimePoint now) const {
+    return now - started_at_ > kReaderSilence;
+  }
+  // `host` may read before the choice is settled. Not thread-safe.
+  bool HasWideLink(const std::string& host) const;
 
  private:
   static bool IsFit(const FleetPeer& peer, const std::string& data_centre,
@@ -54,15 +71,9 @@
 
   const FleetPeers& peers_;
   std::map<std::string, std::string> chosen_;  // By data centre.
+  TimePoint started_at_;
 };
 
-// In Mbit/s. A configuration of some 100 KB goes to 30 hosts in a quarter of a
-// second at this speed; a wider link does not matter and is not told.
-inline constexpr double kReaderLink = 100;
-
-// A host that has not reported for two beats and a half reads for nobody.
-inline constexpr Duration kReaderSilence = std::chrono::milliseconds(1250);
-
 }  // namespace applehall
 
 #endif  // APPLEHALL_NODE_READER_CHOICE_H_
--- a/tests/node/fleet_fixture.h
+++ b/tests/node/fleet_fixture.h
@@ -73,6 +73,7 @@
     settings.log_down_after = seconds(5);
     settings.engines_check_fences = engines_check_fences_;
     settings.retry_slack = retry_slack_;
+    settings.link_mbps = links_mbps_[name];
     Host& host = hosts_[name];
     host.node = std::make_unique<Node>(settings);
   }
@@ -237,6 +238,7 @@
   uint64_t incarnation_ = 1;  // Of the hosts that are added.
   bool engines_check_fences_ = true;
   double retry_slack_ = 50;
+  std::map<std::string, double> links_mbps_;  // Zero: not told.
   std::map<std::string, Host> hosts_;
   std::vector<std::pair<std::string, Event>> pending_;
   uint64_t accepted_orders_ = 0;  // As the engines count them.
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -287,6 +287,47 @@
 // A data centre is cut off while its engines are said to be full. Its hosts
 // hear no more of the placement owner; going by the last loads they heard of,
 // they would refuse every request for as long as the cut lasts.
+// Guards against a reader with a narrow link that a new owner names as it has
+// heard few hosts: news of a storm of changes queue there for seconds.
+TEST_F(FleetTest, NewOwnerNamesNoNarrowReaderBeforeItHasHeardTheFleet) {
+  Add("owner", "quay");
+  Run(seconds(3));
+  ASSERT_EQ(Holders(), std::vector<std::string>{"owner"});
+  Add("heir", "quay");
+  for (int i = 0; i < 8; ++i) {
+    const std::string name = "narrow-" + std::to_string(i);
+    links_mbps_[name] = 10;
+    Add(name);
+  }
+  Add("wide");
+  Run(seconds(4));
+  std::set<std::string> named;
+  const auto note = [&] {
+    for (const auto& [name, host] : hosts_) {
+      if (host.is_down) continue;
+      named.insert(host.node->StateDump()["store_relay"]["reader"]);
+    }
+  };
+  note();
+  EXPECT_TRUE(named.contains("wide"));
+  hosts_.at("owner").is_down = true;
+  // The one with the wide link is the last that the new owner hears.
+  hosts_.at("wide").is_cut_from_hosts = true;
+  while (Holders().empty()) Run(milliseconds(25));
+  for (int i = 0; i < 20; ++i) {
+    Run(milliseconds(25));
+    note();
+  }
+  hosts_.at("wide").is_cut_from_hosts = false;
+  for (int i = 0; i < 80; ++i) {
+    Run(milliseconds(25));
+    note();
+  }
+  for (const std::string& name : named) {
+    EXPECT_FALSE(name.starts_with("narrow")) << name;
+  }
+}
+
 TEST_F(FleetTest, LoadsOfAnOwnerThatIsNotHeardAreForgotten) {
   for (const char* name : {"a", "b"}) Add(name);
   Run(seconds(3));
