Readers pass changes on as patches, and nothing twice that is under way

A record that is a variant of the one before it goes out as a patch of that (core/byte_patch: copies and literals, wherever the change is), checked by the hash of its base; a follower that lacks the base says so and gets the whole. Followers echo the time of the last message they saw, so only what is lost is sent again. In the model of 50 hosts and 96 KB a change costs under 2 KB a follower with all other messages (ChangesArePassedOnInPlaceOfTheWhole).

--- a/node/store_relay.cc
+++ b/node/store_relay.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 
+#include "core/byte_patch.h"
 #include "core/event_log.h"
+#include "core/hash.h"
 
 namespace applehall {
 namespace {
@@ -16,10 +18,20 @@
 constexpr Duration kMemory = seconds(15);
 constexpr size_t kMostRemembered = 512 * 1024;
 
+// A patch that is hardly shorter than the records is not worth its base.
+constexpr double kWorthwhilePatch = 0.8;
+constexpr size_t kMostPatched = 4 * 1024 * 1024;
 constexpr char kStoreSource[] = "store";
 
 int64_t Micros(Duration duration) { return duration.count(); }
 
+std::optional<std::string> BinaryIn(const Json& body, const char* key) {
+  const auto found = body.find(key);
+  if (found == body.end() || !found->is_binary()) return std::nullopt;
+  const Json::binary_t& bytes = found->get_binary();
+  return std::string(bytes.begin(), bytes.end());
+}
+
 }  // namespace
 
 void StoreRelay::SetReader(const PeerAddress& reader) {
@@ -57,46 +69,67 @@
   if (news.as_of != TimePoint{}) {
     context_.news.Prove(news.topic, news.next, news.as_of, kStoreSource);
   }
-  if (news.records.empty()) return;
-  Remember(news);
-  if (!followers_.empty()) {
-    LogEvent(LogLevel::kInfo, "store_news_passed")
-        .With("topic", news.topic)
-        .With("from", news.from)
-        .With("to", news.next)
-        .With("bytes", news.records.size())
-        .With("followers", followers_.size())
-        .With("read_ms_ago", ToMillis(context_.now - news.as_of));
+  if (!news.records.empty()) {
+    const Remembered& remembered = Keep(WithPatch(news));
+    if (!followers_.empty()) {
+      LogEvent(LogLevel::kInfo, "store_news_passed")
+          .With("topic", news.topic)
+          .With("from", news.from)
+          .With("to", news.next)
+          .With("bytes", news.records.size())
+          .With("patch_bytes", remembered.patch.size())
+          .With("followers", followers_.size())
+          .With("read_ms_ago", ToMillis(context_.now - news.as_of));
+    }
+    for (auto& [host, follower] : followers_) {
+      SendNews(host, follower, &remembered);
+    }
+  }
+  if (!news.last_record.empty()) {
+    bases_[news.topic] = news.last_record;
+  } else if (!news.records.empty()) {
+    bases_.erase(news.topic);
+  }
+}
+
+StoreRelay::Remembered StoreRelay::WithPatch(const StoreNewsRead& news) const {
+  Remembered remembered{news, context_.now, "", 0};
+  const auto base = bases_.find(news.topic);
+  if (base == bases_.end()) return remembered;
+  std::string patch = MakeBytePatch(base->second, news.records);
+  if (static_cast<double>(patch.size()) >
+      kWorthwhilePatch * static_cast<double>(news.records.size())) {
+    return remembered;
   }
-  for (auto& [host, follower] : followers_) SendNews(host, follower, &news);
+  remembered.patch = std::move(patch);
+  remembered.base_hash = StableHash(base->second);
+  return remembered;
 }
 
-void StoreRelay::Remember(const StoreNewsRead& news) {
-  std::deque<Remembered>& kept = remembered_[news.topic];
-  kept.push_back({news, context_.now});
+const StoreRelay::Remembered& StoreRelay::Keep(Remembered remembered) {
+  std::deque<Remembered>& kept = remembered_[remembered.news.topic];
+  kept.push_back(std::move(remembered));
   size_t bytes = 0;
   for (const Remembered& one : kept) bytes += one.news.records.size();
-  while (!kept.empty() && (bytes > kMostRemembered ||
-                           context_.now - kept.front().at > kMemory)) {
+  while (kept.size() > 1 && (bytes > kMostRemembered ||
+                             context_.now - kept.front().at > kMemory)) {
     bytes -= kept.front().news.records.size();
     kept.pop_front();
   }
+  return kept.back();
 }
 
 // Guards against a gap that a follower cannot fill where the store refuses it:
 // its reader died, or a message was lost, and it had to read for itself what
 // came in between. Offsets tell what it lacks.
-void StoreRelay::SendMissed(const std::string& host, Follower& follower,
-                            const Json& next) {
+void StoreRelay::SendMissed(const std::string& host, Follower& follower) {
   for (const auto& [topic, kept] : remembered_) {
-    const auto known = next.find(topic);
-    if (known == next.end() || !known->is_number_unsigned()) continue;
-    auto offset = known->get<LogOffset>();
+    const auto told = follower.told.find(topic);
+    if (told == follower.told.end()) continue;
     for (const Remembered& one : kept) {
-      if (one.news.next <= offset) continue;
-      if (one.news.from > offset) break;
-      SendNews(host, follower, &one.news);
-      offset = one.news.next;
+      if (one.news.next <= told->second.next) continue;
+      if (one.news.from > told->second.next) break;
+      SendNews(host, follower, &one);
     }
   }
 }
@@ -107,10 +140,18 @@
   follower.address = FieldOr<std::string>(body, "p", "");
   follower.stamp = FieldOr<int64_t>(body, "t", 0);
   follower.heard_at = context_.now;
-  const auto next = body.find("next");
-  if (next != body.end() && next->is_object()) {
-    SendMissed(host, follower, *next);
+  follower.needs_whole = FieldOr<bool>(body, "whole", false);
+  // Sent after what it has seen last, news may still be under way; sending them
+  // again would add to what they wait behind.
+  const TimePoint seen{Duration(FieldOr<int64_t>(body, "seen", 0))};
+  const Json known = body.value("next", Json::object());
+  for (const auto& [topic, next] : known.items()) {
+    if (!next.is_number_unsigned()) continue;
+    Told& told = follower.told[topic];
+    const auto offset = next.get<LogOffset>();
+    if (offset >= told.next || told.at <= seen) told.next = offset;
   }
+  SendMissed(host, follower);
   if (is_new) SendNews(host, follower, nullptr);
 }
 
@@ -119,7 +160,7 @@
 // clock, so the follower needs no common time, and a message that was held up
 // on its way proves no more than the moment its stamp was made.
 void StoreRelay::SendNews(const std::string& host, Follower& follower,
-                          const StoreNewsRead* news) {
+                          const Remembered* news) {
   if (context_.is_draining) return;
   follower.sent_at = context_.now;
   Json known = Json::object();
@@ -128,6 +169,7 @@
         Json::array({proof.next, Micros(context_.now - proof.as_of)});
   }
   Json body{{"t", follower.stamp},
+            {"s", Micros(context_.now.time_since_epoch())},
             {"held", Micros(context_.now - follower.heard_at)},
             {"known", std::move(known)}};
   if (!owner_.peer.host.empty()) {
@@ -135,11 +177,18 @@
         Json::array({owner_.peer.host, owner_.peer.address, owner_.token});
   }
   if (news != nullptr) {
-    body["topic"] = news->topic;
-    body["from"] = news->from;
-    body["to"] = news->next;
-    body["records"] = Json::binary(
-        std::vector<uint8_t>(news->records.begin(), news->records.end()));
+    const StoreNewsRead& read = news->news;
+    Told& told = follower.told[read.topic];
+    const bool has_base =
+        told.next == read.from && !news->patch.empty() && !follower.needs_whole;
+    const std::string& bytes = has_base ? news->patch : read.records;
+    body["topic"] = read.topic;
+    body["from"] = read.from;
+    body["to"] = read.next;
+    if (has_base) body["base"] = news->base_hash;
+    body[has_base ? "patch" : "records"] =
+        Json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
+    told = {read.next, context_.now};
   }
   context_.Emit(SendPeer{
       host, follower.address, {PeerMessageType::kStoreNews, std::move(body)}});
@@ -161,6 +210,7 @@
   if (known == body.end() || !known->is_object()) return;
   const TimePoint stamp{Duration(FieldOr<int64_t>(body, "t", 0))};
   const Duration held(FieldOr<int64_t>(body, "held", 0));
+  seen_[host] = FieldOr<int64_t>(body, "s", 0);
   TakeRecords(host, body, context_.now - stamp - held);
   for (const auto& [topic, claim] : known->items()) {
     const bool is_claim = claim.is_array() && claim.size() == 2 &&
@@ -174,30 +224,65 @@
   }
 }
 
+absl::StatusOr<std::string> StoreRelay::RecordsIn(
+    const Json& body, const std::string& topic) const {
+  const LogOffset own = context_.news.Next(topic);
+  const auto from = FieldOr<LogOffset>(body, "from", 0);
+  if (!context_.news.Knows(topic)) {
+    return absl::FailedPreconditionError("nothing of the topic is known yet");
+  }
+  if (own >= FieldOr<LogOffset>(body, "to", 0)) {
+    return absl::AlreadyExistsError("known");
+  }
+  // Records before a gap are missing here; the own read brings them.
+  if (own < from) return absl::OutOfRangeError("a gap");
+  const std::optional<std::string> patch = BinaryIn(body, "patch");
+  if (!patch) {
+    std::optional<std::string> records = BinaryIn(body, "records");
+    if (!records) return absl::InvalidArgumentError("no records");
+    return *std::move(records);
+  }
+  const auto base = bases_.find(topic);
+  if (own != from || base == bases_.end() ||
+      StableHash(base->second) != FieldOr<uint64_t>(body, "base", 0)) {
+    return absl::DataLossError("a patch of another record");
+  }
+  std::optional<std::string> records =
+      ApplyBytePatch(base->second, *patch, kMostPatched);
+  if (!records) return absl::DataLossError("a malformed patch");
+  return *std::move(records);
+}
+
 void StoreRelay::TakeRecords(const std::string& host, const Json& body,
                              Duration delay) {
   const std::string topic = FieldOr<std::string>(body, "topic", "");
-  const auto records = body.find("records");
-  if (topic.empty() || records == body.end() || !records->is_binary()) return;
+  if (topic.empty()) return;
+  context_.metrics.Observe("store_news_delay", delay);
+  absl::StatusOr<std::string> records = RecordsIn(body, topic);
+  if (absl::IsDataLoss(records.status())) needs_whole_ = true;
   const auto from = FieldOr<LogOffset>(body, "from", 0);
   const auto to = FieldOr<LogOffset>(body, "to", 0);
-  const LogOffset own = context_.news.Next(topic);
-  const Json::binary_t& bytes = records->get_binary();
-  // Records before a gap are missing here; the own read brings them.
-  const bool is_next = context_.news.Knows(topic) && from <= own && own < to;
-  LogEvent(LogLevel::kInfo, is_next ? "store_news_taken" : "store_news_unfit")
+  std::optional<std::string> patch = BinaryIn(body, "patch");
+  LogEvent(LogLevel::kInfo,
+           records.ok() ? "store_news_taken" : "store_news_unfit")
       .With("topic", topic)
       .With("from", from)
       .With("to", to)
-      .With("known", own)
-      .With("bytes", bytes.size())
+      .With("known", context_.news.Next(topic))
+      .With("bytes", records.ok() ? records->size() : 0)
+      .With("patch_bytes", patch ? patch->size() : 0)
       .With("reader", host)
       .With("delay_ms", ToMillis(delay))
-      .With("proof_age_ms", ToMillis(ProofAge()));
-  if (!is_next) return;
-  context_.Emit(TakeStoreNews{topic, from, to, {bytes.begin(), bytes.end()}});
+      .With("proof_age_ms", ToMillis(ProofAge()))
+      .With("reason", std::string(records.status().message()));
+  if (!records.ok()) return;
+  needs_whole_ = false;
+  context_.Emit(TakeStoreNews{topic, from, to, *records});
   context_.news.Know(topic, to);
-  Remember({topic, from, to, {bytes.begin(), bytes.end()}});
+  StoreNewsRead news{.topic = topic, .from = from, .next = to};
+  news.records = *std::move(records);
+  Keep({std::move(news), context_.now, patch.value_or(""),
+        FieldOr<uint64_t>(body, "base", 0)});
 }
 
 void StoreRelay::SendFollow(const PeerAddress& reader) {
@@ -210,9 +295,16 @@
                          {PeerMessageType::kStoreFollow,
                           Json{{"p", context_.settings.peer_address},
                                {"t", Micros(context_.now.time_since_epoch())},
+                               {"seen", SeenOf(reader.host)},
+                               {"whole", needs_whole_},
                                {"next", std::move(next)}}}});
 }
 
+int64_t StoreRelay::SeenOf(const std::string& reader) const {
+  const auto seen = seen_.find(reader);
+  return seen == seen_.end() ? 0 : seen->second;
+}
+
 void StoreRelay::SetReading(bool is_reading) {
   if (is_reading == is_reading_) return;
   is_reading_ = is_reading;
--- a/node/store_relay.h
+++ b/node/store_relay.h
@@ -1,8 +1,11 @@
 #ifndef APPLEHALL_NODE_STORE_RELAY_H_
 #define APPLEHALL_NODE_STORE_RELAY_H_
 
+#include <absl/status/statusor.h>
+
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "node/node_context.h"
@@ -20,6 +23,9 @@
 // that time at most.
 //
 // News are passed on unread: what they mean is the platform's adapter's affair.
+// A record that is a variant of the one before it, as a configuration with one
+// change is, goes out as a patch, so that a storm of changes does not queue on
+// the reader's link.
 class StoreRelay {
  public:
   explicit StoreRelay(NodeContext& context) : context_(context) {}
@@ -48,11 +54,27 @@
   Json ToJson() const;
 
  private:
+  // Up to where a follower was told a topic.
+  struct Told {
+    LogOffset next = 0;
+    TimePoint at;  // When the last news of it were sent.
+  };
   struct Follower {
     std::string address;
     TimePoint heard_at;
     TimePoint sent_at;
     int64_t stamp = 0;  // Of its last message, by its own clock.
+    std::map<std::string, Told> told;
+    bool needs_whole = false;  // The record that patches are of is not there.
+  };
+  // News that followers may still lack.
+  struct Remembered {
+    StoreNewsRead news;
+    TimePoint at;
+    // What makes the records out of the record before them; empty: no such
+    // record is known, or the records are hardly longer.
+    std::string patch;
+    uint64_t base_hash = 0;  // Of the record before them.
   };
 
   const NewsBudget& budget() const { return context_.settings.news; }
@@ -64,13 +86,19 @@
   TimePoint RelayedAsOf() const;
   // Proof is due from the backup as well.
   bool IsInDoubt() const;
-  void Remember(const StoreNewsRead& news);
-  void SendMissed(const std::string& host, Follower& follower,
-                  const Json& next);
+  Remembered WithPatch(const StoreNewsRead& news) const;
+  // The result is valid until the next call.
+  const Remembered& Keep(Remembered remembered);
+  void SendMissed(const std::string& host, Follower& follower);
+  // The records of a message, or why they do not continue what is known here;
+  // DataLoss if only the record that they are a patch of is missing.
+  absl::StatusOr<std::string> RecordsIn(const Json& body,
+                                        const std::string& topic) const;
   void TakeRecords(const std::string& host, const Json& body, Duration delay);
   void SendFollow(const PeerAddress& reader);
   void SendNews(const std::string& host, Follower& follower,
-                const StoreNewsRead* news);
+                const Remembered* news);
+  int64_t SeenOf(const std::string& reader) const;
   void SetReading(bool is_reading);
 
   NodeContext& context_;
@@ -79,14 +107,15 @@
   KnownOwner owner_;
   TimePoint followed_at_;  // Last message to the reader.
   std::map<std::string, TimePoint> relayed_as_of_;  // By topic.
+  // When each reader sent its last message that came, by its own clock.
+  std::map<std::string, int64_t> seen_;
+  bool needs_whole_ = false;  // A patch of an unknown record came.
   bool is_reading_ = true;
   std::map<std::string, Follower> followers_;
   // The latest news of each topic, for followers that missed some.
-  struct Remembered {
-    StoreNewsRead news;
-    TimePoint at;
-  };
   std::map<std::string, std::deque<Remembered>> remembered_;
+  // The last record of each topic, of which the next is likely a variant.
+  std::map<std::string, std::string> bases_;
 };
 
 }  // namespace applehall
--- a/tests/node/news_delivery_test.cc
+++ b/tests/node/news_delivery_test.cc
@@ -67,6 +67,38 @@
   EXPECT_LE(fleet_.late().most, kBound) << fleet_.late().host;
 }
 
+// Guards against bytes between hosts that grow with the document and not with
+// the change: a reader of a wide link bears no storm of whole ones either.
+TEST_F(NewsDeliveryTest, ChangesArePassedOnInPlaceOfTheWhole) {
+  Build(/*wide=*/1, /*narrow=*/49);
+  fleet_.SetReader("wide-0");
+  Storm(/*changes=*/1, milliseconds(300), /*bytes=*/96'000);
+  fleet_.Run(seconds(4));
+  const size_t before = fleet_.bytes_between_hosts();
+  constexpr int kChanges = 12;
+  Storm(kChanges, milliseconds(330), /*bytes=*/96'000);
+  fleet_.Run(seconds(6));
+  const size_t bytes = fleet_.bytes_between_hosts() - before;
+  // With what followers ask and are told without a change.
+  EXPECT_LT(bytes / (49 * kChanges), 2'000u);
+  EXPECT_LE(fleet_.late().most, kBound / 4) << fleet_.late().host;
+}
+
+// Guards against a host that the store refuses and that gets patches of a
+// record which it does not have: it would never know the next one.
+TEST_F(NewsDeliveryTest, RefusedHostWithoutTheBaseGetsTheWhole) {
+  Build(/*wide=*/2, /*narrow=*/2);
+  fleet_.SetReader("wide-0");
+  fleet_.Run(seconds(3));
+  fleet_.Append(kConfigNews, "first, of which the reader makes its patches");
+  fleet_.Run(seconds(1));
+  fleet_.host("narrow-0").is_refused = true;
+  fleet_.ForgetBase("narrow-0", kConfigNews);
+  Storm(/*changes=*/3, milliseconds(300), /*bytes=*/25'000);
+  fleet_.Run(seconds(8));
+  EXPECT_LE(fleet_.late().most, kBound) << fleet_.late().host;
+}
+
 // Guards against a host that vouches for the configuration with answers about
 // something else, while its read of the configuration hangs.
 TEST_F(NewsDeliveryTest, ReaderWhoseReadOfTheConfigurationHangsIsLeftInTime) {
--- a/tests/node/news_fleet.h
+++ b/tests/node/news_fleet.h
@@ -99,7 +99,10 @@
       const LogOffset end = logs_[topic].end();
       host->topics[topic].next = end;
       Enter(name, [&](Host& h) {
-        h.relay.TakeNews({.topic = topic, .from = end, .next = end});
+        h.relay.TakeNews({.topic = topic,
+                          .from = end,
+                          .next = end,
+                          .last_record = RecordBefore(topic, end)});
       });
     }
     return *host;
@@ -125,6 +128,16 @@
     for (auto& [own, host] : hosts_) host->relay.SetBackup({name, name});
   }
 
+  // `name` does not know what the last record of `topic` says.
+  void ForgetBase(const std::string& name, const std::string& topic) {
+    Enter(name, [&](Host& h) {
+      h.relay.TakeNews({.topic = topic,
+                        .from = logs_[topic].end(),
+                        .next = logs_[topic].end(),
+                        .last_record = "another record"});
+    });
+  }
+
   // The store acknowledges a record now.
   void Append(const std::string& topic, std::string bytes) {
     logs_[topic].entries.push_back({now_, std::move(bytes)});
@@ -202,7 +215,10 @@
       At(now_, [this, name, topic, from] {
         Enter(name, [&](Host& h) {
           h.relay.TakeNews(
-              {.topic = topic, .from = from, .next = h.topics.at(topic).next});
+              {.topic = topic,
+               .from = from,
+               .next = h.topics.at(topic).next,
+               .last_record = RecordBefore(topic, h.topics.at(topic).next)});
         });
       });
     }
@@ -251,6 +267,10 @@
     return bytes;
   }
 
+  std::string RecordBefore(const std::string& topic, LogOffset end) const {
+    return end == 0 ? "" : logs_.at(topic).entries[end - 1].bytes;
+  }
+
   // ---- Own reads, as platform/store_client makes them ----
 
   void Ask(const std::string& name, const std::string& topic) {
@@ -331,6 +351,7 @@
                         .from = has_news ? from : reading.next,
                         .next = reading.next,
                         .records = has_news ? Bytes(topic, from, to) : "",
+                        .last_record = has_news ? RecordBefore(topic, to) : "",
                         .as_of = as_of});
     });
     DueAfter(name, topic,
