A host whose rules may be old refuses nothing for good

404 and 401 say that nothing newer is in force. Refusals on arrival log the age of the news (news_age_ms). Failing before: HostThatIsCutOffRefusesNothingForGood.

--- a/core/verdict.cc
+++ b/core/verdict.cc
@@ -46,6 +46,8 @@
       return "quota_used_up";
     case RefusalReason::kServerLimited:
       return "server_limited";
+    case RefusalReason::kRulesMayBeOld:
+      return "rules_may_be_old";
   }
   return "unknown";
 }
--- a/core/verdict.h
+++ b/core/verdict.h
@@ -51,6 +51,7 @@
   kUnauthorized,
   kQuotaUsedUp,
   kServerLimited,
+  kRulesMayBeOld,
 };
 
 const char* RefusalReasonName(RefusalReason reason);
--- a/node/news_budget.h
+++ b/node/news_budget.h
@@ -32,6 +32,10 @@
   // Of the last read, and of what it takes to put its news in force.
   Duration apply;
 
+  // A host whose proof is older cannot say that there is no such route or key,
+  // as one may have been added in time; the next answer of the store tells.
+  constexpr Duration most_age() const { return trust + read_timeout; }
+
   // Requires: `bound` is positive. Thread-safe.
   static constexpr NewsBudget Within(Duration bound) {
     constexpr int kParts = 16;
--- a/node/request_decider.cc
+++ b/node/request_decider.cc
@@ -9,6 +9,29 @@
 namespace applehall {
 
 std::optional<Refusal> RequestDecider::Decide(OpenRequest& request) {
+  std::optional<Refusal> refusal = DecideByRules(request);
+  if (refusal) refusal = QualifiedByNews(*std::move(refusal));
+  return refusal;
+}
+
+// Guards against a host that is cut off, or behind, and turns callers of a new
+// route or key away as if there were none: they do not come back.
+Refusal RequestDecider::QualifiedByNews(Refusal refusal) const {
+  const bool is_for_good = refusal.reason == RefusalReason::kRefusedByRule ||
+                           refusal.reason == RefusalReason::kUnauthorized ||
+                           refusal.reason == RefusalReason::kBadRequest;
+  if (!is_for_good || context_.news.known().empty()) return refusal;
+  const Duration age = context_.now - context_.news.AsOf();
+  const NewsBudget& budget = context_.settings.news;
+  if (age <= budget.most_age()) return refusal;
+  context_.metrics.Count("refused_by_old_rules_total");
+  return NotRun(RefusalReason::kRulesMayBeOld,
+                absl::StrCat(refusal.detail, ", by rules last confirmed ",
+                             ToMillis(age), " ms ago"),
+                budget.read_timeout);
+}
+
+std::optional<Refusal> RequestDecider::DecideByRules(OpenRequest& request) {
   const RequestFacts& facts = request.arrival.facts;
   SystemFacts system;
   system.now = context_.now;
--- a/node/request_decider.h
+++ b/node/request_decider.h
@@ -26,6 +26,10 @@
   std::optional<Refusal> AskQuota(OpenRequest& request);
 
  private:
+  std::optional<Refusal> DecideByRules(OpenRequest& request);
+  // A refusal for good, by rules that may have been replaced, becomes one that
+  // lets the caller come back.
+  Refusal QualifiedByNews(Refusal refusal) const;
   std::optional<Refusal> Authenticate(OpenRequest& request);
   void ChooseService(OpenRequest& request);
   std::string ChooseTarget(OpenRequest& request) const;
--- a/node/request_log.cc
+++ b/node/request_log.cc
@@ -92,7 +92,8 @@
       .With("rule", rule)
       .With("action", "refused")
       .With("verdict", VerdictName(refusal.verdict))
-      .With("reason", decision.reason);
+      .With("reason", decision.reason)
+      .With("news_age_ms", ToMillis(context_.now - context_.news.AsOf()));
   context_.decisions.Add(std::move(decision));
 }
 
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -823,6 +823,34 @@
             RefusalReason::kRefusedByRule);
 }
 
+// Guards against callers of a route that was added meanwhile, and of a key, who
+// are turned away for good by a host that cannot know of it.
+TEST_F(FleetTest, HostThatIsCutOffRefusesNothingForGood) {
+  Add("a");
+  Run(seconds(1));
+  Arrive("a", 1, "/unknown");
+  ASSERT_EQ(Done<RefuseRequest>("a").size(), 1u);
+  EXPECT_EQ(Done<RefuseRequest>("a")[0].refusal.reason,
+            RefusalReason::kRefusedByRule);
+  hosts_.at("a").is_cut_from_store = true;
+  Run(NewsBudget::Within(seconds(2)).most_age() + milliseconds(25));
+  Arrive("a", 2, "/unknown");
+  ASSERT_EQ(Done<RefuseRequest>("a").size(), 2u);
+  const Refusal refusal = Done<RefuseRequest>("a")[1].refusal;
+  EXPECT_EQ(refusal.reason, RefusalReason::kRulesMayBeOld);
+  EXPECT_EQ(refusal.verdict, Verdict::kNotRun);
+  EXPECT_GT(refusal.retry_after, Duration{0});
+  // What it knows for sure it serves.
+  Arrive("a", 3, "/once/x");
+  EXPECT_EQ(Done<DispatchRequest>("a").size(), 1u);
+  hosts_.at("a").is_cut_from_store = false;
+  Run(milliseconds(100));
+  Arrive("a", 4, "/unknown");
+  ASSERT_EQ(Done<RefuseRequest>("a").size(), 3u);
+  EXPECT_EQ(Done<RefuseRequest>("a")[2].refusal.reason,
+            RefusalReason::kRefusedByRule);
+}
+
 TEST_F(FleetTest, MalformedRuleSetLeavesTheLastInForce) {
   Add("a");
   Run(seconds(1));
