--- a/node/messages.h
+++ b/node/messages.h
@@ -337,6 +337,8 @@
 // Whether this host asks the store for news itself.
 struct FollowStore {
   bool is_reading = true;
+  // As of when all topics are known here, by whomever.
+  TimePoint as_of;
 };
 
 // News of the store that another host has read.
--- a/node/news_budget.h
+++ b/node/news_budget.h
@@ -16,6 +16,7 @@
 //   own read hangs:       renewal + read_timeout + retry_pause + apply <= bound
 //   nothing fails:        renewal + beat + transit <= trust
 struct NewsBudget {
+  Duration bound;
   // A host that reads the store proves each topic anew this often.
   Duration renewal;
   // Readers tell their followers how recent their proofs are this often, and
@@ -40,7 +41,8 @@
   static constexpr NewsBudget Within(Duration bound) {
     constexpr int kParts = 16;
     const Duration part = bound / kParts;
-    return {.renewal = 5 * part,
+    return {.bound = bound,
+            .renewal = 5 * part,
             .beat = 2 * part,
             .transit = part,
             .trust = 8 * part,
--- a/node/store_relay.cc
+++ b/node/store_relay.cc
@@ -315,7 +315,7 @@
       .With("reader", reader_.host)
       .With("proof_age_ms", ToMillis(ProofAge()))
       .With("caught_up", context_.news.HasCaughtUp() ? "yes" : "no");
-  context_.Emit(FollowStore{is_reading});
+  context_.Emit(FollowStore{is_reading, context_.news.AsOf()});
 }
 
 void StoreRelay::RunTick() {
