Records take a quarter of a reader's link; random test of news

What does not find room is not sent; followers see by the reader's claims that there is more and read for themselves, and those that the store refuses ask again.

--- a/node/store_relay.cc
+++ b/node/store_relay.cc
@@ -5,6 +5,7 @@
 #include "core/byte_patch.h"
 #include "core/event_log.h"
 #include "core/hash.h"
+#include "node/reader_choice.h"
 
 namespace applehall {
 namespace {
@@ -21,6 +22,9 @@
 // A patch that is hardly shorter than the records is not worth its base.
 constexpr double kWorthwhilePatch = 0.8;
 constexpr size_t kMostPatched = 4 * 1024 * 1024;
+// Of a reader's link, for the records that it passes on.
+constexpr double kShareOfLink = 0.25;
+constexpr double kBytesPerMegabit = 125'000;
 constexpr char kStoreSource[] = "store";
 
 int64_t Micros(Duration duration) { return duration.count(); }
@@ -176,24 +180,51 @@
     body["o"] =
         Json::array({owner_.peer.host, owner_.peer.address, owner_.token});
   }
-  if (news != nullptr) {
-    const StoreNewsRead& read = news->news;
-    Told& told = follower.told[read.topic];
-    const bool has_base =
-        told.next == read.from && !news->patch.empty() && !follower.needs_whole;
-    const std::string& bytes = has_base ? news->patch : read.records;
-    body["topic"] = read.topic;
-    body["from"] = read.from;
-    body["to"] = read.next;
-    if (has_base) body["base"] = news->base_hash;
-    body[has_base ? "patch" : "records"] =
-        Json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
-    told = {read.next, context_.now};
-  }
+  if (news != nullptr) AddRecords(*news, follower, body);
   context_.Emit(SendPeer{
       host, follower.address, {PeerMessageType::kStoreNews, std::move(body)}});
 }
 
+void StoreRelay::AddRecords(const Remembered& news, Follower& follower,
+                            Json& body) {
+  const StoreNewsRead& read = news.news;
+  Told& told = follower.told[read.topic];
+  const bool has_base =
+      told.next == read.from && !news.patch.empty() && !follower.needs_whole;
+  const std::string& bytes = has_base ? news.patch : read.records;
+  // A follower that is told no records reads for itself; one that cannot asks
+  // again.
+  if (!TakeRoom(bytes.size())) return;
+  body["topic"] = read.topic;
+  body["from"] = read.from;
+  body["to"] = read.next;
+  if (has_base) body["base"] = news.base_hash;
+  body[has_base ? "patch" : "records"] =
+      Json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
+  told = {read.next, context_.now};
+}
+
+// Guards against news that fill this host's link, whole records or a storm of
+// changes to many followers: its own reads and its callers wait behind them.
+bool StoreRelay::TakeRoom(size_t bytes) {
+  const double mbps = IsWideLink(context_.settings.link_mbps)
+                          ? kReaderLink
+                          : context_.settings.link_mbps;
+  const double per_second = kShareOfLink * mbps * kBytesPerMegabit;
+  const double most = per_second * ToSeconds(budget().beat);
+  room_ =
+      std::min(most, room_ + per_second * ToSeconds(context_.now - room_at_));
+  room_at_ = context_.now;
+  if (room_ <= 0) {
+    context_.metrics.Count("store_news_put_off_total");
+    return false;
+  }
+  // One that is larger than the room goes out all the same, and those after it
+  // wait for that.
+  room_ -= static_cast<double>(bytes);
+  return true;
+}
+
 KnownOwner StoreRelay::OwnerIn(const Json& body) {
   const Json told = body.value("o", Json::array());
   const bool is_owner = told.is_array() && told.size() == 3 &&
--- a/node/store_relay.h
+++ b/node/store_relay.h
@@ -99,6 +99,9 @@
   void SendNews(const std::string& host, Follower& follower,
                 const Remembered* news);
   int64_t SeenOf(const std::string& reader) const;
+  void AddRecords(const Remembered& news, Follower& follower, Json& body);
+  // False if records have had their share of the link for now.
+  bool TakeRoom(size_t bytes);
   void SetReading(bool is_reading);
 
   NodeContext& context_;
@@ -109,6 +112,8 @@
   std::map<std::string, TimePoint> relayed_as_of_;  // By topic.
   // When each reader sent its last message that came, by its own clock.
   std::map<std::string, int64_t> seen_;
+  double room_ = 0;  // In bytes; below zero: overdrawn.
+  TimePoint room_at_;
   bool needs_whole_ = false;  // A patch of an unknown record came.
   bool is_reading_ = true;
   std::map<std::string, Follower> followers_;
--- a/tests/node/news_delivery_test.cc
+++ b/tests/node/news_delivery_test.cc
@@ -1,8 +1,6 @@
 // How soon news of the store are in force at the hosts of a data centre.
 
-#include <cstdio>
-
-#include "core/random.h"
+#include "tests/node/configuration_text.h"
 #include "tests/node/news_fleet.h"
 
 namespace applehall {
@@ -10,27 +8,6 @@
 
 constexpr Duration kBound = seconds(3);
 
-// A configuration of `bytes` whose versions differ in their number and one
-// route.
-class Configuration {
- public:
-  explicit Configuration(size_t bytes) {
-    Random random(20261203);
-    while (text_.size() < bytes) {
-      text_ += R"({"name":"r-)" + std::to_string(random.Below(1'000'000'000)) +
-               R"(","timeout_ms":15000},)";
-    }
-  }
-  std::string Version(int version) const {
-    std::string text = text_;
-    text.replace(text.size() / 3, 40, "changed in " + std::to_string(version));
-    return R"({"version":)" + std::to_string(version) + "," + text;
-  }
-
- private:
-  std::string text_;
-};
-
 class NewsDeliveryTest : public testing::Test {
  protected:
   // `wide` hosts with links of 200 Mbit/s, `narrow` with 10.
@@ -43,7 +20,7 @@
 
   // A change each `gap`, from now on.
   void Storm(int changes, Duration gap, size_t bytes) {
-    const Configuration configuration(bytes);
+    const ConfigurationText configuration(bytes);
     for (int i = 0; i < changes; ++i) {
       fleet_.At(fleet_.now() + gap * i,
                 [this, record = configuration.Version(++version_)] {
@@ -110,7 +87,7 @@
   }
   fleet_.Run(seconds(3));
   fleet_.host("wide-0").silent_topics = {kConfigNews};
-  fleet_.host("wide-0").is_excused = true;
+  fleet_.Excuse("wide-0", seconds(60));
   fleet_.Run(milliseconds(100));
   Storm(/*changes=*/1, seconds(1), /*bytes=*/25'000);
   fleet_.Run(seconds(8));
--- a/tests/node/news_fleet.h
+++ b/tests/node/news_fleet.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "core/random.h"
 #include "node/store_relay.h"
 
 namespace applehall {
@@ -72,7 +73,7 @@
     bool is_frozen = false;
     std::set<std::string> silent_topics;  // Reads of them are never answered.
     bool is_refused = false;              // By the store.
-    bool is_excused = false;              // Trouble of its own: it may be late.
+    TimePoint excused_until;              // Trouble of its own: it may be late.
   };
 
   struct Late {
@@ -83,14 +84,26 @@
 
   explicit NewsFleet(Duration bound) : budget_(NewsBudget::Within(bound)) {}
 
+  void Restart(const std::string& name) {
+    const double bytes_per_second = host(name).up.bytes_per_second;
+    const TimePoint excused_until = host(name).excused_until;
+    for (const char* topic : {kConfigNews, kServerNews}) {
+      held_.erase({name, topic});
+    }
+    Host& added = Add(name, bytes_per_second / kBytesPerMegabit);
+    added.excused_until = excused_until;
+    added.relay.SetReader({readers_[name], readers_[name]});
+    added.relay.SetBackup({backups_[name], backups_[name]});
+  }
+
   Host& Add(const std::string& name, double mbps) {
     NodeSettings settings;
     settings.self = {name, 1};
     settings.peer_address = name;
+    settings.link_mbps = mbps;
     settings.news = budget_;
     auto& host = hosts_[name];
     host = std::make_unique<Host>(settings);
-    constexpr double kBytesPerMegabit = 125'000;
     host->up.bytes_per_second = mbps * kBytesPerMegabit;
     host->down.bytes_per_second = mbps * kBytesPerMegabit;
     host->context.log_answered_at = now_;
@@ -121,11 +134,20 @@
   }
   size_t bytes_between_hosts() const { return bytes_between_hosts_; }
 
-  void SetReader(const std::string& name) {
-    for (auto& [own, host] : hosts_) host->relay.SetReader({name, name});
+  // Of the hosts of a data centre: those whose names begin with `centre`.
+  void SetReader(const std::string& name, const std::string& centre = "") {
+    for (auto& [own, host] : hosts_) {
+      if (!own.starts_with(centre)) continue;
+      readers_[own] = name;
+      host->relay.SetReader({name, name});
+    }
   }
-  void SetBackup(const std::string& name) {
-    for (auto& [own, host] : hosts_) host->relay.SetBackup({name, name});
+  void SetBackup(const std::string& name, const std::string& centre = "") {
+    for (auto& [own, host] : hosts_) {
+      if (!own.starts_with(centre)) continue;
+      backups_[own] = name;
+      host->relay.SetBackup({name, name});
+    }
   }
 
   // `name` does not know what the last record of `topic` says.
@@ -138,6 +160,27 @@
     });
   }
 
+  // The process ends; it starts again after `down` and reads all newest
+  // records.
+  void Kill(const std::string& name, Duration down, Duration excused) {
+    host(name).is_down = true;
+    Excuse(name, down + excused);
+    At(now_ + down, [this, name] { Restart(name); });
+  }
+  // The process stands still.
+  void Freeze(const std::string& name, Duration duration, Duration excused) {
+    if (host(name).is_down) return;
+    host(name).is_frozen = true;
+    Excuse(name, duration + excused);
+    At(now_ + duration, [this, name] { host(name).is_frozen = false; });
+  }
+  void Excuse(const std::string& name, Duration duration) {
+    TimePoint& until = host(name).excused_until;
+    until = std::max(until, now_ + duration);
+  }
+  // Of all messages between hosts that are lost on their way.
+  void SetLoss(double share) { loss_ = share; }
+
   // The store acknowledges a record now.
   void Append(const std::string& topic, std::string bytes) {
     logs_[topic].entries.push_back({now_, std::move(bytes)});
@@ -165,6 +208,7 @@
   }
 
  private:
+  static constexpr double kBytesPerMegabit = 125'000;
   static constexpr Duration kTick = milliseconds(25);
   static constexpr Duration kOneWay = milliseconds(1);
   static constexpr Duration kStoreTime = milliseconds(4);
@@ -203,6 +247,7 @@
     } else if (const auto* follow = std::get_if<FollowStore>(&action)) {
       host.is_reading = follow->is_reading;
       for (auto& [topic, reading] : host.topics) {
+        reading.as_of = std::max(reading.as_of, follow->as_of);
         if (reading.call == 0) reading.is_due = true;
       }
     } else if (const auto* news = std::get_if<TakeStoreNews>(&action)) {
@@ -226,6 +271,7 @@
 
   void Carry(const std::string& from, const SendPeer& sent) {
     if (!hosts_.contains(sent.host)) return;
+    if (random_.Unit() < loss_) return;
     const std::vector<uint8_t> bytes = sent.message.Encode();
     constexpr size_t kOverhead = 80;
     bytes_between_hosts_ += bytes.size();
@@ -283,23 +329,32 @@
     const Duration wait = UntilRenewal(reading);
     const LogOffset from = reading.next;
     const TimePoint asked_at = now_;
-    At(now_ + wait + budget_.read_timeout,
-       [this, name, topic, call] { Fail(name, topic, call); });
+    const bool reads_newest =
+        topic == kConfigNews && now_ - reading.as_of > budget_.bound;
+    // Once the head of an answer is there, its body has its time.
+    At(now_ + wait + budget_.read_timeout, [this, name, topic, call] {
+      if (!begun_.contains(call)) Fail(name, topic, call);
+    });
     const bool is_silent =
         host.silent_topics.contains(topic) || host.is_refused;
     const TimePoint gone = host.up.Send(kRequestBytes, now_);
     if (is_silent) return;
-    At(gone + kOneWay, [this, name, topic, call, from, wait, asked_at] {
-      calls_[call] = {asked_at, wait};
-      held_[{name, topic}] = {call, from};
-      AnswerIfNews(name, topic);
-      At(now_ + wait, [this, name, topic, call] {
-        const auto held = held_.find({name, topic});
-        if (held == held_.end() || held->second.call != call) return;
-        held_.erase(held);
-        Answer(name, topic, call, 0);
-      });
-    });
+    At(gone + kOneWay,
+       [this, name, topic, call, from, wait, asked_at, reads_newest] {
+         calls_[call] = {asked_at, wait};
+         if (reads_newest) {
+           AnswerNewest(name, topic, call);
+           return;
+         }
+         held_[{name, topic}] = {call, from};
+         AnswerIfNews(name, topic);
+         At(now_ + wait, [this, name, topic, call] {
+           const auto held = held_.find({name, topic});
+           if (held == held_.end() || held->second.call != call) return;
+           held_.erase(held);
+           Answer(name, topic, call, 0);
+         });
+       });
   }
 
   void AnswerIfNews(const std::string& name, const std::string& topic) {
@@ -319,6 +374,7 @@
     const size_t size =
         kRequestBytes + (to > from ? Bytes(topic, from, to).size() : 0);
     At(now_ + kStoreTime, [this, name, topic, call, from, to, size] {
+      BeginAnswer(name, call);
       At(hosts_.at(name)->down.Send(size, now_) + kOneWay,
          [this, name, topic, call, from, to] {
            TakeAnswer(name, topic, call, from, to);
@@ -326,6 +382,26 @@
     });
   }
 
+  // The head arrives as soon as what is queued before it has.
+  void BeginAnswer(const std::string& name, uint64_t call) {
+    At(std::max(now_, hosts_.at(name)->down.free_at) + kOneWay,
+       [this, call] { begun_.insert(call); });
+  }
+
+  // The last record alone, in base64.
+  void AnswerNewest(const std::string& name, const std::string& topic,
+                    uint64_t call) {
+    const LogOffset to = logs_[topic].end();
+    const size_t size = kRequestBytes + 4 * RecordBefore(topic, to).size() / 3;
+    At(now_ + kStoreTime, [this, name, topic, call, to, size] {
+      BeginAnswer(name, call);
+      At(hosts_.at(name)->down.Send(size, now_) + kOneWay,
+         [this, name, topic, call, to] {
+           TakeAnswer(name, topic, call, /*from=*/to, to);
+         });
+    });
+  }
+
   void TakeAnswer(const std::string& name, const std::string& topic,
                   uint64_t call, LogOffset from, LogOffset to) {
     Host& host = *hosts_.at(name);
@@ -342,6 +418,7 @@
     const auto [asked_at, wait] = calls_.at(call);
     calls_.erase(call);
     const bool has_news = to > reading.next;
+    begun_.erase(call);
     const TimePoint as_of = to == 0 ? asked_at + wait : asked_at;
     reading.as_of = std::max(reading.as_of, as_of);
     if (has_news) reading.next = to;
@@ -398,7 +475,7 @@
 
   // How long ago the oldest record was acknowledged that `host` does not know.
   void NoteLate(const std::string& name, const Host& host) {
-    if (host.is_excused) return;
+    if (now_ < host.excused_until) return;
     for (const auto& [topic, reading] : host.topics) {
       const TopicLog& log = logs_[topic];
       if (reading.next >= log.end()) continue;
@@ -415,11 +492,16 @@
   std::map<std::pair<std::string, std::string>, Held> held_;
   // When each open call was made, and how long it may wait.
   std::map<uint64_t, std::pair<TimePoint, Duration>> calls_;
+  std::set<uint64_t> begun_;  // Of them, those whose answer has begun to come.
   std::priority_queue<EventAt> events_;
   uint64_t event_count_ = 0;
   uint64_t call_count_ = 0;
   size_t bytes_between_hosts_ = 0;
   Late late_;
+  std::map<std::string, std::string> readers_;  // By follower.
+  std::map<std::string, std::string> backups_;
+  Random random_{20261203};
+  double loss_ = 0;
 };
 
 }  // namespace applehall
