--- a/tests/node/store_relay_test.cc
+++ b/tests/node/store_relay_test.cc
@@ -111,6 +111,7 @@
       host.relay.TakeFollow(message.from, body.body);
     } else {
       link_seen_ = body.body;
+      if (body.body.contains("to")) ++told_[body.body["to"].get<LogOffset>()];
       host.relay.TakeRelayed(message.from, body.body);
     }
     Perform(message.sent.host, host, actions);
@@ -136,6 +137,7 @@
   bool is_link_cut_ = false;
   Json link_seen_;  // The last news that arrived somewhere.
   size_t relayed_records_ = 0;
+  std::map<LogOffset, int> told_;  // How often news up to there arrived.
   int steps_ = 0;
 };
 
@@ -199,6 +201,18 @@
   EXPECT_GE(follower().next + 2, end_);
 }
 
+// Guards against news that are sent again while they are under way, and so add
+// to what they wait behind on a slow link.
+TEST_F(StoreRelayTest, NewsUnderWayAreNotSentAgain) {
+  Follow();
+  Run(seconds(1));
+  told_.clear();
+  delay_ = milliseconds(400);
+  Run(seconds(4));
+  ASSERT_GT(told_.size(), 10u);
+  for (const auto& [to, count] : told_) EXPECT_EQ(count, 1) << to;
+}
+
 // A process that stood still believes what was proven before it stopped.
 TEST_F(StoreRelayTest, WokenFollowerReadsForItself) {
   Follow();
