A follower that lacks news is told again before it reads for itself

The share of a reader's link was reckoned from 100 Mbit/s where it has 1,000, so bursts of the listing found no room, and each of some 70 followers that saw a claim beyond what it had read for itself at once.

The room is reckoned from the link that is told, with a burst of what it carries while news may be under way; and being behind is no reason of its own to read: the proof of what a host knows ages until it has caught up, and at the trust it reads.

--- a/node/store_relay.cc
+++ b/node/store_relay.cc
@@ -22,8 +22,9 @@
 // A patch that is hardly shorter than the records is not worth its base.
 constexpr double kWorthwhilePatch = 0.8;
 constexpr size_t kMostPatched = 4 * 1024 * 1024;
-// Of a reader's link, for the records that it passes on.
-constexpr double kShareOfLink = 0.25;
+// Of a reader's link, for the records that it passes on, beyond what the link
+// carries at once in the time that news may be under way.
+constexpr double kShareOfLink = 0.5;
 constexpr double kBytesPerMegabit = 125'000;
 constexpr char kStoreSource[] = "store";
 
@@ -207,13 +208,11 @@
 // Guards against news that fill this host's link, whole records or a storm of
 // changes to many followers: its own reads and its callers wait behind them.
 bool StoreRelay::TakeRoom(size_t bytes) {
-  const double mbps = IsWideLink(context_.settings.link_mbps)
-                          ? kReaderLink
-                          : context_.settings.link_mbps;
-  const double per_second = kShareOfLink * mbps * kBytesPerMegabit;
-  const double most = per_second * ToSeconds(budget().beat);
-  room_ =
-      std::min(most, room_ + per_second * ToSeconds(context_.now - room_at_));
+  const double told = context_.settings.link_mbps;
+  const double per_second = (told > 0 ? told : kReaderLink) * kBytesPerMegabit;
+  const double most = per_second * ToSeconds(budget().beat + budget().transit);
+  const double since = ToSeconds(context_.now - room_at_);
+  room_ = std::min(most, room_ + kShareOfLink * per_second * since);
   room_at_ = context_.now;
   if (room_ <= 0) {
     context_.metrics.Count("store_news_put_off_total");
@@ -369,8 +368,10 @@
         !backup_.host.empty() && backup_.host != context_.settings.self.host;
     if (has_backup && IsInDoubt()) SendFollow(backup_);
   }
-  const bool is_proven = ProofAge() <= budget().trust;
-  SetReading(!is_proven || !context_.news.HasCaughtUp());
+  // A follower that lacks what its reader has is told again; until its own
+  // proof is too old that spares the store a read by each of many.
+  const Duration age = context_.now - context_.news.AsOf();
+  SetReading(std::max(age, ProofAge()) > budget().trust);
   if (is_reading_) return;
   // What the reader vouches for, this host knows as well.
   const TimePoint as_of = context_.news.AsOf();
