--- a/tests/node/news_fleet.h
+++ b/tests/node/news_fleet.h
@@ -133,6 +133,7 @@
     return sum;
   }
   size_t bytes_between_hosts() const { return bytes_between_hosts_; }
+  size_t store_bytes() const { return store_bytes_; }
 
   // Of the hosts of a data centre: those whose names begin with `centre`.
   void SetReader(const std::string& name, const std::string& centre = "") {
@@ -374,7 +375,7 @@
     const size_t size =
         kRequestBytes + (to > from ? Bytes(topic, from, to).size() : 0);
     At(now_ + kStoreTime, [this, name, topic, call, from, to, size] {
-      BeginAnswer(name, call);
+      BeginAnswer(name, call, size);
       At(hosts_.at(name)->down.Send(size, now_) + kOneWay,
          [this, name, topic, call, from, to] {
            TakeAnswer(name, topic, call, from, to);
@@ -383,7 +384,8 @@
   }
 
   // The head arrives as soon as what is queued before it has.
-  void BeginAnswer(const std::string& name, uint64_t call) {
+  void BeginAnswer(const std::string& name, uint64_t call, size_t bytes) {
+    store_bytes_ += bytes;
     At(std::max(now_, hosts_.at(name)->down.free_at) + kOneWay,
        [this, call] { begun_.insert(call); });
   }
@@ -394,7 +396,7 @@
     const LogOffset to = logs_[topic].end();
     const size_t size = kRequestBytes + 4 * RecordBefore(topic, to).size() / 3;
     At(now_ + kStoreTime, [this, name, topic, call, to, size] {
-      BeginAnswer(name, call);
+      BeginAnswer(name, call, size);
       At(hosts_.at(name)->down.Send(size, now_) + kOneWay,
          [this, name, topic, call, to] {
            TakeAnswer(name, topic, call, /*from=*/to, to);
@@ -497,6 +499,7 @@
   uint64_t event_count_ = 0;
   uint64_t call_count_ = 0;
   size_t bytes_between_hosts_ = 0;
+  size_t store_bytes_ = 0;  // Of its answers.
   Late late_;
   std::map<std::string, std::string> readers_;  // By follower.
   std::map<std::string, std::string> backups_;
