The owner looks for a better reader only where the one it has is narrow

No link counts for more than a wide one, so a fit reader with a wide link is kept without looking; the choice is the same. No figure was taken before and after.

--- a/node/reader_choice.cc
+++ b/node/reader_choice.cc
@@ -29,11 +29,16 @@
 PeerAddress ReaderChoice::Reader(const std::string& data_centre,
                                  TimePoint now) {
   std::string& chosen = chosen_[data_centre];
-  const PeerAddress best = Backup(data_centre, /*reader=*/"", now);
   const auto current = peers_.find(chosen);
-  if (current != peers_.end() && IsFit(current->second, data_centre, now) &&
-      UsableLink(current->second.link_mbps) >=
-          UsableLink(peers_.at(best.host).link_mbps)) {
+  const bool is_fit =
+      current != peers_.end() && IsFit(current->second, data_centre, now);
+  // No link is better than a wide one, so the others need no look.
+  if (is_fit && IsWideLink(current->second.link_mbps)) {
+    return {chosen, current->second.address};
+  }
+  const PeerAddress best = Backup(data_centre, /*reader=*/"", now);
+  if (is_fit && UsableLink(current->second.link_mbps) >=
+                    UsableLink(peers_.at(best.host).link_mbps)) {
     return {chosen, current->second.address};
   }
   chosen = best.host;
--- a/node/store_relay.cc
+++ b/node/store_relay.cc
@@ -193,8 +193,8 @@
   const bool has_base =
       told.next == read.from && !news.patch.empty() && !follower.needs_whole;
   const std::string& bytes = has_base ? news.patch : read.records;
-  // A follower that is told no records reads for itself; one that cannot asks
-  // again.
+  // A follower that is told no records asks again with its next message, and
+  // reads for itself once its proof is too old.
   if (!TakeRoom(bytes.size())) return;
   body["topic"] = read.topic;
   body["from"] = read.from;
@@ -264,7 +264,8 @@
   if (own >= FieldOr<LogOffset>(body, "to", 0)) {
     return absl::AlreadyExistsError("known");
   }
-  // Records before a gap are missing here; the own read brings them.
+  // Records before a gap are missing here; they are told again, or the own read
+  // brings them.
   if (own < from) return absl::OutOfRangeError("a gap");
   const std::optional<std::string> patch = BinaryIn(body, "patch");
   if (!patch) {
--- a/node/store_relay.h
+++ b/node/store_relay.h
@@ -17,8 +17,8 @@
 // Calls to the store grow with the number of hosts. A host that is told a
 // reader follows it: it takes the news the reader passes on and stops its own
 // reads as long as it can prove, for each topic, that these are recent
-// (TopicProofs). No proof within the budget's trust, or a gap in the news, and
-// it reads for itself again, so a reader that dies, stands still, is cut off,
+// (TopicProofs). No proof of what it knows within the budget's trust, and it
+// reads for itself again, so a reader that dies, stands still, is cut off,
 // has lost the store or waits for an answer about one topic delays a change by
 // that time at most.
 //
