A load under way to an engine that restarts is kept where it is obeyed

Callers saw more replicas of a model than its rule allows (2 of north/model-5 under chaos); the memory of such an engine could be filled twice.

Cause: when an inventory shows a new incarnation, the ledger dropped all that it had reserved, as orders for the earlier life are refused by their incarnation. Engines that check no fence check no incarnation either.

Ruled out: a second owner (one OWNED line for the group), a split of the bound over groups (one group).

Change: where the engine checks nothing, an order under way outlives the restart until the longest time that an order can be under way.

--- a/placement/memory_ledger.cc
+++ b/placement/memory_ledger.cc
@@ -62,10 +62,7 @@
   std::vector<LedgerChange> changes;
   if (inventory.incarnation < incarnation_) return changes;
   if (inventory.incarnation > incarnation_) {
-    // The engine restarted: its memory is empty and orders meant for its
-    // earlier life are refused by their incarnation.
-    holdings_.clear();
-    incarnation_ = inventory.incarnation;
+    DropEarlierLife(inventory.incarnation);
   } else if (inventory.sequence <= inventory_.sequence) {
     // Answers cross on the wire. An older one shows memory as free that a
     // load has taken since.
@@ -81,6 +78,15 @@
   return changes;
 }
 
+void MemoryLedger::DropEarlierLife(uint64_t incarnation) {
+  incarnation_ = incarnation;
+  // An engine that checks refuses an order for its earlier life; any other
+  // still obeys one that is under way.
+  std::erase_if(holdings_, [this](const auto& entry) {
+    return checks_fence_ || entry.second.state != HoldingState::kOrdered;
+  });
+}
+
 bool MemoryLedger::IsSettledAsAbsent(const Holding& holding,
                                      const Inventory& inventory,
                                      TimePoint asked_at) const {
--- a/placement/memory_ledger.h
+++ b/placement/memory_ledger.h
@@ -76,6 +76,8 @@
   const Inventory& inventory() const { return inventory_; }
 
  private:
+  // Drops what the engine held before it started again.
+  void DropEarlierLife(uint64_t incarnation);
   bool IsSettledAsAbsent(const Holding& holding, const Inventory& inventory,
                          TimePoint asked_at) const;
   bool UnloadCannotHappen(const Holding& holding, const Inventory& inventory,
--- a/tests/placement/memory_ledger_test.cc
+++ b/tests/placement/memory_ledger_test.cc
@@ -170,5 +170,31 @@
   EXPECT_TRUE(ledger_.Reconcile(ghost, now_, now_).empty());
 }
 
+// Guards against a load that is forgotten while it is under way to an engine
+// that obeys it after its restart: its memory would be filled twice.
+TEST_F(MemoryLedgerTest, OrderUnderWayOutlivesTheRestartOfAnUnfencedEngine) {
+  Use(/*checks_fence=*/false);
+  EngineHolds("old", 300);
+  Report();
+  ledger_.Reserve(Load("a", 600), now_);
+  inventory_.incarnation = 2;
+  inventory_.replicas.clear();
+  Report();
+  EXPECT_EQ(ledger_.Find("old"), nullptr);
+  ASSERT_NE(ledger_.Find("a"), nullptr);
+  EXPECT_EQ(ledger_.free_bytes(), 300u);
+  now_ += seconds(11);
+  Report();
+  EXPECT_EQ(ledger_.free_bytes(), 900u) << "no order is under way so long";
+}
+
+// A checking engine refuses orders for its earlier life.
+TEST_F(MemoryLedgerTest, OrderUnderWayEndsWithTheRestartOfAFencedEngine) {
+  ledger_.Reserve(Load("a", 600), now_);
+  inventory_.incarnation = 2;
+  Report();
+  EXPECT_EQ(ledger_.free_bytes(), 900u);
+}
+
 }  // namespace
 }  // namespace applehall
