A load that ends with its engine gives its slot of the weight store back

Callers of cold models would be refused for good where engines restart amid loads: each such load kept one of its owner's slots of the weight store.

Cause: found while tracing the restart of an engine under chaos, by reading: the ledger dropped what an earlier life held without telling its owner, so EngineOwner::EndStoreLoad never ran for it, and StoreBudget counts slots.

Change: the ledger tells what ended with the engine, as for any other load.

Before: EngineOwnerTest.LoadThatEndsWithItsEngineGivesItsStoreSlotBack orders no second load with the one slot. After: it orders one.

--- a/placement/memory_ledger.cc
+++ b/placement/memory_ledger.cc
@@ -62,7 +62,7 @@
   std::vector<LedgerChange> changes;
   if (inventory.incarnation < incarnation_) return changes;
   if (inventory.incarnation > incarnation_) {
-    DropEarlierLife(inventory.incarnation);
+    DropEarlierLife(inventory.incarnation, changes);
   } else if (inventory.sequence <= inventory_.sequence) {
     // Answers cross on the wire. An older one shows memory as free that a
     // load has taken since.
@@ -78,13 +78,26 @@
   return changes;
 }
 
-void MemoryLedger::DropEarlierLife(uint64_t incarnation) {
+void MemoryLedger::DropEarlierLife(uint64_t incarnation,
+                                   std::vector<LedgerChange>& changes) {
   incarnation_ = incarnation;
-  // An engine that checks refuses an order for its earlier life; any other
-  // still obeys one that is under way.
-  std::erase_if(holdings_, [this](const auto& entry) {
-    return checks_fence_ || entry.second.state != HoldingState::kOrdered;
-  });
+  for (auto it = holdings_.begin(); it != holdings_.end();) {
+    const bool is_ordered = it->second.state == HoldingState::kOrdered;
+    // An engine that checks refuses an order for its earlier life; any other
+    // still obeys one that is under way.
+    if (is_ordered && !checks_fence_) {
+      ++it;
+      continue;
+    }
+    const bool was_load =
+        is_ordered || it->second.state == HoldingState::kLoading;
+    changes.push_back({was_load ? LedgerChange::Kind::kLoadFailed
+                                : LedgerChange::Kind::kGone,
+                       it->first,
+                       {},
+                       "engine restarted"});
+    it = holdings_.erase(it);
+  }
 }
 
 bool MemoryLedger::IsSettledAsAbsent(const Holding& holding,
--- a/placement/memory_ledger.h
+++ b/placement/memory_ledger.h
@@ -77,7 +77,8 @@
 
  private:
   // Drops what the engine held before it started again.
-  void DropEarlierLife(uint64_t incarnation);
+  void DropEarlierLife(uint64_t incarnation,
+                       std::vector<LedgerChange>& changes);
   bool IsSettledAsAbsent(const Holding& holding, const Inventory& inventory,
                          TimePoint asked_at) const;
   bool UnloadCannotHappen(const Holding& holding, const Inventory& inventory,
