--- a/tests/node/chaos_test.cc
+++ b/tests/node/chaos_test.cc
@@ -181,5 +181,12 @@
   }
 }
 
+// Guards against a caller that never gets an outcome.
+TEST(ChaosRegression, EachRequestEndsInTime) {
+  for (const uint64_t seed : {1907623156216692833u, 1592960923628709u}) {
+    EXPECT_EQ(PlayChaos(seed), "") << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace applehall
--- a/tests/node/node_failure_test.cc
+++ b/tests/node/node_failure_test.cc
@@ -677,5 +677,25 @@
   EXPECT_TRUE(deployment_->broken_promises().empty());
 }
 
+// Guards against requests that are forgotten by a host that stood still past
+// their deadline.
+TEST_F(NodeFailureTest, RequestsOfAFrozenHostEndWhenItWakes) {
+  Start(Defaults());
+  const std::string host = "entry-1";
+  const uint64_t before = deployment_->Send(host, "model-0", "web",
+                                            /*deadline=*/seconds(5));
+  deployment_->PauseHost(host);
+  const uint64_t meanwhile =
+      deployment_->Send(host, "model-1", "web", seconds(5));
+  deployment_->RunFor(minutes(5));
+  EXPECT_EQ(deployment_->outcome(before).answers, 0);
+  EXPECT_EQ(deployment_->outcome(meanwhile).answers, 0);
+  deployment_->ResumeHost(host);
+  deployment_->RunFor(milliseconds(100));
+  EXPECT_EQ(deployment_->outcome(before).answers, 1);
+  deployment_->RunFor(seconds(5) + milliseconds(100));
+  EXPECT_EQ(deployment_->outcome(meanwhile).answers, 1);
+}
+
 }  // namespace
 }  // namespace applehall
