A cancel that comes before its attempt has begun is not lost

Cause: an attempt was known to the client of the servers only once its coroutine ran, a turn of the event loop after the dispatch; a cancel in between found nothing and was dropped. The request was sent all the same, and an answer that is not a stream was read to its end. Where the loop is behind, as on hosts with 0.12 of a core amid a storm of changes, that turn is long. In applehalld attempts were known only once their answer had begun, so that no cancel before it helped.

Evidence: EdgeTest.CancelBeforeTheAttemptBegins.. and EdgeTest.AttemptOfACallerThatLeft.. fail on the code before: the server gets the request.

--- a/drivers/backend_client.cc
+++ b/drivers/backend_client.cc
@@ -86,7 +86,12 @@
 void BackendClient::Dispatch(const DispatchRequest& action,
                              std::shared_ptr<CallerSession> session) {
   const bool is_posted = thread_.TryPost([this, action, session] {
-    asio::co_spawn(thread_.io(), RunAttempt(action, session), asio::detached);
+    // Known before its coroutine begins: a cancel may come first.
+    const std::shared_ptr<HttpStream> stream =
+        client_.Prepare(MakeCall(action, *session));
+    open_[{action.handle, action.attempt}] = stream;
+    asio::co_spawn(thread_.io(), RunAttempt(action, stream, session),
+                   asio::detached);
   });
   if (is_posted) return;
   (void)decisions_.TryPush(
@@ -141,28 +146,30 @@
 }
 
 asio::awaitable<void> BackendClient::RunAttempt(
-    DispatchRequest action, std::shared_ptr<CallerSession> session) {
-  const Event ended = co_await Attempt(action, *session);
+    DispatchRequest action, std::shared_ptr<HttpStream> stream,
+    std::shared_ptr<CallerSession> session) {
+  const Event ended = co_await Attempt(action, *stream, *session);
   open_.erase({action.handle, action.attempt});
   co_await Deliver(ended);
 }
 
 asio::awaitable<AttemptEnded> BackendClient::Attempt(
-    const DispatchRequest& action, CallerSession& session) {
-  const HttpCall call = MakeCall(action, session);
-  const std::shared_ptr<HttpStream> stream = co_await client_.Open(call);
-  if (stream->state() == SendState::kNotSent) {
-    co_return EndOf(action, AttemptResult::kNotSent, stream->error());
+    const DispatchRequest& action, HttpStream& stream, CallerSession& session) {
+  if (session.is_closed()) {
+    co_return EndOf(action, AttemptResult::kNotSent, "the caller has left");
+  }
+  co_await stream.Start();
+  if (stream.state() == SendState::kNotSent) {
+    co_return EndOf(action, AttemptResult::kNotSent, stream.error());
   }
-  if (stream->state() == SendState::kMayBeSent) {
-    co_return BrokenOff(action, stream->error(), stream->is_cut());
+  if (stream.state() == SendState::kMayBeSent) {
+    co_return BrokenOff(action, stream.error(), stream.is_cut());
   }
-  open_[{action.handle, action.attempt}] = stream;
-  const auto type = stream->head().headers.find("content-type");
-  const bool is_stream = type != stream->head().headers.end() &&
+  const auto type = stream.head().headers.find("content-type");
+  const bool is_stream = type != stream.head().headers.end() &&
                          type->second.starts_with("text/event-stream");
-  if (is_stream) co_return co_await PassStream(action, *stream, session);
-  co_return co_await PassWhole(action, *stream, session);
+  if (is_stream) co_return co_await PassStream(action, stream, session);
+  co_return co_await PassWhole(action, stream, session);
 }
 
 asio::awaitable<AttemptEnded> BackendClient::PassWhole(
--- a/drivers/backend_client.h
+++ b/drivers/backend_client.h
@@ -32,9 +32,10 @@
  private:
   using Task = boost::asio::awaitable<void>;
 
-  Task RunAttempt(DispatchRequest action,
+  Task RunAttempt(DispatchRequest action, std::shared_ptr<HttpStream> stream,
                   std::shared_ptr<CallerSession> session);
   boost::asio::awaitable<AttemptEnded> Attempt(const DispatchRequest& action,
+                                               HttpStream& stream,
                                                CallerSession& session);
   boost::asio::awaitable<AttemptEnded> PassWhole(const DispatchRequest& action,
                                                  HttpStream& stream,
@@ -54,7 +55,7 @@
   SystemClock clock_;
   IoThread thread_;
   HttpClient client_;
-  // Streams being read, for cancelling. Thread: the backend's.
+  // Attempts under way, for cancelling. Thread: the backend's.
   std::map<std::pair<RequestHandle, int>, std::shared_ptr<HttpStream>> open_;
 };
 
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -142,6 +142,10 @@
 
   asio::awaitable<void> Start() override {
     const HttpCall& call = call_;
+    if (is_cancelled_) {
+      error_ = "cancelled before it was sent";
+      co_return;
+    }
     if (!call.fresh_connection) stream_ = idle_->Take(address_);
     if (!stream_) {
       const bool is_connected = co_await Connect(io_, call);
--- a/tests/platform/edge_test.cc
+++ b/tests/platform/edge_test.cc
@@ -354,6 +354,28 @@
   EXPECT_EQ(AwaitEnd().result, AttemptResult::kBroken);
 }
 
+// Guards against a cancel that is lost as its attempt has not begun: the server
+// would run the request for nobody.
+TEST_F(EdgeTest, CancelBeforeTheAttemptBeginsKeepsItFromTheServer) {
+  server_.answers = {kAnswer};
+  const RequestHandle handle = Ask().handle;
+  Dispatch(handle);
+  engines_.Cancel(CancelAttempt{handle, 1});
+  EXPECT_EQ(AwaitEnd().result, AttemptResult::kNotSent);
+  EXPECT_TRUE(server_.requests.empty());
+}
+
+// Guards against a request that is passed on although its caller has left: the
+// close was seen here, its cancel is on the way.
+TEST_F(EdgeTest, AttemptOfACallerThatLeftIsNotSent) {
+  server_.answers = {kAnswer};
+  const RequestHandle handle = Ask().handle;
+  Dispatch(handle);
+  ingress_.Find(handle)->CallerLeft();
+  EXPECT_EQ(AwaitEnd().result, AttemptResult::kNotSent);
+  EXPECT_TRUE(server_.requests.empty());
+}
+
 TEST_F(EdgeTest, RefusalTellsWhenToComeBack) {
   const RequestHandle handle = Ask().handle;
   ingress_.Refuse({handle,
