Messages of other hosts take turns with callers; cancels are measured

A caller's close was noticed only after all messages of other hosts that had come before the event loop looked at its socket: each was a handler of its own, and handlers run in their order. On a host with 0.12 of a core a burst of plans, reports and news can take longer than the half second in which servers should stop.

Change: messages wait in one bounded queue, of which a turn of the loop takes one, and sockets are looked at in between.

--- a/drivers/caller_session.cc
+++ b/drivers/caller_session.cc
@@ -67,7 +67,14 @@
   Push(std::move(part));
 }
 
-void CallerSession::CallerLeft() {
+std::optional<TimePoint> CallerSession::left_at() const {
+  const TimePoint at = left_at_;
+  if (at == TimePoint{}) return std::nullopt;
+  return at;
+}
+
+void CallerSession::CallerLeft(TimePoint now) {
+  left_at_ = now;
   Close();
   // Wakes whoever waits in Next(); a refusal is what it takes for the end.
   ReplyPart gone;
--- a/drivers/caller_session.h
+++ b/drivers/caller_session.h
@@ -7,8 +7,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "core/clock.h"
 #include "core/verdict.h"
 #include "drivers/http_message.h"
 
@@ -52,7 +54,9 @@
   // The caller is gone or has its answer. Thread: the callers'.
   void Close() { is_closed_ = true; }
   // Close(), and whoever waits in Next() is told. Thread: the callers'.
-  void CallerLeft();
+  void CallerLeft(TimePoint now);
+  // When it did; nothing before. Thread-safe.
+  std::optional<TimePoint> left_at() const;
 
   uint64_t handle() const { return handle_; }
   const HttpRequest& request() const { return request_; }
@@ -75,6 +79,7 @@
   std::deque<ReplyPart> parts_;
   std::atomic<size_t> bytes_waiting_{0};
   std::atomic<bool> is_closed_{false};
+  std::atomic<TimePoint> left_at_{TimePoint{}};
 };
 
 }  // namespace applehall
--- /dev/null
+++ b/drivers/turn_queue.h
@@ -0,0 +1,63 @@
+#ifndef APPLEHALL_DRIVERS_TURN_QUEUE_H_
+#define APPLEHALL_DRIVERS_TURN_QUEUE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <deque>
+#include <functional>
+#include <utility>
+
+namespace applehall {
+
+// Bulk work of an event loop, one item a turn.
+//
+// Handlers that are ready run in the order in which they became so. With each
+// item a handler of its own, a burst of them would run before a socket is
+// looked at again, and callers that close would be noticed after all of it.
+template <typename T>
+class TurnQueue {
+ public:
+  // `take` must not block. Requires: `io` outlives this, and one thread runs it.
+  TurnQueue(boost::asio::io_context& io, size_t capacity,
+            std::function<void(T)> take)
+      : io_(io), capacity_(capacity), take_(std::move(take)) {}
+
+  // Adds an item; false if there was no room and the oldest was dropped for it.
+  // Thread: the one that runs `io`.
+  bool Push(T item) {
+    items_.push_back(std::move(item));
+    const bool has_room = items_.size() <= capacity_;
+    if (!has_room) items_.pop_front();
+    Schedule();
+    return has_room;
+  }
+
+  // Items that wait. Thread: the one that runs `io`.
+  size_t size() const { return items_.size(); }
+
+ private:
+  void Schedule() {
+    if (is_scheduled_ || items_.empty()) return;
+    is_scheduled_ = true;
+    boost::asio::post(io_, [this] { TakeOne(); });
+  }
+
+  void TakeOne() {
+    is_scheduled_ = false;
+    T item = std::move(items_.front());
+    items_.pop_front();
+    // First, as the item may add others.
+    Schedule();
+    take_(std::move(item));
+  }
+
+  boost::asio::io_context& io_;
+  const size_t capacity_;
+  std::function<void(T)> take_;
+  std::deque<T> items_;
+  bool is_scheduled_ = false;
+};
+
+}  // namespace applehall
+
+#endif  // APPLEHALL_DRIVERS_TURN_QUEUE_H_
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -369,7 +369,7 @@
     sessions_[handle] = session;
   }
   exchange.SetOnPeerGone([this, session, handle] {
-    session->CallerLeft();
+    session->CallerLeft(SystemClock().Now());
     (void)decisions_.TryPush(CallerGone{handle});
   });
   if (decisions_.TryPush(std::move(event))) {
--- a/tests/platform/edge_test.cc
+++ b/tests/platform/edge_test.cc
@@ -66,9 +66,10 @@
       : server_(io_),
         ingress_(io_, Address{"127.0.0.1", Port()},
                  [this](Event event) { events_.push_back(std::move(event)); }),
-        engines_(io_, "edge-1",
-                 [this](Event event) { events_.push_back(std::move(event)); }) {
-  }
+        engines_(
+            io_, "edge-1",
+            [this](Event event) { events_.push_back(std::move(event)); },
+            [this](Duration) { ++cancels_after_close_; }) {}
 
   // A port that the kernel gave and nobody uses.
   uint16_t UnusedPort() {
@@ -148,6 +149,7 @@
   std::unique_ptr<tcp::socket> caller_;
   std::string received_;
   std::optional<std::string> team_;  // Of what is dispatched.
+  int cancels_after_close_ = 0;
 };
 
 // A caller names another team than its own, or hides the header from a proxy.
@@ -371,11 +373,21 @@
   server_.answers = {kAnswer};
   const RequestHandle handle = Ask().handle;
   Dispatch(handle);
-  ingress_.Find(handle)->CallerLeft();
+  ingress_.Find(handle)->CallerLeft(SystemClock().Now());
   EXPECT_EQ(AwaitEnd().result, AttemptResult::kNotSent);
   EXPECT_TRUE(server_.requests.empty());
 }
 
+TEST_F(EdgeTest, CancelAfterACloseIsMeasured) {
+  const RequestHandle handle = Ask().handle;
+  Dispatch(handle);
+  ingress_.Find(handle)->CallerLeft(SystemClock().Now());
+  engines_.Cancel(CancelAttempt{handle, 1});
+  engines_.Cancel(CancelAttempt{handle, 2});
+  EXPECT_EQ(cancels_after_close_, 1);
+  AwaitEnd();
+}
+
 TEST_F(EdgeTest, RefusalTellsWhenToComeBack) {
   const RequestHandle handle = Ask().handle;
   ingress_.Refuse({handle,
