--- a/drivers/turn_queue.h
+++ b/drivers/turn_queue.h
@@ -17,7 +17,8 @@
 template <typename T>
 class TurnQueue {
  public:
-  // `take` must not block. Requires: `io` outlives this, and one thread runs it.
+  // `take` must not block. Requires: `io` outlives this, and one thread runs
+  // it.
   TurnQueue(boost::asio::io_context& io, size_t capacity,
             std::function<void(T)> take)
       : io_(io), capacity_(capacity), take_(std::move(take)) {}
--- a/node/quarantine_keeper.cc
+++ b/node/quarantine_keeper.cc
@@ -218,7 +218,8 @@
     told.at = context_.now;
     told.was_quarantined = told.was_quarantined || Holds(fingerprint);
   }
-  // A row is kept for as long as a host that missed it may go by an earlier one.
+  // A row is kept for as long as a host that missed it may go by an earlier
+  // one.
   std::erase_if(told_, [this](const auto& item) {
     const Duration life =
         item.second.was_quarantined ? kQuarantineLife : kSuspectLife;
--- a/node/quarantine_keeper.h
+++ b/node/quarantine_keeper.h
@@ -34,9 +34,7 @@
 class QuarantineKeeper {
  public:
   QuarantineKeeper(NodeContext& context, LogWriter& writer)
-      : context_(context),
-        writer_(writer),
-        reports_(context.settings.self) {}
+      : context_(context), writer_(writer), reports_(context.settings.self) {}
 
   // ---- What this host's requests say. Not thread-safe. ----
   void NoteEnd(const std::string& server, const std::vector<CutRequest>& cuts);
--- a/node/server_end_reports.cc
+++ b/node/server_end_reports.cc
@@ -14,8 +14,8 @@
 constexpr Duration kResendInterval = std::chrono::milliseconds(500);
 
 Duration LifeOf(ServerEndRow::Kind kind) {
-  const bool is_end = kind == ServerEndRow::Kind::kEnd ||
-                      kind == ServerEndRow::Kind::kLateEnd;
+  const bool is_end =
+      kind == ServerEndRow::Kind::kEnd || kind == ServerEndRow::Kind::kLateEnd;
   return is_end ? kSuspicionLife : kQuarantineLife;
 }
 
@@ -91,9 +91,8 @@
 
 size_t ServerEndReports::owed() const {
   return static_cast<size_t>(
-      std::count_if(rows_.begin(), rows_.end(), [this](const auto& row) {
-        return row.number > acked_;
-      }));
+      std::count_if(rows_.begin(), rows_.end(),
+                    [this](const auto& row) { return row.number > acked_; }));
 }
 
 }  // namespace applehall
--- a/node/server_end_row.cc
+++ b/node/server_end_row.cc
@@ -8,8 +8,8 @@
 }  // namespace
 
 Json ServerEndRowToJson(const ServerEndRow& row, TimePoint now) {
-  return Json::array({row.number, static_cast<unsigned>(row.kind), row.fingerprint,
-                      row.server, ToMillis(row.at - now)});
+  return Json::array({row.number, static_cast<unsigned>(row.kind),
+                      row.fingerprint, row.server, ToMillis(row.at - now)});
 }
 
 std::optional<ServerEndRow> ServerEndRowFromJson(const Json& json,
--- a/placement/memory_ledger.cc
+++ b/placement/memory_ledger.cc
@@ -91,11 +91,11 @@
     }
     const bool was_load =
         is_ordered || it->second.state == HoldingState::kLoading;
-    changes.push_back({was_load ? LedgerChange::Kind::kLoadFailed
-                                : LedgerChange::Kind::kGone,
-                       it->first,
-                       {},
-                       "engine restarted"});
+    changes.push_back(
+        {was_load ? LedgerChange::Kind::kLoadFailed : LedgerChange::Kind::kGone,
+         it->first,
+         {},
+         "engine restarted"});
     it = holdings_.erase(it);
   }
 }
--- a/tests/node/quarantine_chaos_test.cc
+++ b/tests/node/quarantine_chaos_test.cc
@@ -89,9 +89,8 @@
     const RequestHandle handle = Ask(host, "/rare/x", "m0", kPoison);
     RunServers(kRestart + milliseconds(500));
     const auto refused = refusals_.find(handle);
-    const bool is_held =
-        refused != refusals_.end() &&
-        refused->second.reason == RefusalReason::kQuarantined;
+    const bool is_held = refused != refusals_.end() &&
+                         refused->second.reason == RefusalReason::kQuarantined;
     return ends_.size() > before || !is_held;
   }
 
