--- a/node/quarantine_keeper.cc
+++ b/node/quarantine_keeper.cc
@@ -166,9 +166,10 @@
   LogDropped(reports_.Add(std::move(row)), "table full");
 }
 
-// Other hosts will not count what is dropped here.
+// Other hosts will not count what is dropped here. An owner has counted its
+// own.
 void QuarantineKeeper::LogDropped(size_t rows, const char* reason) {
-  if (rows == 0) return;
+  if (rows == 0 || is_owner_) return;
   context_.metrics.Count("server_end_rows_dropped_total", rows);
   LogEvent(LogLevel::kWarning, "server_end_rows_dropped")
       .With("rows", rows)
