HttpClient: a way to open calls that nothing uses any more goes

Attempts are prepared before they begin, in both daemons, so that they can be cancelled from their dispatch on; only Fetch still opened a call by the old way and does it in the same two steps now.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -269,20 +269,14 @@
     : impl_(std::make_shared<Impl>(io)) {}
 HttpClient::~HttpClient() = default;
 
-asio::awaitable<std::shared_ptr<HttpStream>> HttpClient::Open(
-    const HttpCall& call) {
-  const std::shared_ptr<HttpStream> stream = Prepare(call);
-  co_await stream->Start();
-  co_return stream;
-}
-
 std::shared_ptr<HttpStream> HttpClient::Prepare(const HttpCall& call) {
   return std::make_shared<BeastStream>(impl_->io, impl_->idle, call);
 }
 
 asio::awaitable<HttpResult> HttpClient::Fetch(const HttpCall& call) {
   const Duration timeout = call.header_timeout;
-  const std::shared_ptr<HttpStream> stream = co_await Open(call);
+  const std::shared_ptr<HttpStream> stream = Prepare(call);
+  co_await stream->Start();
   HttpResult result;
   result.state = stream->state();
   result.error = stream->error();
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -78,10 +78,6 @@
   // A call that is not begun yet, so that it can be cancelled at any time;
   // never null. Thread: the one that runs `io`.
   std::shared_ptr<HttpStream> Prepare(const HttpCall& call);
-  // Sends and reads the head; the result is never null. Thread: the one that
-  // runs `io`.
-  boost::asio::awaitable<std::shared_ptr<HttpStream>> Open(
-      const HttpCall& call);
   // Sends and reads everything. Thread: the one that runs `io`.
   boost::asio::awaitable<HttpResult> Fetch(const HttpCall& call);
 
