Log which listing chose a server and when a request was sent

Callers' requests may reach a server that leaves; the logs could not tell why: not which record of the listing a host had applied and how fresh it was, not that a removal was put off, not how long a request took from the choice of its server to its connection. Now: listing offset and proof age in server_listed and server_gone, with a reason; server_removal_deferred; listing, listing_age_ms and send_ms in request_end and attempt_failed; metrics attempt_send and server_removals_deferred_total.

--- a/drivers/backend_client.cc
+++ b/drivers/backend_client.cc
@@ -149,7 +149,10 @@
 asio::awaitable<void> BackendClient::RunAttempt(
     DispatchRequest action, std::shared_ptr<HttpStream> stream,
     std::shared_ptr<CallerSession> session) {
-  const Event ended = co_await ExecuteAttempt(action, *stream, *session);
+  const TimePoint dispatched_at = clock_.Now();
+  AttemptEnded result = co_await ExecuteAttempt(action, *stream, *session);
+  if (stream->sent_at()) result.send_delay = *stream->sent_at() - dispatched_at;
+  const Event ended = std::move(result);
   attempts_.erase({action.handle, action.attempt});
   co_await Deliver(ended);
 }
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -113,6 +113,7 @@
   }
 
   SendState state() const override { return state_; }
+  std::optional<TimePoint> sent_at() const override { return sent_at_; }
   const HttpResponse& head() const override { return head_; }
   bool is_complete() const override { return is_complete_; }
   std::string error() const override { return error_; }
@@ -206,6 +207,7 @@
     message.prepare_payload();
     // From here on the peer may have received the request.
     state_ = SendState::kMayBeSent;
+    sent_at_ = clock_.Now();
     // Guards against a request that is delivered after its timeout. After a
     // normal close during a network partition, the kernel keeps the bytes and
     // delivers them seconds later, when the partition ends: an order of an
@@ -251,6 +253,7 @@
   beast::flat_buffer buffer_;
   http::response_parser<http::string_body> parser_;
   SendState state_ = SendState::kNotSent;
+  std::optional<TimePoint> sent_at_;
   HttpResponse head_;
   bool is_complete_ = false;
   bool is_cancelled_ = false;
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -25,6 +25,8 @@
   // reads the response head. Requires: called once. Thread: the client's.
   virtual boost::asio::awaitable<void> Start() = 0;
   virtual SendState state() const = 0;
+  // When the request began to be written to the connection; nothing before.
+  virtual std::optional<TimePoint> sent_at() const = 0;
   // Requires: state() is kAnswered.
   virtual const HttpResponse& head() const = 0;
   // Returns the next chunk of the body; empty at its end or after an error.
--- a/main/request_timeline.cc
+++ b/main/request_timeline.cc
@@ -127,8 +127,9 @@
       PlacementOwnerEvents().contains(line.event)) {
     return true;
   }
-  const bool is_server =
-      line.event == "server_listed" || line.event == "server_gone";
+  const bool is_server = line.event == "server_listed" ||
+                         line.event == "server_gone" ||
+                         line.event == "server_removal_deferred";
   if (is_server) {
     return line.host == details.host &&
            details.backends.contains(line.Value("server"));
--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -67,7 +67,14 @@
 
 // ---- Listing ----
 
+Duration FleetManager::ListingAge() const {
+  const TimePoint as_of = context_.freshness.Freshness(listing_topic_);
+  return as_of == TimePoint{} ? Duration{0} : context_.now - as_of;
+}
+
 void FleetManager::HandleServerList(const ServerListRead& event) {
+  listing_topic_ = event.topic;
+  listing_next_ = event.next;
   if (servers_.empty() && !event.listed.empty()) lease_.RecordFirstListing();
   std::vector<std::string> gone = event.gone;
   if (event.is_whole) {
@@ -79,7 +86,7 @@
   }
   for (const std::string& id : event.unusable) {
     context_.metrics.Count("server_entries_unusable_total");
-    if (servers_.contains(id)) RemoveServer(id);
+    if (servers_.contains(id)) RemoveServer(id, "unusable entry");
   }
   for (const ListedServer& server : event.listed) {
     if (!AcceptIncarnation(server)) continue;
@@ -94,7 +101,9 @@
           .With("address", server.address)
           .With("data_centre", server.data_centre)
           .With("leaving", server.is_leaving ? "yes" : "no")
-          .With("models", server.models.size());
+          .With("models", server.models.size())
+          .With("listing", listing_next_)
+          .With("proof_age_ms", ToMillis(ListingAge()));
     }
     if (!lease_.HadContactWithin(kPlanTtl) && !planner_) {
       announced_.erase(server.id);
@@ -110,8 +119,16 @@
     if (!servers_.contains(id)) continue;
     if (was_unavailable) {
       departing_.insert(id);
+      context_.metrics.Count("server_removals_deferred_total");
+      LogEvent(LogLevel::kInfo, "server_removal_deferred")
+          .With("server", id)
+          .With("listing", listing_next_)
+          .With("proof_age_ms", ToMillis(ListingAge()))
+          .With("store_failed", context_.log_failed ? "yes" : "no")
+          .With("store_back_ms_ago",
+                ToMillis(context_.now - context_.log_recovered_at));
     } else {
-      RemoveServer(id);
+      RemoveServer(id, "unlisted");
     }
   }
   if (planner_) planner_->SetServers(servers_, context_.now);
@@ -129,7 +146,7 @@
   LogEvent(LogLevel::kInfo, "server_restarted")
       .With("server", server.id)
       .With("after_ms", ToMillis(server.started_at - previous_start));
-  RemoveServer(server.id);
+  RemoveServer(server.id, "restarted");
   return true;
 }
 
@@ -143,18 +160,23 @@
   }
   const std::set<std::string> due = std::move(departing_);
   departing_.clear();
-  for (const std::string& id : due) RemoveServer(id);
+  for (const std::string& id : due) RemoveServer(id, "lapsed");
   if (planner_) planner_->SetServers(servers_, context_.now);
 }
 
-void FleetManager::RemoveServer(const std::string& id) {
+void FleetManager::RemoveServer(const std::string& id,
+                                std::string_view reason) {
   servers_.erase(id);
   departing_.erase(id);
   announced_.erase(id);
   planned_states_.erase(id);
   context_.view.Remove(id);
   limits_.Remove(id);
-  LogEvent(LogLevel::kInfo, "server_gone").With("server", id);
+  LogEvent(LogLevel::kInfo, "server_gone")
+      .With("server", id)
+      .With("reason", reason)
+      .With("listing", listing_next_)
+      .With("proof_age_ms", ToMillis(ListingAge()));
 }
 
 void FleetManager::UpdateView(const std::string& id) {
--- a/node/fleet_manager.h
+++ b/node/fleet_manager.h
@@ -75,6 +75,10 @@
   KnownOwner NewestOwner() const { return lease_.NewestOwner(); }
   // Records the holder that another host reported. Not thread-safe.
   void RecordOwner(const KnownOwner& owner) { lease_.RecordOwner(owner); }
+  // The end of the listing of servers that is in force here, and the age of its
+  // freshness; zero if unknown. Not thread-safe.
+  LogOffset listing() const { return listing_next_; }
+  Duration ListingAge() const;
   // Whether a backend server of `service` is listed. Not thread-safe.
   bool OffersService(const std::string& service) const;
   Json ToJson() const;
@@ -120,7 +124,8 @@
   void ApplyLoads(EngineLoads loads);
   // Updates the routing view with the targets that a server can serve.
   void UpdateView(const std::string& id);
-  void RemoveServer(const std::string& id);
+  // Logs `reason`.
+  void RemoveServer(const std::string& id, std::string_view reason);
   void RemoveDeparted();
   // Removes the state of a server's earlier incarnation; false if `server` is
   // of an earlier incarnation itself.
@@ -131,6 +136,8 @@
   QuotaManager& quotas_;
   LimitManager& limits_;
   EngineList servers_;
+  std::string listing_topic_;
+  LogOffset listing_next_ = 0;
   // Servers whose listings lapsed during an outage of the store; they may be
   // listed again soon.
   std::set<std::string> departing_;
--- a/node/messages.h
+++ b/node/messages.h
@@ -99,6 +99,9 @@
   bool is_cut = false;
   // Time from the first chunk of this attempt's answer to its end.
   Duration answered_for{0};
+  // Time from the dispatch until the request was written to the server's
+  // connection; nothing if it was not written.
+  std::optional<Duration> send_delay = std::nullopt;
   // From the headers of the answer, if one was received.
   ReportedLimit limit = {};
 };
@@ -161,6 +164,9 @@
   std::vector<std::string> gone;  // No longer listed.
   // Servers whose entries are malformed or invalid; they receive no requests.
   std::vector<std::string> unusable = {};
+  std::string topic =
+      {};              // Of the store; its freshness is that of the listing.
+  LogOffset next = 0;  // The first offset that is not included.
 };
 
 // A call to the platform's store succeeded.
--- a/node/open_request.h
+++ b/node/open_request.h
@@ -57,6 +57,12 @@
   bool was_forwarded = false;  // Already sent to another data centre.
   std::string permit_server;   // In kPermit.
   bool is_recorded = false;    // Counted as an arrival of its target.
+  // Listing of servers that the last attempt's server was chosen by: its end
+  // and the age of its freshness at that time.
+  LogOffset listing = 0;
+  Duration listing_age{0};
+  std::optional<Duration>
+      send_delay;  // As in AttemptEnded, of the last attempt.
   std::string backend;
   BackendKind backend_kind = BackendKind::kEngine;
   std::string detail;
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -433,6 +433,9 @@
   request.backend = backend;
   request.backend_kind = kind;
   request.sent_at = context_.now;
+  request.listing = fleet_.listing();
+  request.listing_age = fleet_.ListingAge();
+  request.send_delay.reset();
   if (request.attempt == 0) {
     request.first_sent_at = context_.now;
     if (IsFleet()) backend_retries_[request.service].RecordFirstAttempt();
@@ -512,6 +515,10 @@
                              context_.now);
   }
   request->detail = event.detail;
+  request->send_delay = event.send_delay;
+  if (event.send_delay) {
+    context_.metrics.Observe("attempt_send", *event.send_delay);
+  }
   request->longest_pause =
       std::max(request->longest_pause, event.longest_pause);
   request->has_started = request->has_started || event.has_delivered;
--- a/node/request_log.cc
+++ b/node/request_log.cc
@@ -6,6 +6,14 @@
 #include "core/request_fingerprint.h"
 
 namespace applehall {
+namespace {
+
+// Returns -1 for a request that was not written to a connection.
+int64_t SendMillis(std::optional<Duration> delay) {
+  return delay ? ToMillis(*delay) : -1;
+}
+
+}  // namespace
 
 void RequestLog::LogFailedAttempt(const OpenRequest& request,
                                   const AttemptEnded& event) const {
@@ -17,6 +25,9 @@
       .With("result", AttemptResultName(event.result))
       .With("cut", event.is_cut ? "yes" : "no")
       .With("answered_ms", ToMillis(event.answered_for))
+      .With("listing", request.listing)
+      .With("listing_age_ms", ToMillis(request.listing_age))
+      .With("send_ms", SendMillis(event.send_delay))
       .With("sent_ms_ago", ToMillis(context_.now - request.sent_at))
       .With("detail", event.detail);
 }
@@ -61,6 +72,9 @@
       .With("reason", reason)
       .With("key", request.arrival.idempotency_key)
       .With("attempts", request.attempt)
+      .With("listing", request.listing)
+      .With("listing_age_ms", ToMillis(request.listing_age))
+      .With("send_ms", SendMillis(request.send_delay))
       .With("first_ms", request.has_started
                             ? ToMillis(request.started_at - request.arrived_at)
                             : ToMillis(decision.took))
--- a/node/topic_freshness.cc
+++ b/node/topic_freshness.cc
@@ -37,6 +37,11 @@
   return known == known_.end() ? 0 : known->second.next;
 }
 
+TimePoint TopicFreshness::Freshness(const std::string& topic) const {
+  const auto known = known_.find(topic);
+  return known == known_.end() ? TimePoint{} : known->second.as_of;
+}
+
 TimePoint TopicFreshness::OldestFreshness() const {
   if (known_.empty()) return {};
   return std::min_element(known_.begin(), known_.end(),
--- a/node/topic_freshness.h
+++ b/node/topic_freshness.h
@@ -39,6 +39,9 @@
   }
   // Returns 0 for an unknown topic. Not thread-safe.
   LogOffset NextOffset(const std::string& topic) const;
+  // Returns the freshness of `topic`; the epoch if it has none. Not
+  // thread-safe.
+  TimePoint Freshness(const std::string& topic) const;
   // Returns the freshness of the stalest topic; the epoch if a topic has none
   // or no topic is known. Not thread-safe.
   TimePoint OldestFreshness() const;
