Tests that send requests to leaving servers, failing

Hosts with real nodes, the store's real records and the platform's bounds under a paused clock; a server leaves at each step between store and connection. A host that had no fault for contact_ms must send nothing to it 2 s after the acknowledgement.

--- /dev/null
+++ b/tests/platform/leaving_server_test.cc
@@ -0,0 +1,191 @@
+// A server leaves while the steps between the store and the server are slow or
+// fail: hosts without a fault of their own send it nothing after the bound.
+
+#include "tests/platform/leaving_server_fixture.h"
+
+namespace applehall {
+namespace {
+
+class LeavingServerTest : public LeavingServerFixture {
+ protected:
+  void SetUp() override {
+    ListServers();
+    for (const char* name : {"a", "b", "c"}) AddHost(name, "north");
+    AddHost("d", "south");
+    Run(seconds(5));
+  }
+
+  std::string ReaderOf(const std::string& host) {
+    return hosts_.at(host).node->StateDump()["store_relay"]["reader"];
+  }
+};
+
+// Guards against requests to leaving servers when nothing else happens.
+TEST_F(LeavingServerTest, LeavingServersGetNothingAfterTheBound) {
+  Drain("llm-1");
+  Remove("app-1");
+  Run(seconds(4));
+  EXPECT_TRUE(late_.empty()) << LateText();
+  EXPECT_GT(hosts_.at("b").served["app-2"], 50);
+  EXPECT_GT(hosts_.at("b").served["llm-2"], 50);
+}
+
+// Guards against a removal that is taken for a lapsed entry because calls of
+// this one host failed, while the store served all others.
+TEST_F(LeavingServerTest, FailedCallsOfOneHostDoNotDelayARemoval) {
+  for (const char* name : {"a", "b", "c", "d"}) {
+    SetFault(name, &Host::is_refused, milliseconds(1200));
+    Run(milliseconds(1250));
+    Remove("app-1");
+    Run(seconds(4));
+    EXPECT_TRUE(late_.empty()) << name << ": " << LateText();
+    List("app-1", "app");
+    left_at_.clear();
+    late_.clear();
+    Run(seconds(6));
+  }
+}
+
+// Guards against a removal that is kept beyond the bound by a host that was cut
+// off from the store and is back in touch.
+TEST_F(LeavingServerTest, HostBackInTouchKeepsNoRemovedServer) {
+  for (int cut_ms = 500; cut_ms <= 4500; cut_ms += 125) {
+    SetFault("b", &Host::is_cut_from_store, milliseconds(cut_ms));
+    SetFault("b", &Host::is_cut_from_hosts, milliseconds(cut_ms));
+    Run(milliseconds(cut_ms - 300));
+    Remove("app-1");
+    Run(seconds(6));
+    EXPECT_TRUE(late_.empty()) << cut_ms << " ms: " << LateText();
+    List("app-1", "app");
+    left_at_.clear();
+    late_.clear();
+    Run(seconds(4));
+  }
+}
+
+// Guards against relayed records that are noted as applied but dropped because
+// this host reads the whole listing at that moment: it would lack them, and all
+// later ones, while its listing counts as fresh.
+TEST_F(LeavingServerTest, RecordsRelayedDuringAReadOfAllAreNotLost) {
+  std::string follower;
+  for (const char* name : {"a", "b", "c"}) {
+    if (!ReaderOf(name).empty() && ReaderOf(name) != name) follower = name;
+  }
+  Duration& newest_delay = store_[wire::kServersTopic].newest_delay;
+  for (int moment_ms = 100; moment_ms <= 2000; moment_ms += 100) {
+    SetFault(follower, &Host::is_cut_from_hosts, milliseconds(600));
+    Run(milliseconds(200));
+    List("app-4", "app");
+    Run(milliseconds(50));
+    DeleteHistory();
+    newest_delay = milliseconds(900);
+    Run(milliseconds(moment_ms));
+    Remove("app-1");
+    Run(milliseconds(2500 - moment_ms));
+    newest_delay = milliseconds(4);
+    Run(seconds(4));
+    Drain("app-2");
+    Run(seconds(4));
+    EXPECT_TRUE(late_.empty()) << moment_ms << " ms: " << LateText();
+    EXPECT_GT(hosts_.at(follower).served["app-4"], 20);
+    for (const char* id : {"app-1", "app-2"}) List(id, "app");
+    Remove("app-4");
+    Run(seconds(4));
+    left_at_.clear();
+    late_.clear();
+    hosts_.at(follower).served.clear();
+  }
+}
+
+// Guards against a request whose connection took so long that its server had
+// left meanwhile.
+TEST_F(LeavingServerTest, SlowConnectionsDoNotDelayRequestsBeyondTheBound) {
+  connect_time_ = {{"app-1", milliseconds(995)}, {"llm-1", milliseconds(995)}};
+  const std::string reader = ReaderOf("a");
+  for (int lead_ms = 0; lead_ms <= 600; lead_ms += 25) {
+    SetFault(reader, &Host::is_frozen, milliseconds(4000));
+    for (const char* name : {"a", "b", "c", "d"}) {
+      SetFault(name, &Host::is_refused, milliseconds(1200));
+    }
+    Run(milliseconds(lead_ms));
+    Remove("app-1");
+    Drain("llm-1");
+    Run(seconds(6));
+    EXPECT_TRUE(late_.empty()) << lead_ms << " ms: " << LateText();
+    List("app-1", "app");
+    List("llm-1", "llm");
+    left_at_.clear();
+    late_.clear();
+    Run(seconds(4));
+  }
+}
+
+// Guards against a request that waits for a permit of a limited server and is
+// sent when the permit comes, although the server has left meanwhile.
+TEST_F(LeavingServerTest, PermitOfALeavingServerIsNotUsed) {
+  paths_ = {{"/rare/x", "m0"}};
+  for (const char* id : {"llm-1", "llm-2", "llm-3"}) {
+    limits_[id] = {ReportedLimit::Kind::kNamed, 1.0, {}};
+  }
+  Run(seconds(8));
+  Drain("llm-1");
+  Run(seconds(12));
+  EXPECT_TRUE(late_.empty()) << LateText();
+}
+
+// Guards against a departure that some host misses under random faults of hosts
+// and store, in series and at once.
+TEST_F(LeavingServerTest, RandomFaultsDoNotDelayDepartures) {
+  constexpr uint64_t kSeeds = 20;
+  const std::vector<std::string> names{"a", "b", "c", "d"};
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    random_ = Random(seed);
+    for (int i = 0; i < 40; ++i) {
+      const std::string& name = names[random_.Below(names.size())];
+      const Duration span = milliseconds(100 + random_.Below(4000));
+      const std::string id = absl::StrCat(
+          random_.Below(2) == 0 ? "app-" : "llm-", 1 + random_.Below(3));
+      const bool is_listed = !left_at_.contains(id);
+      switch (random_.Below(9)) {
+        case 0:
+          SetFault(name, &Host::is_cut_from_store, span);
+          break;
+        case 1:
+          SetFault(name, &Host::is_cut_from_hosts, span);
+          break;
+        case 2:
+          SetFault(name, &Host::is_frozen, span);
+          break;
+        case 3:
+          SetFault(name, &Host::is_refused, span / 3);
+          break;
+        case 4:
+          DeleteHistory();
+          store_[wire::kServersTopic].newest_delay =
+              milliseconds(4 + random_.Below(900));
+          break;
+        case 5:
+          message_loss_ = 0.3 * random_.Unit();
+          connect_time_[id] = milliseconds(1 + random_.Below(900));
+          break;
+        default:
+          ChangeConfig();
+          // A server that has left returns under its id much later only.
+          if (is_listed && left_at_.size() < 4) {
+            if (random_.Below(2) == 0)
+              Drain(id);
+            else
+              Remove(id);
+          } else if (!is_listed && now_ - left_at_[id] > seconds(8)) {
+            left_at_.erase(id);
+            List(id, id.substr(0, 3));
+          }
+      }
+      Run(milliseconds(50 + random_.Below(1500)));
+    }
+    ASSERT_TRUE(late_.empty()) << "seed " << seed << ": " << LateText();
+  }
+}
+
+}  // namespace
+}  // namespace applehall
