Relayed records count as known only once they are applied

Callers' requests went to a server for many seconds after it had left, and a route that was added stayed unknown: a host lacked records of the store for good while its freshness was renewed. Cause: StoreRelay noted the offset of relayed records when they arrived. The store client drops them while it reads a whole topic anew (deleted history, or a configuration after a long disconnection), and after that drops all later ones, as they begin beyond its offset. The host followed its reader and never read for itself. Why it works: the offset is recorded by the event that follows the application alone. What was dropped is asked for with the next message to the reader, and until then the topic's freshness is not renewed, so that the host reads for itself in time. StoreRelayTest's client confirms what it applies, as the real one does; its checks are unchanged.

--- a/node/store_relay.cc
+++ b/node/store_relay.cc
@@ -324,8 +324,9 @@
       .With("reason", std::string(records.status().message()));
   if (!records.ok()) return;
   needs_full_records_ = false;
+  // HandleStoreUpdates() records the offset once they are applied: the store
+  // client drops them while it reads the whole topic.
   context_.Emit(ApplyStoreUpdates{topic, from, to, *records});
-  context_.freshness.RecordOffset(topic, to);
   StoreUpdatesRead updates{.topic = topic, .from = from, .next = to};
   updates.records = *std::move(records);
   Retain({std::move(updates), context_.now, patch.value_or(""),
--- a/tests/node/store_relay_test.cc
+++ b/tests/node/store_relay_test.cc
@@ -71,6 +71,8 @@
 
   void Perform(const std::string& name, Host& host,
                const std::vector<Action>& actions) {
+    std::vector<Action> further;
+    host.context.actions = &further;
     for (const Action& action : actions) {
       if (const auto* sent = std::get_if<SendPeer>(&action)) {
         if (!is_link_cut_) link_.push_back({now_ + delay_, name, *sent});
@@ -79,6 +81,8 @@
         ASSERT_LE(updates->from, host.next) << "a gap";
         host.next = std::max(host.next, updates->next);
         relayed_records_ += updates->records.size();
+        host.relay.HandleStoreUpdates(
+            {.topic = kTopic, .from = updates->from, .next = host.next});
       }
     }
   }
--- a/tests/platform/leaving_server_fixture.h
+++ b/tests/platform/leaving_server_fixture.h
@@ -209,6 +209,7 @@
     (void)host;
   }
 
+  LogOffset config_version() const { return config_version_; }
   Json RuleDocument() const { return *ParseJson(kRules); }
 
   TimePoint now_{std::chrono::hours(500000)};
--- a/tests/platform/leaving_server_test.cc
+++ b/tests/platform/leaving_server_test.cc
@@ -18,6 +18,14 @@
   std::string ReaderOf(const std::string& host) {
     return hosts_.at(host).node->StateDump()["store_relay"]["reader"];
   }
+  // A host that applies the updates that another one reads.
+  std::string Follower() {
+    std::string follower;
+    for (const char* name : {"a", "b", "c"}) {
+      if (!ReaderOf(name).empty() && ReaderOf(name) != name) follower = name;
+    }
+    return follower;
+  }
 };
 
 // Guards against requests to leaving servers when nothing else happens.
@@ -67,10 +75,7 @@
 // this host reads the whole listing at that moment: it would lack them, and all
 // later ones, while its listing counts as fresh.
 TEST_F(LeavingServerTest, RecordsRelayedDuringAReadOfAllAreNotLost) {
-  std::string follower;
-  for (const char* name : {"a", "b", "c"}) {
-    if (!ReaderOf(name).empty() && ReaderOf(name) != name) follower = name;
-  }
+  const std::string follower = Follower();
   Duration& newest_delay = store_[wire::kServersTopic].newest_delay;
   for (int moment_ms = 100; moment_ms <= 2000; moment_ms += 100) {
     SetFault(follower, &Host::is_cut_from_hosts, milliseconds(600));
@@ -97,6 +102,27 @@
   }
 }
 
+// Guards against the same fault for the configuration, which a host that was
+// cut off for long reads anew: it would stay at an older version.
+TEST_F(LeavingServerTest, ChangesRelayedDuringAReadOfAllAreInForce) {
+  const std::string follower = Follower();
+  Duration& newest_delay = store_[wire::kConfigTopic].newest_delay;
+  for (int moment_ms = 0; moment_ms <= 1500; moment_ms += 100) {
+    SetFault(follower, &Host::is_cut_from_hosts, milliseconds(2600));
+    SetFault(follower, &Host::is_cut_from_store, milliseconds(2500));
+    Run(milliseconds(1000));
+    ChangeConfig();
+    newest_delay = milliseconds(900);
+    Run(milliseconds(1500 + moment_ms));
+    ChangeConfig();
+    Run(milliseconds(1600 - moment_ms));
+    newest_delay = milliseconds(4);
+    Run(seconds(3));
+    const Json rules = hosts_.at(follower).node->StateDump()["rules"];
+    EXPECT_EQ(rules["version"], config_version()) << moment_ms << " ms";
+  }
+}
+
 // Guards against a request whose connection took so long that its server had
 // left meanwhile.
 TEST_F(LeavingServerTest, SlowConnectionsDoNotDelayRequestsBeyondTheBound) {
