Only the listing's own freshness shows that entries may have lapsed

Callers' requests reached servers that were no longer listed up to 3.8 s after their removal, at hosts that had the removal in time. Cause: entries of live servers lapse in an outage of the store, so a host kept what vanished while a call of its own had failed, and 2.2 s after the first answer once a second had passed without one. Now: the freshness of the listing alone decides. A gap shorter than two heartbeat intervals of the servers cannot have lapsed an entry, so a removal read after it is in force at once. After a longer gap a removal is kept until the listing has been fresh for 2.2 s, and no longer than contact_ms after the last call that failed, as only this host may have been cut off. Two tests of FleetTest modelled an outage by one failed call while the listing stayed fresh, for 1 s and 3 s; entries lapse after three missed heartbeats of 1.2 s only. They now lose the store for 4 s and 3 s, and check what they did.

--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -68,8 +68,27 @@
 // ---- Listing ----
 
 Duration FleetManager::ListingAge() const {
-  const TimePoint as_of = context_.freshness.Freshness(listing_topic_);
-  return as_of == TimePoint{} ? Duration{0} : context_.now - as_of;
+  const TopicState* listing = context_.freshness.Find(listing_topic_);
+  if (listing == nullptr || listing->as_of == TimePoint{}) return Duration{0};
+  return context_.now - listing->as_of;
+}
+
+// Only the freshness of the listing shows an outage of the store: calls of this
+// host fail for reasons of its own as well, and a reader may relay the listing
+// all the while.
+bool FleetManager::MayHaveLapsed() const {
+  const TopicState* listing = context_.freshness.Find(listing_topic_);
+  if (listing == nullptr) return false;
+  if (ListingAge() >= context_.settings.min_lapse_outage) return true;
+  TimePoint until = listing->resumed_at + kRelistTime;
+  // If only this host was cut off, the entries are of servers that have left. A
+  // failed call shows when it still was.
+  const TimePoint failed_at = context_.log_failed_call_at;
+  if (failed_at > listing->interrupted_at) {
+    until = std::min(until, failed_at + context_.settings.contact_time -
+                                context_.settings.freshness.retry_pause);
+  }
+  return context_.now < until;
 }
 
 void FleetManager::HandleServerList(const ServerListRead& event) {
@@ -112,21 +131,18 @@
   }
   // While the store is unavailable, listings of live servers lapse too.
   // Removing the servers would refuse requests until the listings are renewed.
-  const bool was_unavailable =
-      context_.IsLogDown() ||
-      context_.now - context_.log_recovered_at < kRelistTime;
+  const bool may_have_lapsed = MayHaveLapsed();
   for (const std::string& id : gone) {
     if (!servers_.contains(id)) continue;
-    if (was_unavailable) {
+    if (may_have_lapsed) {
       departing_.insert(id);
       context_.metrics.Count("server_removals_deferred_total");
       LogEvent(LogLevel::kInfo, "server_removal_deferred")
           .With("server", id)
           .With("listing", listing_next_)
           .With("proof_age_ms", ToMillis(ListingAge()))
-          .With("store_failed", context_.log_failed ? "yes" : "no")
-          .With("store_back_ms_ago",
-                ToMillis(context_.now - context_.log_recovered_at));
+          .With("failed_call_ms_ago",
+                ToMillis(context_.now - context_.log_failed_call_at));
     } else {
       RemoveServer(id, "unlisted");
     }
@@ -151,13 +167,7 @@
 }
 
 void FleetManager::RemoveDeparted() {
-  // Counted from the end of the outage, not from the lapse: a server that
-  // leaves in the two seconds after it must be removed as fast as at any other
-  // time.
-  if (departing_.empty() || context_.IsLogDown() ||
-      context_.now - context_.log_recovered_at < kRelistTime) {
-    return;
-  }
+  if (departing_.empty() || MayHaveLapsed()) return;
   const std::set<std::string> due = std::move(departing_);
   departing_.clear();
   for (const std::string& id : due) RemoveServer(id, "lapsed");
--- a/node/fleet_manager.h
+++ b/node/fleet_manager.h
@@ -126,6 +126,9 @@
   void UpdateView(const std::string& id);
   // Logs `reason`.
   void RemoveServer(const std::string& id, std::string_view reason);
+  // Whether entries of live servers may be missing from the listing because of
+  // an outage of the store.
+  bool MayHaveLapsed() const;
   void RemoveDeparted();
   // Removes the state of a server's earlier incarnation; false if `server` is
   // of an earlier incarnation itself.
--- a/node/messages.h
+++ b/node/messages.h
@@ -126,7 +126,9 @@
 };
 
 // A read or append failed because the log service does not respond.
-struct LogUnavailable {};
+struct LogUnavailable {
+  TimePoint requested_at = {};  // When the call was made; the epoch: unknown.
+};
 
 struct AppendEnded {
   std::string record_id;
--- a/node/node.cc
+++ b/node/node.cc
@@ -103,10 +103,12 @@
   ApplyControlChange();
 }
 
-void Node::HandleEvent(const LogUnavailable&) {
+void Node::HandleEvent(const LogUnavailable& event) {
   if (!context_.log_failed) LogEvent(LogLevel::kWarning, "store_lost");
   context_.log_failed = true;
   context_.log_failed_at = context_.now;
+  context_.log_failed_call_at =
+      event.requested_at == TimePoint{} ? context_.now : event.requested_at;
 }
 
 // Guards against an answer that stayed unread while this process got no
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -49,12 +49,13 @@
   int entry_host_count = 8;
 
   // Freshness of the store's topics on this host.
-  TopicFreshness freshness;
+  TopicFreshness freshness{settings.min_lapse_outage};
   // Availability of the log service or the store.
   TimePoint log_answered_at;
   bool log_failed = false;
-  TimePoint log_failed_at;     // Of the last failed call.
-  TimePoint log_recovered_at;  // First answer after the last outage.
+  TimePoint log_failed_at;       // Of the last failed call.
+  TimePoint log_failed_call_at;  // When that call was made.
+  TimePoint log_recovered_at;    // First answer after the last outage.
 
   TimePoint now;
   std::vector<Action>* actions = nullptr;
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -38,6 +38,12 @@
   // Maximum lag of the host list.
   Duration host_list_lag = std::chrono::seconds(5);
   Duration log_down_after = std::chrono::seconds(2);
+  // Entries of live servers lapse in an outage of the store only if it lasts
+  // longer than this: their heartbeats are missed several times first.
+  Duration min_lapse_outage = std::chrono::milliseconds(2400);
+  // This long after a fault at its process, its links or the store, a host must
+  // keep all bounds again.
+  Duration contact_time = std::chrono::seconds(3);
   // The control state is written again when its last snapshot is this old.
   Duration max_snapshot_age = std::chrono::minutes(10);
   Duration max_drain = std::chrono::seconds(60);
--- a/node/topic_freshness.cc
+++ b/node/topic_freshness.cc
@@ -4,8 +4,14 @@
 
 namespace applehall {
 
-void TopicFreshness::Merge(const TopicState& report, TopicState& known) {
+void TopicFreshness::Merge(const TopicState& report, TopicState& known) const {
   if (report.as_of <= known.as_of) return;
+  const bool was_interrupted =
+      known.as_of != TimePoint{} && report.as_of - known.as_of >= min_outage_;
+  if (was_interrupted) {
+    known.interrupted_at = known.as_of;
+    known.resumed_at = report.as_of;
+  }
   known.as_of = report.as_of;
   known.source = report.source;
 }
@@ -37,9 +43,9 @@
   return known == known_.end() ? 0 : known->second.next;
 }
 
-TimePoint TopicFreshness::Freshness(const std::string& topic) const {
+const TopicState* TopicFreshness::Find(const std::string& topic) const {
   const auto known = known_.find(topic);
-  return known == known_.end() ? TimePoint{} : known->second.as_of;
+  return known == known_.end() ? nullptr : &known->second;
 }
 
 TimePoint TopicFreshness::OldestFreshness() const {
--- a/node/topic_freshness.h
+++ b/node/topic_freshness.h
@@ -17,11 +17,18 @@
   // about this topic or by the message of a host that received one.
   TimePoint as_of;
   std::string source;  // "store", or the host whose message showed it.
+  // The last interruption of the freshness that was longer than the minimum
+  // outage; the epoch: none.
+  TimePoint interrupted_at{};
+  TimePoint resumed_at{};
 };
 
 // Tracks up to which time this host has all records of each topic of the store.
 class TopicFreshness {
  public:
+  // Records interruptions that last at least `min_outage`.
+  explicit TopicFreshness(Duration min_outage) : min_outage_(min_outage) {}
+
   // Records that this host has all records of `topic` before `next`. Not
   // thread-safe.
   void RecordOffset(const std::string& topic, LogOffset next);
@@ -39,9 +46,9 @@
   }
   // Returns 0 for an unknown topic. Not thread-safe.
   LogOffset NextOffset(const std::string& topic) const;
-  // Returns the freshness of `topic`; the epoch if it has none. Not
-  // thread-safe.
-  TimePoint Freshness(const std::string& topic) const;
+  // Returns the state of `topic`; null if it is unknown. Valid until the next
+  // change. Not thread-safe.
+  const TopicState* Find(const std::string& topic) const;
   // Returns the freshness of the stalest topic; the epoch if a topic has none
   // or no topic is known. Not thread-safe.
   TimePoint OldestFreshness() const;
@@ -53,8 +60,9 @@
   Json ToJson(TimePoint now) const;
 
  private:
-  static void Merge(const TopicState& report, TopicState& known);
+  void Merge(const TopicState& report, TopicState& known) const;
 
+  Duration min_outage_;
   std::map<std::string, TopicState> known_;
   std::map<std::string, TopicState> pending_;  // Ahead of `known_`.
 };
--- a/tests/node/fleet_fixture.h
+++ b/tests/node/fleet_fixture.h
@@ -198,12 +198,23 @@
       for (const auto& [name, host] : hosts_) {
         if (host.is_reading && !host.is_cut_from_store) {
           Handle(name, StoreUpdatesRead{.topic = "config", .as_of = now_});
+          Handle(name, StoreUpdatesRead{.topic = "servers", .as_of = now_});
         }
         Handle(name, Tick{});
       }
     }
   }
 
+  // All reads of the store by a host fail for `duration`.
+  void LoseStore(const std::string& name, Duration duration) {
+    hosts_.at(name).is_cut_from_store = true;
+    for (const TimePoint end = now_ + duration; now_ < end;) {
+      Run(milliseconds(500));
+      Handle(name, LogUnavailable{});
+    }
+    hosts_.at(name).is_cut_from_store = false;
+  }
+
   RequestArrived Arrive(const std::string& name, RequestHandle handle,
                         const std::string& path,
                         const std::string& model = "") {
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -427,9 +427,9 @@
 TEST_F(FleetTest, ListingsLapsedInOutageAreKeptForAWhile) {
   Add("a");
   Run(seconds(2));
-  Handle("a", LogUnavailable{});
-  Run(seconds(1));
+  LoseStore("a", seconds(4));
   ServerListRead lapsed;
+  lapsed.topic = "servers";
   lapsed.gone = {"app-1", "app-2"};
   Handle("a", lapsed);
   Arrive("a", 1, "/once/x");
@@ -448,11 +448,11 @@
 TEST_F(FleetTest, ServerLeavingSoonAfterOutageIsRemovedInTime) {
   Add("a");
   Run(seconds(2));
-  Handle("a", LogUnavailable{});
-  Run(seconds(3));
+  LoseStore("a", seconds(3));
   Handle("a", StoreReached{});
   Run(milliseconds(1900));
   ServerListRead gone;
+  gone.topic = "servers";
   gone.gone = {"app-1", "app-2"};
   Handle("a", gone);
   Run(milliseconds(400));
--- a/tests/platform/leaving_server_fixture.h
+++ b/tests/platform/leaving_server_fixture.h
@@ -344,8 +344,8 @@
     const uint64_t call = topic.call = ++call_count_;
     const Duration timeout =
         read->is_whole ? kCallTimeout : read->wait + kBudget.read_timeout;
-    At(now_ + timeout, [this, name, &topic, call] {
-      if (topic.call == call) FailCall(name, topic);
+    At(now_ + timeout, [this, name, &topic, call, asked = now_] {
+      if (topic.call == call) FailCall(name, topic, asked);
     });
     At(now_ + milliseconds(1),
        [this, name, &topic, call, read = *read, asked = now_] {
@@ -353,15 +353,15 @@
        });
   }
 
-  void FailCall(const std::string& name, Topic& topic) {
+  void FailCall(const std::string& name, Topic& topic, TimePoint asked) {
     if (hosts_.at(name).is_frozen) {
       At(now_ + milliseconds(25),
-         [this, name, &topic] { FailCall(name, topic); });
+         [this, name, &topic, asked] { FailCall(name, topic, asked); });
       return;
     }
     topic.call = 0;
     topic.next_call_at = now_ + topic.reader.HandleFailure();
-    Handle(name, LogUnavailable{});
+    Handle(name, LogUnavailable{asked});
   }
 
   // The store receives a call, or looks again at one that it holds.
@@ -370,8 +370,8 @@
     const Host& host = hosts_.at(name);
     if (topic.call != call || host.is_cut_from_store) return;
     if (host.is_refused) {
-      At(now_ + milliseconds(1), [this, name, &topic, call] {
-        if (topic.call == call) FailCall(name, topic);
+      At(now_ + milliseconds(1), [this, name, &topic, call, asked] {
+        if (topic.call == call) FailCall(name, topic, asked);
       });
       return;
     }
