Attempts that are not sent yet are recalled from a server that leaves

Callers' requests reached a server after it had left although their host had the departure in time: the server was chosen before, the connection took up to a second, and what waited for it was sent without a second look. FreshnessBudget adds up the way of the records to the host; what comes after the choice was in no sum. Now a host that applies a departure cancels the attempts at that server that were not written to a connection (RecallUnsent); they end as not sent and go elsewhere, at no cost to the retry budget. So the choice adds nothing to the bound. Attempts that were sent go on. In force in both daemons, and for hosts that the host list shows as leaving. Ruled out as a mend: a shorter connect timeout, as busy servers take long.

--- a/drivers/backend_client.cc
+++ b/drivers/backend_client.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio.hpp>
 
+#include "core/event_log.h"
 #include "drivers/event_stream.h"
 #include "drivers/server_probe.h"
 #include "drivers/sleep.h"
@@ -89,7 +90,7 @@
     // Registered before its coroutine starts: Cancel() may run first.
     const std::shared_ptr<HttpStream> stream =
         client_.Prepare(MakeCall(action, *session));
-    attempts_[{action.handle, action.attempt}] = stream;
+    attempts_[{action.handle, action.attempt}] = {stream, action.backend};
     asio::co_spawn(thread_.io(), RunAttempt(action, stream, session),
                    asio::detached);
   });
@@ -101,10 +102,24 @@
 void BackendClient::Cancel(RequestHandle handle, int attempt) {
   (void)thread_.TryPost([this, handle, attempt] {
     const auto it = attempts_.find({handle, attempt});
-    if (it != attempts_.end()) it->second->Cancel();
+    if (it != attempts_.end()) it->second.stream->Cancel();
   });
 }
 
+void BackendClient::Recall(const RecallUnsent& action) {
+  const bool is_posted = thread_.TryPost([this, backend = action.backend] {
+    for (auto& [key, open] : attempts_) {
+      if (open.backend == backend && !open.stream->sent_at()) {
+        open.stream->Cancel();
+      }
+    }
+  });
+  if (is_posted) return;
+  LogEvent(LogLevel::kWarning, "recall_dropped")
+      .With("backend", action.backend)
+      .With("reason", "the queue is full");
+}
+
 HttpCall BackendClient::MakeCall(const DispatchRequest& action,
                                  const CallerSession& session) const {
   HttpCall call;
--- a/drivers/backend_client.h
+++ b/drivers/backend_client.h
@@ -28,6 +28,7 @@
   void Dispatch(const DispatchRequest& action,
                 std::shared_ptr<CallerSession> session);
   void Cancel(RequestHandle handle, int attempt);
+  void Recall(const RecallUnsent& action);
   void SendEngineOrder(const SendOrder& action);
   void Probe(const ProbeServer& action);
 
@@ -57,9 +58,12 @@
   SystemClock clock_;
   IoThread thread_;
   HttpClient client_;
-  // Running attempts, for Cancel(). Thread: the backend's.
-  std::map<std::pair<RequestHandle, int>, std::shared_ptr<HttpStream>>
-      attempts_;
+  struct OpenAttempt {
+    std::shared_ptr<HttpStream> stream;
+    std::string backend;
+  };
+  // Running attempts, for Cancel() and Recall(). Thread: the backend's.
+  std::map<std::pair<RequestHandle, int>, OpenAttempt> attempts_;
 };
 
 // Returns the HMAC of a request id, which proves that the host that forwarded
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -284,6 +284,8 @@
   backends_.Cancel(action.handle, action.attempt);
 }
 
+void Daemon::Execute(const RecallUnsent& action) { backends_.Recall(action); }
+
 void Daemon::Execute(const RefuseRequest& action) {
   const std::shared_ptr<CallerSession> session = FindSession(action.handle);
   if (!session) return;
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -56,6 +56,7 @@
   void Perform(Action action);
   void Execute(const DispatchRequest& action);
   void Execute(const CancelAttempt& action);
+  void Execute(const RecallUnsent& action);
   void Execute(const RefuseRequest& action);
   void Execute(const SendOrder& action);
   void Execute(const ProbeServer& action);
--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -128,6 +128,7 @@
       announced_.erase(server.id);
     }
     UpdateView(server.id);
+    if (server.is_leaving && !was_leaving) RecallRequests(server.id);
   }
   // While the store is unavailable, listings of live servers lapse too.
   // Removing the servers would refuse requests until the listings are renewed.
@@ -181,6 +182,7 @@
   announced_.erase(id);
   planned_states_.erase(id);
   context_.view.Remove(id);
+  RecallRequests(id);
   limits_.Remove(id);
   LogEvent(LogLevel::kInfo, "server_gone")
       .With("server", id)
@@ -189,6 +191,12 @@
       .With("proof_age_ms", ToMillis(ListingAge()));
 }
 
+// Requests for which the server was chosen earlier and that wait for a
+// connection or a permit.
+void FleetManager::RecallRequests(const std::string& id) {
+  context_.Emit(RecallUnsent{id});
+}
+
 void FleetManager::UpdateView(const std::string& id) {
   const auto it = servers_.find(id);
   if (it == servers_.end()) return;
--- a/node/fleet_manager.h
+++ b/node/fleet_manager.h
@@ -129,6 +129,7 @@
   // Whether entries of live servers may be missing from the listing because of
   // an outage of the store.
   bool MayHaveLapsed() const;
+  void RecallRequests(const std::string& id);
   void RemoveDeparted();
   // Removes the state of a server's earlier incarnation; false if `server` is
   // of an earlier incarnation itself.
--- a/node/messages.h
+++ b/node/messages.h
@@ -300,6 +300,12 @@
   int attempt = 0;
 };
 
+// Cancels the attempts at a server that leaves as far as they have not been
+// written to a connection yet; they end as not sent.
+struct RecallUnsent {
+  std::string backend;
+};
+
 // Final answer to a request that no backend server answered; sent once.
 struct RefuseRequest {
   RequestHandle handle = 0;
@@ -378,10 +384,10 @@
 struct Drained {};
 
 using Action =
-    std::variant<DispatchRequest, CancelAttempt, RefuseRequest, SendOrder,
-                 AppendRecord, SendPeer, SendPeers, Drained, ReadLease,
-                 AppendLease, SetStorePolling, ApplyStoreUpdates, ProbeServer,
-                 ReadQuarantine, AppendQuarantine>;
+    std::variant<DispatchRequest, CancelAttempt, RecallUnsent, RefuseRequest,
+                 SendOrder, AppendRecord, SendPeer, SendPeers, Drained,
+                 ReadLease, AppendLease, SetStorePolling, ApplyStoreUpdates,
+                 ProbeServer, ReadQuarantine, AppendQuarantine>;
 
 }  // namespace applehall
 
--- a/node/node.cc
+++ b/node/node.cc
@@ -154,9 +154,9 @@
   if (!context_.hosts.Update(event.list)) return;
   for (const EngineDigest* digest : context_.view.All()) {
     const HostEntry* entry = context_.hosts.Find(digest->engine);
-    if (entry != nullptr) {
-      context_.view.SetLeaving(digest->engine, entry->is_leaving);
-    }
+    if (entry == nullptr) continue;
+    context_.view.SetLeaving(digest->engine, entry->is_leaving);
+    if (entry->is_leaving) context_.Emit(RecallUnsent{digest->engine});
   }
   std::vector<std::string> gone;
   for (const EngineDigest* digest : context_.view.All()) {
@@ -164,7 +164,10 @@
       gone.push_back(digest->engine);
     }
   }
-  for (const std::string& engine : gone) context_.view.Remove(engine);
+  for (const std::string& engine : gone) {
+    context_.view.Remove(engine);
+    context_.Emit(RecallUnsent{engine});
+  }
   UpdateServices();
   groups_.Reconcile();
 }
--- a/standins/deployment.cc
+++ b/standins/deployment.cc
@@ -508,6 +508,9 @@
   // Engines finish requests that they started; the answer is then dropped.
 }
 
+// Requests are in transit here from the moment of their dispatch.
+void Deployment::Execute(Host&, const RecallUnsent&) {}
+
 void Deployment::Execute(Host& host, const RefuseRequest& action) {
   const auto origin = host.origins.find(action.handle);
   if (origin == host.origins.end()) return;
--- a/standins/deployment.h
+++ b/standins/deployment.h
@@ -188,6 +188,7 @@
   void Perform(Host& host, Action action);
   void Execute(Host& host, const DispatchRequest& action);
   void Execute(Host& host, const CancelAttempt& action);
+  void Execute(Host& host, const RecallUnsent& action);
   void Execute(Host& host, const RefuseRequest& action);
   void Execute(Host& host, const SendOrder& action);
   void Execute(Host& host, const AppendRecord& action);
--- a/tests/platform/edge_test.cc
+++ b/tests/platform/edge_test.cc
@@ -373,6 +373,31 @@
   EXPECT_TRUE(server_.requests.empty());
 }
 
+// Guards against a request that is sent to a server that left while the
+// connection was being set up.
+TEST_F(EdgeTest, UnsentAttemptAtLeavingServerIsRecalled) {
+  server_.answers = {kAnswer};
+  Dispatch(SendRequest().handle);
+  engines_.Recall(RecallUnsent{"i-other"});
+  engines_.Recall(RecallUnsent{"i-7"});
+  const AttemptEnded ended = WaitForAttemptEnd();
+  EXPECT_EQ(ended.result, AttemptResult::kNotSent);
+  EXPECT_FALSE(ended.send_delay);
+  EXPECT_TRUE(server_.requests.empty());
+}
+
+// Guards against cutting off requests that a leaving server already runs.
+TEST_F(EdgeTest, SentAttemptAtLeavingServerGoesOn) {
+  const RequestHandle handle = SendRequest().handle;
+  Dispatch(handle);
+  RunUntil([this] { return !server_.requests.empty(); });
+  engines_.Recall(RecallUnsent{"i-7"});
+  engines_.Cancel(CancelAttempt{handle, 1});
+  const AttemptEnded ended = WaitForAttemptEnd();
+  EXPECT_TRUE(ended.send_delay);
+  EXPECT_EQ(ended.detail.find("left"), std::string::npos) << ended.detail;
+}
+
 // Guards against a request that is forwarded after its caller has disconnected:
 // the close has been noticed, but the cancel has not arrived yet.
 TEST_F(EdgeTest, AttemptOfDisconnectedCallerIsNotSent) {
--- a/tests/platform/leaving_server_fixture.h
+++ b/tests/platform/leaving_server_fixture.h
@@ -253,6 +253,8 @@
       Connect(name, *dispatch);
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
       host.attempts.erase(cancel->handle);
+    } else if (const auto* recall = std::get_if<RecallUnsent>(&action)) {
+      Recall(name, recall->backend);
     } else if (const auto* order = std::get_if<SendOrder>(&action)) {
       Handle(name, OrderAnswered{order->engine, order->order.id,
                                  OrderResult::kAccepted});
@@ -496,6 +498,18 @@
     });
   }
 
+  void Recall(const std::string& name, const std::string& backend) {
+    Host& host = hosts_.at(name);
+    for (auto it = host.attempts.begin(); it != host.attempts.end();) {
+      const Attempt& open = it->second;
+      const bool is_recalled = open.request.backend == backend && !open.is_sent;
+      if (is_recalled) {
+        Handle(name, MakeAttemptEnd(open.request, AttemptResult::kNotSent, ""));
+      }
+      it = is_recalled ? host.attempts.erase(it) : std::next(it);
+    }
+  }
+
   void ReachServer(const std::string& name, const DispatchRequest& request) {
     Host& host = hosts_.at(name);
     ++host.served[request.backend];
--- a/tests/platform/leaving_server_test.cc
+++ b/tests/platform/leaving_server_test.cc
@@ -157,6 +157,7 @@
   Drain("llm-1");
   Run(seconds(12));
   EXPECT_TRUE(late_.empty()) << LateText();
+  EXPECT_GT(hosts_.at("a").served["llm-2"], 2);
 }
 
 // Guards against a departure that some host misses under random faults of hosts
