A server that leaves gets no request for which it was chosen earlier

Callers' requests reached a server that limits itself up to 11 s after it had said that it leaves, one for each permit that came; and a broken stream would resume there. Cause: a request that waits for a permit, or backs off before its stream resumes, keeps its server; when it was sent, only the presence of the server was looked at. Now both ask for a server that stays (EngineView::FindStaying), and pending permits of a server that leaves are denied at once, so that their requests go elsewhere. On the users' platform no such stream exists today: what may be repeated there may be resumed anywhere.

--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -195,6 +195,7 @@
 // connection or a permit.
 void FleetManager::RecallRequests(const std::string& id) {
   context_.Emit(RecallUnsent{id});
+  limits_.DenyPending(id);
 }
 
 void FleetManager::UpdateView(const std::string& id) {
--- a/node/limit_manager.cc
+++ b/node/limit_manager.cc
@@ -167,6 +167,14 @@
   gate_.AddSpare(server, context_.now + kPermitTtl);
 }
 
+void LimitManager::DenyPending(const std::string& server) {
+  std::erase_if(requests_, [&](const auto& item) {
+    if (item.second.server != server) return false;
+    outcomes_.push_back({item.second.handle, server, false, kRequestInterval});
+    return true;
+  });
+}
+
 void LimitManager::SendRequests() {
   if (unsent_.empty() || owner_.host.empty()) return;
   requests_sent_at_ = context_.now;
--- a/node/limit_manager.h
+++ b/node/limit_manager.h
@@ -59,6 +59,9 @@
   std::vector<Outcome> TakeOutcomes() { return std::exchange(outcomes_, {}); }
   // Returns a granted permit that its request does not need any more.
   void ReturnPermit(const std::string& server);
+  // Denies the pending permits of a server that leaves, so that their requests
+  // go elsewhere.
+  void DenyPending(const std::string& server);
   // Describes the limit of `server` for a log line or a refusal.
   std::string Describe(const std::string& server) const;
   // Removes the limit of a server that left or restarted.
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -400,7 +400,7 @@
   Request* request = Find(outcome.handle);
   const bool is_open = request != nullptr && request->phase == Phase::kPermit &&
                        request->permit_server == outcome.server;
-  const EngineDigest* engine = context_.view.Find(outcome.server);
+  const EngineDigest* engine = context_.view.FindStaying(outcome.server);
   const bool can_send = is_open && engine != nullptr;
   if (outcome.is_granted && !can_send) limits_.ReturnPermit(outcome.server);
   if (!is_open) return;
@@ -857,7 +857,7 @@
       continue;
     }
     // A broken stream resumes only at the same engine.
-    const EngineDigest* engine = context_.view.Find(request->backend);
+    const EngineDigest* engine = context_.view.FindStaying(request->backend);
     if (engine == nullptr) {
       Refuse(handle, {Verdict::kMayHaveRun, RefusalReason::kBackendFailed,
                       "the engine left during the stream", Duration{0}});
--- a/routing/engine_view.cc
+++ b/routing/engine_view.cc
@@ -308,6 +308,13 @@
   return it == engines_.end() ? nullptr : &it->second.digest;
 }
 
+const EngineDigest* EngineView::FindStaying(const std::string& engine) const {
+  const auto it = engines_.find(engine);
+  const bool is_staying = it != engines_.end() && !it->second.is_leaving &&
+                          !it->second.digest.is_leaving;
+  return is_staying ? &it->second.digest : nullptr;
+}
+
 int EngineView::InFlight(const std::string& engine) const {
   const auto it = engines_.find(engine);
   return it == engines_.end() ? 0 : it->second.in_flight;
--- a/routing/engine_view.h
+++ b/routing/engine_view.h
@@ -86,6 +86,9 @@
   // thread-safe.
   int ReadyReplicas(const std::string& target) const;
   const EngineDigest* Find(const std::string& engine) const;
+  // As Find(), but null for an engine that leaves: an engine that was chosen
+  // earlier may have left since. Not thread-safe.
+  const EngineDigest* FindStaying(const std::string& engine) const;
   int InFlight(const std::string& engine) const;
   // Requests in flight by engine and target. Not thread-safe.
   struct Running {
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -539,6 +539,31 @@
             Verdict::kMayHaveRun);
 }
 
+// Guards against a stream that resumes at its server after that began to leave.
+TEST_F(FleetTest, StreamDoesNotResumeAtLeavingServer) {
+  Add("a");
+  Run(seconds(2));
+  Arrive("a", 1, "/again/x");
+  ASSERT_EQ(ActionsOf<DispatchRequest>("a").size(), 1u);
+  const std::string server = ActionsOf<DispatchRequest>("a")[0].backend;
+  AttemptEnded broken;
+  broken.handle = 1;
+  broken.attempt = 1;
+  broken.result = AttemptResult::kBroken;
+  broken.has_delivered = true;
+  broken.can_resume = true;
+  Handle("a", broken);
+  ServerListRead leaving;
+  leaving.listed = {Server(server, "app")};
+  leaving.listed[0].is_leaving = true;
+  Handle("a", leaving);
+  Run(milliseconds(500));
+  EXPECT_EQ(ActionsOf<DispatchRequest>("a").size(), 1u);
+  ASSERT_EQ(ActionsOf<RefuseRequest>("a").size(), 1u);
+  EXPECT_EQ(ActionsOf<RefuseRequest>("a")[0].refusal.verdict,
+            Verdict::kMayHaveRun);
+}
+
 TEST_F(FleetTest, RepeatableRequestIsRetriedOnceElsewhere) {
   Add("a");
   Run(seconds(2));
