A refused call does not show that a host is cut off

Callers' requests reached a removed server up to 4.1 s after its removal at a host that had been cut off from the store and was refused by it a second later. Cause: a removal after a cut is kept until contact_ms after the host's last failed call; a call that the store refused counted, though its answer shows that the way is free.

--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -81,11 +81,11 @@
   if (listing == nullptr) return false;
   if (ListingAge() >= context_.settings.min_lapse_outage) return true;
   TimePoint until = listing->resumed_at + kRelistTime;
-  // If only this host was cut off, the entries are of servers that have left. A
-  // failed call shows when it still was.
-  const TimePoint failed_at = context_.log_failed_call_at;
-  if (failed_at > listing->interrupted_at) {
-    until = std::min(until, failed_at + context_.settings.contact_time -
+  // If only this host was cut off, the entries are of servers that have left.
+  // An unanswered call shows when it still was; a refused one was answered.
+  const TimePoint cut_off_at = context_.log_unanswered_since;
+  if (cut_off_at > listing->interrupted_at) {
+    until = std::min(until, cut_off_at + context_.settings.contact_time -
                                 context_.settings.freshness.retry_pause);
   }
   return context_.now < until;
@@ -142,8 +142,8 @@
           .With("server", id)
           .With("listing", listing_next_)
           .With("proof_age_ms", ToMillis(ListingAge()))
-          .With("failed_call_ms_ago",
-                ToMillis(context_.now - context_.log_failed_call_at));
+          .With("unanswered_call_ms_ago",
+                ToMillis(context_.now - context_.log_unanswered_since));
     } else {
       RemoveServer(id, "unlisted");
     }
@@ -191,8 +191,7 @@
       .With("proof_age_ms", ToMillis(ListingAge()));
 }
 
-// Requests for which the server was chosen earlier and that wait for a
-// connection or a permit.
+// They wait for a connection or for a permit of a limited server.
 void FleetManager::RecallRequests(const std::string& id) {
   context_.Emit(RecallUnsent{id});
   limits_.DenyPending(id);
--- a/node/fleet_manager.h
+++ b/node/fleet_manager.h
@@ -129,6 +129,8 @@
   // Whether entries of live servers may be missing from the listing because of
   // an outage of the store.
   bool MayHaveLapsed() const;
+  // Takes back the requests for which a server that leaves was chosen and that
+  // were not sent yet.
   void RecallRequests(const std::string& id);
   void RemoveDeparted();
   // Removes the state of a server's earlier incarnation; false if `server` is
--- a/node/messages.h
+++ b/node/messages.h
@@ -127,7 +127,9 @@
 
 // A read or append failed because the log service does not respond.
 struct LogUnavailable {
-  TimePoint requested_at = {};  // When the call was made; the epoch: unknown.
+  // When the call was made if it was not answered; the epoch if the store
+  // refused it.
+  TimePoint unanswered_since = {};
 };
 
 struct AppendEnded {
@@ -166,8 +168,8 @@
   std::vector<std::string> gone;  // No longer listed.
   // Servers whose entries are malformed or invalid; they receive no requests.
   std::vector<std::string> unusable = {};
-  std::string topic =
-      {};              // Of the store; its freshness is that of the listing.
+  // Topic of the store; its freshness is that of the listing.
+  std::string topic = {};
   LogOffset next = 0;  // The first offset that is not included.
 };
 
--- a/node/node.cc
+++ b/node/node.cc
@@ -107,8 +107,8 @@
   if (!context_.log_failed) LogEvent(LogLevel::kWarning, "store_lost");
   context_.log_failed = true;
   context_.log_failed_at = context_.now;
-  context_.log_failed_call_at =
-      event.requested_at == TimePoint{} ? context_.now : event.requested_at;
+  context_.log_unanswered_since =
+      std::max(context_.log_unanswered_since, event.unanswered_since);
 }
 
 // Guards against an answer that stayed unread while this process got no
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -53,9 +53,9 @@
   // Availability of the log service or the store.
   TimePoint log_answered_at;
   bool log_failed = false;
-  TimePoint log_failed_at;       // Of the last failed call.
-  TimePoint log_failed_call_at;  // When that call was made.
-  TimePoint log_recovered_at;    // First answer after the last outage.
+  TimePoint log_failed_at;         // Of the last failed call.
+  TimePoint log_unanswered_since;  // When the last unanswered call was made.
+  TimePoint log_recovered_at;      // First answer after the last outage.
 
   TimePoint now;
   std::vector<Action>* actions = nullptr;
--- a/node/open_request.h
+++ b/node/open_request.h
@@ -61,8 +61,8 @@
   // and the age of its freshness at that time.
   LogOffset listing = 0;
   Duration listing_age{0};
-  std::optional<Duration>
-      send_delay;  // As in AttemptEnded, of the last attempt.
+  // As in AttemptEnded, of the last attempt.
+  std::optional<Duration> send_delay;
   std::string backend;
   BackendKind backend_kind = BackendKind::kEngine;
   std::string detail;
--- a/node/topic_freshness.h
+++ b/node/topic_freshness.h
@@ -17,8 +17,8 @@
   // about this topic or by the message of a host that received one.
   TimePoint as_of;
   std::string source;  // "store", or the host whose message showed it.
-  // The last interruption of the freshness that was longer than the minimum
-  // outage; the epoch: none.
+  // Begin and end of the last interruption of the freshness that lasted at
+  // least the minimum outage; the epoch: none.
   TimePoint interrupted_at{};
   TimePoint resumed_at{};
 };
--- a/tests/platform/leaving_server_fixture.h
+++ b/tests/platform/leaving_server_fixture.h
@@ -367,15 +367,17 @@
        });
   }
 
-  void FailCall(const std::string& name, Topic& topic, TimePoint asked) {
+  void FailCall(const std::string& name, Topic& topic,
+                TimePoint unanswered_since) {
     if (hosts_.at(name).is_frozen) {
-      At(now_ + milliseconds(25),
-         [this, name, &topic, asked] { FailCall(name, topic, asked); });
+      At(now_ + milliseconds(25), [this, name, &topic, unanswered_since] {
+        FailCall(name, topic, unanswered_since);
+      });
       return;
     }
     topic.call = 0;
     topic.next_call_at = now_ + topic.reader.HandleFailure();
-    Handle(name, LogUnavailable{asked});
+    Handle(name, LogUnavailable{unanswered_since});
   }
 
   // The store receives a call, or looks again at one that it holds.
@@ -384,8 +386,8 @@
     const Host& host = hosts_.at(name);
     if (topic.call != call || host.is_cut_from_store) return;
     if (host.is_refused) {
-      At(now_ + milliseconds(1), [this, name, &topic, call, asked] {
-        if (topic.call == call) FailCall(name, topic, asked);
+      At(now_ + milliseconds(1), [this, name, &topic, call] {
+        if (topic.call == call) FailCall(name, topic, TimePoint{});
       });
       return;
     }
