--- a/tests/platform/leaving_server_fixture.h
+++ b/tests/platform/leaving_server_fixture.h
@@ -1,6 +1,5 @@
-// Simulates entry hosts, the store with its real records, links and backend
-// servers under a paused clock, and records requests that reach a server later
-// than the bound after the store acknowledged that it leaves.
+// Simulates entry hosts, the store's real records, links and backend servers
+// under a paused clock, and records requests that reach leaving servers late.
 
 #ifndef APPLEHALL_TESTS_PLATFORM_LEAVING_SERVER_FIXTURE_H_
 #define APPLEHALL_TESTS_PLATFORM_LEAVING_SERVER_FIXTURE_H_
--- a/tests/platform/leaving_server_test.cc
+++ b/tests/platform/leaving_server_test.cc
@@ -127,9 +127,8 @@
   }
 }
 
-// Guards against relayed records that are noted as applied but dropped because
-// this host reads the whole listing at that moment: it would lack them, and all
-// later ones, while its listing counts as fresh.
+// Guards against relayed records that count as applied although they were
+// dropped during a read of the whole listing.
 TEST_F(LeavingServerTest, RecordsRelayedDuringAReadOfAllAreNotLost) {
   const std::string follower = Follower();
   Duration& newest_delay = store_[wire::kServersTopic].newest_delay;
@@ -216,9 +215,8 @@
   EXPECT_GT(hosts_.at("a").served["llm-2"], 2);
 }
 
-// Guards against a departure that some host misses under random faults of hosts
-// and store, in series and at once. --gtest_shuffle --gtest_random_seed=N plays
-// other seeds.
+// Guards against a departure that some host misses under random faults.
+// --gtest_shuffle --gtest_random_seed=N plays other seeds.
 TEST_F(LeavingServerTest, RandomFaultsDoNotDelayDepartures) {
   constexpr uint64_t kSeeds = 20;
   const int run = testing::UnitTest::GetInstance()->random_seed();
