Own pauses and lost calls are told apart from outages of the store

Callers' requests reached servers that had left, up to 7.9 s late in random cases, from hosts that had stood still; and, the other way round, a host could drop all live servers after an outage of the store and refuse their requests until they were listed again.

Cause, one for both: whether entries that vanish may have lapsed was decided by the time of the last unanswered call alone. A process that stood still loses no call, so its pause counted as an outage of the store; and one call that was lost as an outage began ended the grace for all that followed, rejections for seconds included.

Change: StoreOutage keeps what this host's own calls and pauses prove. Own trouble (a lost call, a pause) bounds the grace by contact_time, unless the store itself rejected all calls for as long as an outage takes in which entries lapse. FleetManager only asks for the end of the grace.

RejectedHostLearns.. still fails: another cause.

--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -45,8 +45,6 @@
 constexpr char kLimitRows[] = "limits";
 // Reports: servers that ended. Plans: the last such row the owner has received.
 constexpr char kEndRows[] = "ends";
-// Listings that lapsed in an outage of the store are renewed this soon after.
-constexpr Duration kRelistTime = milliseconds(2200);
 
 // Leaves `address` unchanged if the body has no valid address under `key`.
 void ReadPeerAddress(const Json& body, const char* key, PeerAddress& address) {
@@ -80,15 +78,7 @@
   const TopicState* listing = context_.freshness.Find(listing_topic_);
   if (listing == nullptr) return false;
   if (ListingAge() >= context_.settings.min_lapse_outage) return true;
-  TimePoint until = listing->resumed_at + kRelistTime;
-  // If only this host was cut off, the entries are of servers that have left.
-  // An unanswered call shows when it still was; a refused one was answered.
-  const TimePoint cut_off_at = context_.log_unanswered_since;
-  if (cut_off_at > listing->interrupted_at) {
-    until = std::min(until, cut_off_at + context_.settings.contact_time -
-                                context_.settings.freshness.retry_pause);
-  }
-  return context_.now < until;
+  return context_.now < context_.store_outage.LapseEnd(*listing);
 }
 
 void FleetManager::HandleServerList(const ServerListRead& event) {
@@ -133,6 +123,9 @@
   // While the store is unavailable, listings of live servers lapse too.
   // Removing the servers would refuse requests until the listings are renewed.
   const bool may_have_lapsed = MayHaveLapsed();
+  const TimePoint trouble_at = context_.store_outage.last_trouble_at();
+  const int64_t trouble_ms_ago =
+      trouble_at == TimePoint{} ? -1 : ToMillis(context_.now - trouble_at);
   for (const std::string& id : gone) {
     if (!servers_.contains(id)) continue;
     if (may_have_lapsed) {
@@ -142,8 +135,7 @@
           .With("server", id)
           .With("listing", listing_next_)
           .With("proof_age_ms", ToMillis(ListingAge()))
-          .With("unanswered_call_ms_ago",
-                ToMillis(context_.now - context_.log_unanswered_since));
+          .With("trouble_ms_ago", trouble_ms_ago);
     } else {
       RemoveServer(id, "unlisted");
     }
--- a/node/node.cc
+++ b/node/node.cc
@@ -107,8 +107,11 @@
   if (!context_.log_failed) LogEvent(LogLevel::kWarning, "store_lost");
   context_.log_failed = true;
   context_.log_failed_at = context_.now;
-  context_.log_unanswered_since =
-      std::max(context_.log_unanswered_since, event.unanswered_since);
+  if (event.unanswered_since != TimePoint{}) {
+    context_.store_outage.RecordLostCall(event.unanswered_since);
+  } else {
+    context_.store_outage.RecordRejection(context_.now);
+  }
 }
 
 // Guards against an answer that stayed unread while this process got no
--- a/node/node_context.cc
+++ b/node/node_context.cc
@@ -19,6 +19,7 @@
     LogEvent(LogLevel::kInfo, "store_back").With("silent_ms", ToMillis(gap));
   }
   log_failed = false;
+  store_outage.RecordAnswer();
   log_answered_at = std::max(log_answered_at, when);
 }
 
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -13,6 +13,7 @@
 #include "node/decision_log.h"
 #include "node/messages.h"
 #include "node/node_settings.h"
+#include "node/store_outage.h"
 #include "node/topic_freshness.h"
 #include "routing/engine_view.h"
 #include "rules/replica_bounds.h"
@@ -53,9 +54,13 @@
   // Availability of the log service or the store.
   TimePoint log_answered_at;
   bool log_failed = false;
-  TimePoint log_failed_at;         // Of the last failed call.
-  TimePoint log_unanswered_since;  // When the last unanswered call was made.
-  TimePoint log_recovered_at;      // First answer after the last outage.
+  TimePoint log_failed_at;     // Of the last failed call.
+  TimePoint log_recovered_at;  // First answer after the last outage.
+  // The pause before a retry is part of the time that a host may be behind.
+  StoreOutage store_outage{
+      {.min_outage = settings.min_lapse_outage,
+       .max_staleness = settings.freshness.max_staleness,
+       .contact_time = settings.contact_time - settings.freshness.retry_pause}};
 
   TimePoint now;
   std::vector<Action>* actions = nullptr;
--- a/node/placement_lease.cc
+++ b/node/placement_lease.cc
@@ -85,6 +85,7 @@
     reread_since_ = context_.now;
     read_sent_at_ = TimePoint{};
     last_contact_at_ = context_.now;
+    context_.store_outage.RecordPause(context_.now);
     LogEvent(LogLevel::kWarning, "stood_still")
         .With("gap_ms", ToMillis(context_.now - last_tick_));
   }
