A host that the store rejects follows another one, whatever its part

Callers' requests reached leaving servers until the store accepted the host's calls again (from 2.0 s on, 67 to 90 requests in a rejection of 5 s), though other hosts knew of the departures.

Cause: only a host with a reader followed anybody. The placement owner reads for itself and had no backup; a host whose data centre has no other that can read the store was named none.

Change: each host has a backup, of another data centre if none of its own can read, the owner as the last choice; the owner chooses one for itself. A host that reads for itself asks its backup once its own topics are staler than max_staleness, which its own reads prevent while they are answered. store_backup_followed is logged.

--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -488,6 +488,8 @@
 void FleetManager::SendPlans() {
   if (context_.now - loads_at_ >= kLoadSumInterval) {
     ApplyLoads(SumLoads());
+    // The store may reject the owner's calls alone.
+    backup_reader_ = ChooseBackup(context_.settings.data_centre);
   }
   std::erase_if(peers_, [this](const auto& item) {
     return context_.now - item.second.last_report_at > kPeerTtl;
@@ -539,8 +541,7 @@
   action.message.type = PeerMessageType::kFleetPlan;
   action.message.body = PlanBody(data_centre, state.update);
   action.message.body["l"] = LoadsToJson(loads_);
-  const PeerAddress backup = readers_.SelectBackup(
-      data_centre, ChooseReader(data_centre).host, context_.now);
+  const PeerAddress backup = ChooseBackup(data_centre);
   action.message.body["b"] = Json::array({backup.host, backup.address});
   state = {context_.now, last_update_};
   if (!action.peers.empty()) context_.Emit(std::move(action));
@@ -601,6 +602,15 @@
   return readers_.SelectReader(data_centre, context_.now);
 }
 
+// Returns the host to follow where the reader of `data_centre` fails. The owner
+// is the last choice, as it is the busiest of all.
+PeerAddress FleetManager::ChooseBackup(const std::string& data_centre) {
+  const PeerAddress best = readers_.SelectBackup(
+      data_centre, ChooseReader(data_centre).host, context_.now);
+  if (!best.host.empty() || !CanReadStore()) return best;
+  return {context_.settings.self.host, context_.settings.peer_address};
+}
+
 Json FleetManager::PlanBody(const std::string& data_centre, uint64_t since) {
   Json body{{"k", lease_.token()},
             {"p", context_.settings.peer_address},
--- a/node/fleet_manager.h
+++ b/node/fleet_manager.h
@@ -117,6 +117,7 @@
   bool CanReadStore() const;
   int CountPeersIn(const std::string& data_centre) const;
   PeerAddress ChooseReader(const std::string& data_centre);
+  PeerAddress ChooseBackup(const std::string& data_centre);
   // True if there is demand for a target that the last report did not contain.
   bool HasNewDemand() const;
   HostReport MakeReport();
--- a/node/reader_selector.cc
+++ b/node/reader_selector.cc
@@ -12,10 +12,8 @@
 
 }  // namespace
 
-bool ReaderSelector::IsEligible(const FleetPeer& peer,
-                                const std::string& data_centre, TimePoint now) {
-  return peer.data_centre == data_centre && peer.can_read_store &&
-         now - peer.last_report_at <= kMaxReaderSilence;
+bool ReaderSelector::IsEligible(const FleetPeer& peer, TimePoint now) {
+  return peer.can_read_store && now - peer.last_report_at <= kMaxReaderSilence;
 }
 
 void ReaderSelector::Restart(TimePoint now) {
@@ -32,13 +30,14 @@
                                          TimePoint now) {
   std::string& selected = selected_[data_centre];
   const auto current = peers_.find(selected);
-  const bool is_eligible =
-      current != peers_.end() && IsEligible(current->second, data_centre, now);
+  const bool is_eligible = current != peers_.end() &&
+                           current->second.data_centre == data_centre &&
+                           IsEligible(current->second, now);
   // No link ranks above a wide one, so the other hosts need not be checked.
   if (is_eligible && IsWideLink(current->second.link_mbps)) {
     return {selected, current->second.address};
   }
-  const PeerAddress best = SelectBackup(data_centre, /*reader=*/"", now);
+  const PeerAddress best = SelectBest(data_centre, /*reader=*/"", now);
   if (is_eligible && EffectiveLinkMbps(current->second.link_mbps) >=
                          EffectiveLinkMbps(peers_.at(best.host).link_mbps)) {
     return {selected, current->second.address};
@@ -50,10 +49,18 @@
 PeerAddress ReaderSelector::SelectBackup(const std::string& data_centre,
                                          const std::string& reader,
                                          TimePoint now) const {
+  const PeerAddress local = SelectBest(data_centre, reader, now);
+  return local.host.empty() ? SelectBest("", reader, now) : local;
+}
+
+PeerAddress ReaderSelector::SelectBest(const std::string& data_centre,
+                                       const std::string& excluded,
+                                       TimePoint now) const {
   PeerAddress best;
   std::pair<double, double> best_rank{-1, -1};
   for (const auto& [host, peer] : peers_) {
-    if (host == reader || !IsEligible(peer, data_centre, now)) continue;
+    const bool is_here = data_centre.empty() || peer.data_centre == data_centre;
+    if (host == excluded || !is_here || !IsEligible(peer, now)) continue;
     const std::pair<double, double> rank{EffectiveLinkMbps(peer.link_mbps),
                                          peer.cpu_share};
     if (rank <= best_rank) continue;
--- a/node/reader_selector.h
+++ b/node/reader_selector.h
@@ -56,8 +56,10 @@
   // share, as the updates that a reader relays would fill a narrow link. Not
   // thread-safe.
   PeerAddress SelectReader(const std::string& data_centre, TimePoint now);
-  // Returns the best host other than `reader`. Followers switch to it on their
-  // own if the reader fails while no owner can name another. Not thread-safe.
+  // Returns the best host other than `reader`; one of another data centre if
+  // none here can read the store. Hosts switch to it on their own if the reader
+  // fails, or the store rejects their calls, while no owner can name another.
+  // Not thread-safe.
   PeerAddress SelectBackup(const std::string& data_centre,
                            const std::string& reader, TimePoint now) const;
   // Discards all selections; hosts start to report at `now`. Not thread-safe.
@@ -72,8 +74,11 @@
   bool HasWideLink(const std::string& host) const;
 
  private:
-  static bool IsEligible(const FleetPeer& peer, const std::string& data_centre,
-                         TimePoint now);
+  static bool IsEligible(const FleetPeer& peer, TimePoint now);
+  // Returns the best host of `data_centre`, of all if it is empty, other than
+  // `excluded`.
+  PeerAddress SelectBest(const std::string& data_centre,
+                         const std::string& excluded, TimePoint now) const;
 
   const FleetPeers& peers_;
   std::map<std::string, std::string> selected_;  // By data centre.
--- a/node/store_relay.cc
+++ b/node/store_relay.cc
@@ -49,9 +49,8 @@
   LogEvent(LogLevel::kInfo, "store_reader").With("reader", reader_.host);
 }
 
-bool StoreRelay::IsFollowing() const {
-  return !reader_.host.empty() && reader_.host != context_.settings.self.host &&
-         !context_.is_draining;
+bool StoreRelay::HasReader() const {
+  return !reader_.host.empty() && reader_.host != context_.settings.self.host;
 }
 
 bool StoreRelay::IsReaderOrBackup(const std::string& host) const {
@@ -68,9 +67,14 @@
   return context_.freshness.known().empty() ? TimePoint{} : oldest;
 }
 
-// Leaves half of the allowed staleness for the backup's answer.
+// A follower leaves half of the allowed staleness for the backup's answer. A
+// host that reads the store itself is this stale only if its reads fail.
 bool StoreRelay::NeedsBackup() const {
-  return RelayedStaleness() > budget().max_staleness / 2;
+  const bool has_backup =
+      !backup_.host.empty() && backup_.host != context_.settings.self.host;
+  if (!has_backup) return false;
+  if (HasReader()) return RelayedStaleness() > budget().max_staleness / 2;
+  return Staleness() > budget().max_staleness;
 }
 
 void StoreRelay::HandleStoreUpdates(const StoreUpdatesRead& updates) {
@@ -250,7 +254,7 @@
 
 void StoreRelay::HandleRelayedUpdates(const std::string& host,
                                       const Json& body) {
-  if (!IsReaderOrBackup(host) || !IsFollowing()) return;
+  if (!IsReaderOrBackup(host) || context_.is_draining) return;
   const auto known = body.find("known");
   if (known == body.end() || !known->is_object()) return;
   const TimePoint stamp{Duration(FieldOr<int64_t>(body, "t", 0))};
@@ -367,6 +371,17 @@
       SetStorePolling{is_reading, context_.freshness.OldestFreshness()});
 }
 
+void StoreRelay::SetFollowingBackup(bool is_following) {
+  if (is_following == is_following_backup_) return;
+  is_following_backup_ = is_following;
+  if (!is_following) return;
+  context_.metrics.Count("store_backup_followed_total");
+  LogEvent(LogLevel::kInfo, "store_backup_followed")
+      .With("backup", backup_.host)
+      .With("reader", reader_.host)
+      .With("proof_age_ms", ToMillis(Staleness()));
+}
+
 void StoreRelay::RunTick() {
   std::erase_if(followers_, [this](const auto& item) {
     return context_.now - item.second.last_contact_at >
@@ -377,21 +392,24 @@
       SendUpdates(host, follower, nullptr);
     }
   }
-  if (!IsFollowing()) {
+  if (context_.is_draining) {
     SetReading(true);
     return;
   }
   if (context_.now - follow_sent_at_ >= budget().heartbeat_interval) {
     follow_sent_at_ = context_.now;
-    SendFollow(reader_);
-    const bool has_backup =
-        !backup_.host.empty() && backup_.host != context_.settings.self.host;
-    if (has_backup && NeedsBackup()) SendFollow(backup_);
+    if (HasReader()) SendFollow(reader_);
+    SetFollowingBackup(NeedsBackup());
+    if (is_following_backup_) SendFollow(backup_);
+  }
+  if (!HasReader()) {
+    SetReading(true);
+    return;
   }
   // The reader sends missing records again. Waiting for that until this host's
   // own topics are too stale spares the store a read by each of many followers.
-  const Duration age = context_.now - context_.freshness.OldestFreshness();
-  SetReading(std::max(age, RelayedStaleness()) > budget().max_staleness);
+  SetReading(std::max(Staleness(), RelayedStaleness()) >
+             budget().max_staleness);
   if (is_reading_) return;
   // Freshness that the reader reports also shows that the store is available.
   const TimePoint as_of = context_.freshness.OldestFreshness();
--- a/node/store_relay.h
+++ b/node/store_relay.h
@@ -33,8 +33,8 @@
   // Sets the reader of this data centre. With an empty name, or its own, this
   // host reads the store itself. Not thread-safe.
   void SetReader(const PeerAddress& reader);
-  // Sets a host that is followed in addition while the reader's reports are
-  // stale. Not thread-safe.
+  // Sets a host that is followed in addition while the reader's reports, or the
+  // own reads of a host without a reader, are stale. Not thread-safe.
   void SetBackup(const PeerAddress& backup) { backup_ = backup; }
   // Sets the holder of the placement lease, which is relayed with the updates.
   // Not thread-safe.
@@ -85,7 +85,12 @@
   Duration RelayedStaleness() const {
     return context_.now - RelayedFreshness();
   }
-  bool IsFollowing() const;
+  // Age of the proof of the stalest topic.
+  Duration Staleness() const {
+    return context_.now - context_.freshness.OldestFreshness();
+  }
+  // Whether another host relays the updates.
+  bool HasReader() const;
   bool IsReaderOrBackup(const std::string& host) const;
   // Returns the freshness, by the reports of the reader and the backup, of the
   // stalest topic that this host knows; the epoch if one was never reported.
@@ -112,6 +117,7 @@
   // now.
   bool TrySpendBytes(size_t bytes);
   void SetReading(bool is_reading);
+  void SetFollowingBackup(bool is_following);
 
   NodeContext& context_;
   PeerAddress reader_;
@@ -127,6 +133,7 @@
   // A patch of an unknown record was received.
   bool needs_full_records_ = false;
   bool is_reading_ = true;
+  bool is_following_backup_ = false;
   std::map<std::string, Follower> followers_;
   // Recent updates of each topic, for followers that missed some.
   std::map<std::string, std::deque<RetainedUpdates>> retained_;
