The backup of a data centre has a backup too

Cause, traced: the owner names one backup for all hosts of a data centre. That host itself got its own address and followed nobody.

Change: plans name a second host ("c") that the backup follows.

The mutants backup-for-followers-only, backup-of-this-centre-only and owner-without-backup are caught, tried by hand as well.

--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -489,7 +489,7 @@
   if (context_.now - loads_at_ >= kLoadSumInterval) {
     ApplyLoads(SumLoads());
     // The store may reject the owner's calls alone.
-    backup_reader_ = ChooseBackup(context_.settings.data_centre);
+    backup_reader_ = ChooseBackups(context_.settings.data_centre).first;
   }
   std::erase_if(peers_, [this](const auto& item) {
     return context_.now - item.second.last_report_at > kPeerTtl;
@@ -541,8 +541,9 @@
   action.message.type = PeerMessageType::kFleetPlan;
   action.message.body = PlanBody(data_centre, state.update);
   action.message.body["l"] = LoadsToJson(loads_);
-  const PeerAddress backup = ChooseBackup(data_centre);
+  const auto [backup, second] = ChooseBackups(data_centre);
   action.message.body["b"] = Json::array({backup.host, backup.address});
+  action.message.body["c"] = Json::array({second.host, second.address});
   state = {context_.now, last_update_};
   if (!action.peers.empty()) context_.Emit(std::move(action));
 }
@@ -602,13 +603,23 @@
   return readers_.SelectReader(data_centre, context_.now);
 }
 
-// Returns the host to follow where the reader of `data_centre` fails. The owner
-// is the last choice, as it is the busiest of all.
-PeerAddress FleetManager::ChooseBackup(const std::string& data_centre) {
-  const PeerAddress best = readers_.SelectBackup(
-      data_centre, ChooseReader(data_centre).host, context_.now);
-  if (!best.host.empty() || !CanReadStore()) return best;
-  return {context_.settings.self.host, context_.settings.peer_address};
+// Returns the hosts to follow where the reader of `data_centre` fails: one for
+// the others, and one for this backup itself. The owner is the last choice, as
+// it is the busiest of all.
+std::pair<PeerAddress, PeerAddress> FleetManager::ChooseBackups(
+    const std::string& data_centre) {
+  const PeerAddress self{context_.settings.self.host,
+                         context_.settings.peer_address};
+  std::set<std::string> excluded{ChooseReader(data_centre).host};
+  const auto choose = [&] {
+    PeerAddress best =
+        readers_.SelectBackup(data_centre, excluded, context_.now);
+    if (best.host.empty() && CanReadStore()) best = self;
+    excluded.insert(best.host);
+    return best;
+  };
+  const PeerAddress first = choose();
+  return {first, choose()};
 }
 
 Json FleetManager::PlanBody(const std::string& data_centre, uint64_t since) {
@@ -672,6 +683,9 @@
   context_.entry_host_count = std::max(1, FieldOr<int>(body, "n", 1));
   ReadPeerAddress(body, "r", reader_);
   ReadPeerAddress(body, "b", backup_reader_);
+  if (backup_reader_.host == context_.settings.self.host) {
+    ReadPeerAddress(body, "c", backup_reader_);
+  }
   ApplyUpdates(body, token);
   if (body.contains("q")) quarantine_.HandlePlan(body["q"]);
   if (body.contains(kEndRows)) quarantine_.TakeAck(token, body[kEndRows]);
--- a/node/fleet_manager.h
+++ b/node/fleet_manager.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "node/engine_loads.h"
@@ -111,13 +112,15 @@
   // Returns the fields common to all plans, with the engines' updates after
   // `since`. One-letter keys, as in reports: k token, p address, e engines,
   // w answers, r reader, n hosts, f and u first and last update, q quarantined
-  // contents, s limits of servers; in some plans b backup reader and l loads.
+  // contents, s limits of servers; in some plans b backup reader, c the backup
+  // of that host, and l loads.
   Json PlanBody(const std::string& data_centre, uint64_t since);
   void ApplyUpdates(const Json& body, FencingToken token);
   bool CanReadStore() const;
   int CountPeersIn(const std::string& data_centre) const;
   PeerAddress ChooseReader(const std::string& data_centre);
-  PeerAddress ChooseBackup(const std::string& data_centre);
+  std::pair<PeerAddress, PeerAddress> ChooseBackups(
+      const std::string& data_centre);
   // True if there is demand for a target that the last report did not contain.
   bool HasNewDemand() const;
   HostReport MakeReport();
--- a/node/reader_selector.cc
+++ b/node/reader_selector.cc
@@ -37,7 +37,7 @@
   if (is_eligible && IsWideLink(current->second.link_mbps)) {
     return {selected, current->second.address};
   }
-  const PeerAddress best = SelectBest(data_centre, /*reader=*/"", now);
+  const PeerAddress best = SelectBest(data_centre, /*excluded=*/{}, now);
   if (is_eligible && EffectiveLinkMbps(current->second.link_mbps) >=
                          EffectiveLinkMbps(peers_.at(best.host).link_mbps)) {
     return {selected, current->second.address};
@@ -47,20 +47,20 @@
 }
 
 PeerAddress ReaderSelector::SelectBackup(const std::string& data_centre,
-                                         const std::string& reader,
+                                         const std::set<std::string>& excluded,
                                          TimePoint now) const {
-  const PeerAddress local = SelectBest(data_centre, reader, now);
-  return local.host.empty() ? SelectBest("", reader, now) : local;
+  const PeerAddress local = SelectBest(data_centre, excluded, now);
+  return local.host.empty() ? SelectBest("", excluded, now) : local;
 }
 
 PeerAddress ReaderSelector::SelectBest(const std::string& data_centre,
-                                       const std::string& excluded,
+                                       const std::set<std::string>& excluded,
                                        TimePoint now) const {
   PeerAddress best;
   std::pair<double, double> best_rank{-1, -1};
   for (const auto& [host, peer] : peers_) {
     const bool is_here = data_centre.empty() || peer.data_centre == data_centre;
-    if (host == excluded || !is_here || !IsEligible(peer, now)) continue;
+    if (!is_here || excluded.contains(host) || !IsEligible(peer, now)) continue;
     const std::pair<double, double> rank{EffectiveLinkMbps(peer.link_mbps),
                                          peer.cpu_share};
     if (rank <= best_rank) continue;
--- a/node/reader_selector.h
+++ b/node/reader_selector.h
@@ -56,12 +56,13 @@
   // share, as the updates that a reader relays would fill a narrow link. Not
   // thread-safe.
   PeerAddress SelectReader(const std::string& data_centre, TimePoint now);
-  // Returns the best host other than `reader`; one of another data centre if
+  // Returns the best host that is not `excluded`; one of another data centre if
   // none here can read the store. Hosts switch to it on their own if the reader
   // fails, or the store rejects their calls, while no owner can name another.
   // Not thread-safe.
   PeerAddress SelectBackup(const std::string& data_centre,
-                           const std::string& reader, TimePoint now) const;
+                           const std::set<std::string>& excluded,
+                           TimePoint now) const;
   // Discards all selections; hosts start to report at `now`. Not thread-safe.
   void Restart(TimePoint now);
   // Returns false while hosts may not have sent their first report: a selection
@@ -75,10 +76,11 @@
 
  private:
   static bool IsEligible(const FleetPeer& peer, TimePoint now);
-  // Returns the best host of `data_centre`, of all if it is empty, other than
+  // Returns the best host of `data_centre`, of all if it is empty, that is not
   // `excluded`.
   PeerAddress SelectBest(const std::string& data_centre,
-                         const std::string& excluded, TimePoint now) const;
+                         const std::set<std::string>& excluded,
+                         TimePoint now) const;
 
   const FleetPeers& peers_;
   std::map<std::string, std::string> selected_;  // By data centre.
--- a/tests/node/reader_selector_test.cc
+++ b/tests/node/reader_selector_test.cc
@@ -33,7 +33,19 @@
       {"a", Peer(0.12, 1000)}, {"b", Peer(0.5, 200)}, {"untold", Peer(0.3, 0)}};
   ReaderSelector readers(peers);
   EXPECT_EQ(readers.SelectReader("hall", kNow).host, "b");
-  EXPECT_EQ(readers.SelectBackup("hall", "b", kNow).host, "untold");
+  EXPECT_EQ(readers.SelectBackup("hall", {"b"}, kNow).host, "untold");
+}
+
+// Guards against a host that is alone in its data centre and has no backup.
+TEST(ReaderSelectorTest, BackupIsOfAnotherDataCentreIfNoneHereCanRead) {
+  FleetPeers peers{{"a", Peer(0.5, 200)}, {"b", Peer(0.12, 200)}};
+  ReaderSelector readers(peers);
+  EXPECT_EQ(readers.SelectBackup("south", {}, kNow).host, "a");
+  EXPECT_EQ(readers.SelectBackup("south", {"a"}, kNow).host, "b");
+  EXPECT_EQ(readers.SelectReader("south", kNow).host, "");
+  peers["near"] = Peer(0.12, 10);
+  peers["near"].data_centre = "south";
+  EXPECT_EQ(readers.SelectBackup("south", {}, kNow).host, "near");
 }
 
 // Guards against a new owner that selects a reader before all hosts have
--- a/tests/platform/leaving_server_test.cc
+++ b/tests/platform/leaving_server_test.cc
@@ -174,6 +174,29 @@
   }
 }
 
+// Guards against the one backup of a data centre that has no backup itself: it
+// misses departures while its reader stands still and the store rejects it.
+TEST_F(LeavingServerTest, RejectedBackupLearnsDeparturesFromAnotherHost) {
+  const std::string reader = ReaderOf("a");
+  for (const char* name : {"a", "b", "c", "d"}) {
+    if (name == reader) continue;
+    for (int lead_ms = 0; lead_ms <= 900; lead_ms += 150) {
+      SetFault(reader, &Host::is_frozen, milliseconds(4000));
+      Run(milliseconds(600));
+      SetFault(name, &Host::is_refused, milliseconds(4000));
+      Run(milliseconds(lead_ms));
+      Remove("app-1");
+      Run(seconds(6));
+      EXPECT_TRUE(late_.empty())
+          << name << ", " << lead_ms << " ms: " << LateText();
+      List("app-1", "app");
+      left_at_.clear();
+      late_.clear();
+      Run(seconds(4));
+    }
+  }
+}
+
 // Guards against a loss of live servers whose entries lapsed in an outage of
 // the store, at hosts that lost a call as it began.
 TEST_F(LeavingServerTest, LostCallDoesNotEndTheGraceOfAnOutage) {
