Only rejections during an interruption count as an outage

Change: the span from the first rejection of a run to its last, and as long as entries take to lapse.

Evidence: StoreOutageTest, nine cases, fails with own pauses, lost calls or the exception left out (mutants removal-kept-in-contact, removal-pause-is-outage, lapse-ends-by-a-lost-call, tried by hand).

--- a/node/node_context.h
+++ b/node/node_context.h
@@ -59,7 +59,6 @@
   // The pause before a retry is part of the time that a host may be behind.
   StoreOutage store_outage{
       {.min_outage = settings.min_lapse_outage,
-       .max_staleness = settings.freshness.max_staleness,
        .contact_time = settings.contact_time - settings.freshness.retry_pause}};
 
   TimePoint now;
--- a/node/store_outage.cc
+++ b/node/store_outage.cc
@@ -26,20 +26,17 @@
   is_rejecting_ = false;
 }
 
-Duration StoreOutage::RejectionBefore(const TopicState& topic) const {
-  const bool was_rejected = rejected_until_ > topic.interrupted_at &&
-                            rejected_since_ < topic.resumed_at;
-  if (!was_rejected) return Duration{0};
-  return topic.resumed_at - std::max(rejected_since_, topic.interrupted_at);
+Duration StoreOutage::RejectionDuring(const TopicState& topic) const {
+  const TimePoint begin = std::max(rejected_since_, topic.interrupted_at);
+  const TimePoint end = std::min(rejected_until_, topic.resumed_at);
+  return std::max(end - begin, Duration{0});
 }
 
 TimePoint StoreOutage::LapseEnd(const TopicState& topic) const {
   if (topic.resumed_at == TimePoint{}) return TimePoint{};
   const TimePoint relisted_at = topic.resumed_at + kRelistTime;
-  // The store may have failed for all hosts, whatever else happened here. A
-  // host that follows a reader makes its first call `max_staleness` later.
-  const bool may_be_outage =
-      RejectionBefore(topic) >= bounds_.min_outage - bounds_.max_staleness;
+  // The store may have failed for all hosts, whatever else happened here.
+  const bool may_be_outage = RejectionDuring(topic) >= bounds_.min_outage;
   if (may_be_outage || last_trouble_at_ <= topic.interrupted_at) {
     return relisted_at;
   }
--- a/node/store_outage.h
+++ b/node/store_outage.h
@@ -14,8 +14,6 @@
   struct Bounds {
     // Entries of live servers lapse in outages that last this long.
     Duration min_outage;
-    // Age of a topic at which a host that follows a reader calls the store.
-    Duration max_staleness;
     // Trouble of this host excuses it for this long after its end.
     Duration contact_time;
   };
@@ -40,9 +38,9 @@
   TimePoint last_trouble_at() const { return last_trouble_at_; }
 
  private:
-  // Returns how long the store rejected all calls before the last interruption
-  // of `topic` ended.
-  Duration RejectionBefore(const TopicState& topic) const;
+  // Returns how long the store rejected all calls during the last interruption
+  // of `topic`.
+  Duration RejectionDuring(const TopicState& topic) const;
 
   Bounds bounds_;
   TimePoint last_trouble_at_;  // A lost call or the end of a pause.
