--- a/tests/platform/leaving_server_test.cc
+++ b/tests/platform/leaving_server_test.cc
@@ -152,10 +152,9 @@
   }
 }
 
-// Guards against a host that misses departures while the store rejects its
-// calls and no host of its data centre, or none that it follows, reads the
-// store.
-TEST_F(LeavingServerTest, RejectedHostLearnsDeparturesFromAnyOtherHost) {
+// Guards against a host without a backup that misses departures while the store
+// rejects its calls.
+TEST_F(LeavingServerTest, RejectedHostGetsDeparturesFromAnyOtherHost) {
   for (const char* name : {"a", "b", "c", "d"}) {
     for (int lead_ms = 0; lead_ms <= 900; lead_ms += 300) {
       SetFault(name, &Host::is_refused, milliseconds(5000));
@@ -176,7 +175,7 @@
 
 // Guards against the one backup of a data centre that has no backup itself: it
 // misses departures while its reader stands still and the store rejects it.
-TEST_F(LeavingServerTest, RejectedBackupLearnsDeparturesFromAnotherHost) {
+TEST_F(LeavingServerTest, RejectedBackupGetsDeparturesFromAnotherHost) {
   const std::string reader = ReaderOf("a");
   for (const char* name : {"a", "b", "c", "d"}) {
     if (name == reader) continue;
