Log and export for how long callers go unserved while they keep asking

A refusal named the last reason of its model, but nothing told for how long the model had been unserved or that a caller was one of many; adapters left no reason (`put off: none`), so the hypotheses of the incident could not be told apart from the logs.

UnservedDemand records what was asked for and not served since. Hosts keep it for targets, rules, teams and sessions (ServiceGaps): lines `unserved` and `served_again`, gauge longest_unserved_seconds. The placement owner keeps it for targets: `target_unserved` with the deferral, copies and loads in the way, `target_served_again`. Adapters record a deferral like models. No decision uses it yet.

--- a/core/metrics.cc
+++ b/core/metrics.cc
@@ -48,6 +48,9 @@
   for (const auto& [name, value] : counters_) {
     text << "applehall_" << name << ' ' << value << '\n';
   }
+  for (const auto& [name, value] : gauges_) {
+    text << "applehall_" << name << ' ' << value << '\n';
+  }
   for (const auto& [name, summary] : summaries_) {
     const std::string base = "applehall_" + name + "_seconds";
     text << "# TYPE " << base << " histogram\n";
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -62,6 +62,8 @@
   void Count(const std::string& name, uint64_t by = 1) {
     counters_[name] += by;
   }
+  // Sets a value that may also fall.
+  void Set(const std::string& name, double value) { gauges_[name] = value; }
   void Observe(const std::string& name, Duration value) {
     summaries_[name].Add(value);
   }
@@ -71,6 +73,7 @@
 
  private:
   std::map<std::string, uint64_t> counters_;
+  std::map<std::string, double> gauges_;
   std::map<std::string, DurationSummary> summaries_;
 };
 
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -72,6 +72,7 @@
       early_(context),
       decider_(context, fleet, quotas),
       log_(context),
+      gaps_(context),
       claims_(context.settings.self, context.settings.claims),
       waits_(context, limits, requests_) {}
 
@@ -159,6 +160,7 @@
   // Last, so that requests refused for other reasons do not count.
   if (!refusal) refusal = decider_.CheckQuota(request);
   if (refusal) {
+    gaps_.RecordRefused(request, refusal->reason);
     RefuseNow(request.arrival, request.RuleLabel(), *refusal);
     return;
   }
@@ -527,6 +529,7 @@
     RecordServiceTime(context_.now - request->sent_at, state);
     quarantine_.RecordCompleted(request->arrival.fingerprint);
     if (!IsFleet()) backend_retries_[backend].RecordFirstAttempt();
+    gaps_.RecordServed(*request);
     Settle(event.handle, "answered", Verdict::kRan, "");
   } else {
     if (event.result == AttemptResult::kBroken) request->may_have_run = true;
@@ -733,6 +736,7 @@
     // An earlier attempt may have had its effect.
     refusal.verdict = Verdict::kMayHaveRun;
   }
+  gaps_.RecordRefused(*request, refusal.reason);
   context_.Emit(RefuseRequest{handle, request->RuleLabel(), refusal});
   const Verdict verdict = refusal.verdict;
   Settle(handle, "refused", verdict,
@@ -761,6 +765,7 @@
                                EngineView::RequestEnd::kOther, context_.now);
     }
   }
+  gaps_.RecordAbandoned(*request);
   const Verdict verdict = was_sent || request->may_have_run
                               ? Verdict::kMayHaveRun
                               : Verdict::kNotRun;
@@ -1024,6 +1029,7 @@
   RunClaims();
   RunDemands();
   PumpAll();
+  gaps_.RunTick();
   std::erase_if(targets_, [this](const auto& entry) {
     return entry.second.queue.empty() &&
            entry.second.service_time == Duration{0} &&
@@ -1032,11 +1038,10 @@
 }
 
 Json RequestFlow::ToJson() const {
-  Json json{{"open", requests_.size()},
-            {"waiting", waiting()},
-            {"claims", claims_.ToJson()},
-            {"queues", Json::object()},
-            {"callers", Json::object()}};
+  Json json{
+      {"open", requests_.size()},   {"waiting", waiting()},
+      {"claims", claims_.ToJson()}, {"longest_unserved_s", gaps_.ToJson()},
+      {"queues", Json::object()},   {"callers", Json::object()}};
   for (const auto& [target, state] : targets_) {
     Json item{{"waiting", state.queue.size()},
               {"worth", state.queue.total_worth()},
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -20,6 +20,7 @@
 #include "node/request_decider.h"
 #include "node/request_log.h"
 #include "node/server_ends.h"
+#include "node/service_gaps.h"
 #include "node/target_state.h"
 #include "node/wait_policy.h"
 #include "routing/retry_budget.h"
@@ -152,6 +153,7 @@
   EarlyRequests early_;
   RequestDecider decider_;
   RequestLog log_;
+  ServiceGaps gaps_;
   ClaimGuard claims_;
   ServerEnds ends_;
   OpenRequests requests_;
--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -44,6 +44,9 @@
 constexpr int kMaxRefusedLoads = 3;
 // Without an open order, reports only detect missed changes.
 constexpr Duration kIdleReportInterval = seconds(10);
+// Maximum age of the arrivals in a host's report, with its way to the owner.
+constexpr Duration kArrivalLag = seconds(1);
+constexpr Duration kUnservedLogInterval = seconds(1);
 constexpr Duration kSendWithin = milliseconds(500);
 // Longer than kSendWithin plus the driver's timeout of a second.
 constexpr Duration kCallTimeout = seconds(3);
@@ -383,6 +386,7 @@
 void FleetPlanner::HandleReport(const HostReport& report, TimePoint now) {
   usage_.ApplyReport(report, now);
   IndexHoldings();
+  RecordDemand(report, now);
   for (const HostReport::Waiting& row : report.waiting) {
     if (row.count <= 0) continue;
     for (const std::string& id : Locate(row.target).holders) {
@@ -400,6 +404,42 @@
   }
 }
 
+void FleetPlanner::RecordDemand(const HostReport& report, TimePoint now) {
+  const auto is_ready_since = [&](const std::string& target, Duration age) {
+    return std::any_of(
+        Locate(target).holders.begin(), Locate(target).holders.end(),
+        [&](const std::string& id) {
+          const Holding& holding = engines_.at(id).holdings.at(target);
+          return holding.state == State::kReady && now - holding.since >= age;
+        });
+  };
+  for (const HostReport::Waiting& row : report.waiting) {
+    if (row.count <= 0 || Locate(row.target).ready > 0) continue;
+    unserved_.RecordRequests(row.target, 0, row.worth / row.count, now);
+  }
+  for (const HostReport::Arrivals& row : report.arrivals) {
+    if (row.count <= 0) continue;
+    if (Locate(row.target).ready == 0) {
+      unserved_.RecordRequests(row.target, row.count, row.worth / row.count,
+                               now);
+    } else if (is_ready_since(row.target, kArrivalLag)) {
+      RecordServed(row.target, now);
+    }
+  }
+  for (const HostReport::Running& row : report.running) {
+    if (row.count > 0 && Locate(row.target).ready > 0) {
+      RecordServed(row.target, now);
+    }
+  }
+}
+
+void FleetPlanner::RecordServed(const std::string& target, TimePoint now) {
+  const UnservedDemand::Wait* wait = unserved_.RecordServed(target);
+  if (wait == nullptr || wait->asked_for() < kUnservedBound) return;
+  Record("target_served_again", "", target,
+         absl::StrCat(wait->requests, " requests"), now - wait->since);
+}
+
 void FleetPlanner::HandleInventory(const Inventory& inventory,
                                    TimePoint requested_at, TimePoint now) {
   const auto it = engines_.find(inventory.engine);
@@ -1098,9 +1138,9 @@
   return true;
 }
 
-void FleetPlanner::PlaceAdapter(const CatalogueEntry& entry, double worth,
-                                TimePoint now,
-                                std::vector<OrderToSend>& orders) {
+Deferral FleetPlanner::PlaceAdapter(const CatalogueEntry& entry, double worth,
+                                    TimePoint now,
+                                    std::vector<OrderToSend>& orders) {
   Engine* best = nullptr;
   uint64_t best_rank = 0;
   bool has_base = false;
@@ -1123,31 +1163,30 @@
   }
   if (!has_base) {
     const CatalogueEntry* base = FindEntry(entry.base);
-    if (base != nullptr) {
-      PlaceModel(*base, worth, absl::StrCat("for ", entry.name), false, now,
-                 orders);
-    }
-    return;
+    if (base == nullptr) return Deferral::kNoEngine;
+    return PlaceModel(*base, worth, absl::StrCat("for ", entry.name), false,
+                      now, orders);
   }
-  if (best == nullptr || !MayOrder(*best)) return;
+  if (best == nullptr || !MayOrder(*best)) return Deferral::kEngineBusy;
   const auto loading = std::count_if(
       best->holdings.begin(), best->holdings.end(), [](const auto& item) {
         return !item.second.base.empty() &&
                item.second.state == State::kLoading;
       });
-  if (loading >= kMaxConcurrentAdapterLoads) return;
+  if (loading >= kMaxConcurrentAdapterLoads) return Deferral::kEngineBusy;
   const EngineClass* engine_class = FindClass(*best);
-  if (engine_class == nullptr) return;
+  if (engine_class == nullptr) return Deferral::kNoEngine;
   if (UsedAdapterSlots(*best) >= engine_class->adapter_slots) {
-    EvictAdapter(*best, now, orders);
-    return;
+    return EvictAdapter(*best, now, orders) ? Deferral::kNone
+                                            : Deferral::kNothingToEvict;
   }
   if (UsedBytes(*best) + entry.bytes >
       engine_class->memory_bytes + kMemoryMargin / 2) {
-    return;
+    return Deferral::kNothingToEvict;
   }
   SendOrder(*best, OrderKind::kLoad, entry, CheckpointTier::kMemory,
             "requests waiting", now, orders);
+  return Deferral::kNone;
 }
 
 void FleetPlanner::ServeWaiting(TimePoint now,
@@ -1182,7 +1221,8 @@
     if (next_attempt > now) continue;
     next_attempt = now + kPlacementInterval;
     if (!entry->base.empty()) {
-      PlaceAdapter(*entry, demand.worth, now, orders);
+      RecordDeferral(demand.target,
+                     PlaceAdapter(*entry, demand.worth, now, orders));
       continue;
     }
     const Deferral deferral = PlaceModel(
@@ -1206,6 +1246,27 @@
   Record("load_put_off", "", target, DeferralName(reason));
 }
 
+// Logs what stands in the way of targets that are asked for in vain.
+void FleetPlanner::LogUnserved(TimePoint now) {
+  if (now - unserved_logged_at_ < kUnservedLogInterval) return;
+  unserved_logged_at_ = now;
+  unserved_.Expire(now);
+  for (const UnservedDemand::Wait& wait :
+       unserved_.TakeOverdue(kUnservedBound, now)) {
+    const auto deferral = deferrals_.find(wait.name);
+    const Locations& locations = Locate(wait.name);
+    Record("target_unserved", "", wait.name,
+           absl::StrCat(
+               "put off: ",
+               DeferralName(deferral == deferrals_.end() ? Deferral::kNone
+                                                         : deferral->second),
+               ", ", wait.requests, " requests, worth ", wait.worth, ", ",
+               locations.holders.size(), " holders, ", locations.copies.size(),
+               " copies, ", StoreLoads(), " loads from the store"),
+           wait.asked_for());
+  }
+}
+
 // Requests for adapters count for their base model, whose replicas serve them.
 void FleetPlanner::SumUsage(TimePoint now) {
   if (now - summed_at_ < kSumInterval) return;
@@ -1384,6 +1445,7 @@
 void FleetPlanner::Decide(bool may_order, TimePoint now,
                           std::vector<OrderToSend>& orders) {
   usage_.Expire(now);
+  LogUnserved(now);
   ExpireCalls(now);
   RequestReports(now, orders);
   UpdateResponsiveness(now);
@@ -1461,6 +1523,7 @@
             {"superseded", is_superseded_},
             {"store_width", store_width_},
             {"store_loads", StoreLoads()},
+            {"longest_unserved_s", ToSeconds(unserved_.Longest())},
             {"engines", Json::object()}};
   for (const auto& [id, engine] : engines_) {
     Json item{{"known", engine.is_known},
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/policy_set.h"
+#include "core/unserved_demand.h"
 #include "membership/engine_list.h"
 #include "placement/demand.h"
 #include "placement/engine_owner.h"
@@ -192,12 +193,16 @@
   Deferral PlaceModel(const CatalogueEntry& entry, double worth,
                       const std::string& reason, bool only_if_idle,
                       TimePoint now, std::vector<OrderToSend>& orders);
-  void PlaceAdapter(const CatalogueEntry& entry, double worth, TimePoint now,
-                    std::vector<OrderToSend>& orders);
+  // Returns why no order was sent; kNone if one was.
+  Deferral PlaceAdapter(const CatalogueEntry& entry, double worth,
+                        TimePoint now, std::vector<OrderToSend>& orders);
   bool EvictAdapter(Engine& engine, TimePoint now,
                     std::vector<OrderToSend>& orders);
   static int UsedAdapterSlots(const Engine& engine);
   void RecordDeferral(const std::string& target, Deferral reason);
+  void RecordDemand(const HostReport& report, TimePoint now);
+  void RecordServed(const std::string& target, TimePoint now);
+  void LogUnserved(TimePoint now);
   void ServeWaiting(TimePoint now, std::vector<OrderToSend>& orders);
   // Capacity of an engine in replicas: one, or less if it has a rate limit.
   double ReplicaShare(const std::string& engine) const;
@@ -258,6 +263,10 @@
   absl::flat_hash_map<std::string, TimePoint> store_ready_at_;
   // Why no load of a waiting target was ordered at the last attempt.
   absl::flat_hash_map<std::string, Deferral> deferrals_;
+  // Targets that were asked for and not served since. A target counts as served
+  // once requests arrive or run while it is ready.
+  UnservedDemand unserved_;
+  TimePoint unserved_logged_at_;
   TimePoint next_seed_at_;
   TimePoint next_fill_at_;
   UsageTable usage_;
