Tests of callers that are never served, failing

Models and adapters that callers keep asking for are never loaded, in nine of ten ways a caller can be passed over for ever: rare models beside busy ones, adapters beside a full or refusing engine, models that only the weight store has, callers that return when they were told to. Each test is a bound on the longest wait under a paused clock: 12 s, and a turn for each target that waits longer.

--- a/tests/placement/fleet_planner_fixture.h
+++ b/tests/placement/fleet_planner_fixture.h
@@ -121,6 +121,10 @@
       return;
     }
     sent_.push_back(sent);
+    if (refusing_.contains(sent.engine)) {
+      Answer(sent, OrderResult::kBusy);
+      return;
+    }
     const double sample = random_.Unit();
     if (sample < order_loss_rate_) {
       Answer(sent, OrderResult::kUnanswered);
@@ -184,6 +188,7 @@
 
   PolicySet policies_;
   std::set<std::string> unresponsive_;  // Engines that do not answer.
+  std::set<std::string> refusing_;      // Engines that refuse all orders.
   FencingToken token_ = 7;
   TimePoint now_ = kStart;
   std::map<std::string, CatalogueEntry> catalogue_;
--- /dev/null
+++ b/tests/placement/unserved_targets_test.cc
@@ -0,0 +1,315 @@
+// How long a model or adapter goes unserved while callers keep asking for it.
+
+#include "tests/placement/fleet_planner_fixture.h"
+
+namespace applehall {
+namespace {
+
+// What docs/PROMISES.md allows: the time after which a target takes precedence,
+// and a turn for each target whose wait began earlier.
+constexpr Duration kPrecedenceAfter = seconds(12);
+constexpr Duration kEngineTurn = seconds(4);
+
+class UnservedTargetsTest : public FleetPlannerTest {
+ protected:
+  // Callers that ask for a target in regular intervals. A request for a target
+  // that is not ready is refused at once.
+  struct Callers {
+    Duration interval;
+    double worth = 1;
+    TimePoint next;
+    TimePoint unserved_since;  // Epoch if the last request was served.
+    Duration longest_wait{0};
+    int requests = 0;
+    int served = 0;
+    // Running requests per engine that holds the target.
+    int running = 0;
+  };
+
+  void AddCallers(const std::string& target, Duration interval,
+                  double worth = 1, int running = 0) {
+    Callers& callers = callers_[target];
+    callers.interval = interval;
+    callers.worth = worth;
+    callers.running = running;
+    callers.next = now_ + interval * (callers_.size() % 7) / 7;
+  }
+
+  std::vector<std::string> HoldersOf(const std::string& target) const {
+    std::vector<std::string> holders;
+    for (const auto& [id, engine] : engines_) {
+      if (engine->IsLoaded(target)) holders.push_back(id);
+    }
+    return holders;
+  }
+
+  void RunCallers(Duration duration) {
+    for (const TimePoint end = now_ + duration; now_ < end;) {
+      HostReport report;
+      report.host = "callers";
+      for (auto& [target, callers] : callers_) {
+        if (callers.running > 0) {
+          for (const std::string& id : HoldersOf(target)) {
+            report.running.push_back({id, target, callers.running});
+          }
+        }
+        if (callers.next > now_) continue;
+        callers.next += callers.interval;
+        ++callers.requests;
+        report.arrivals.push_back({target, 1, callers.worth});
+        if (IsReady(target)) {
+          ++callers.served;
+          callers.unserved_since = TimePoint{};
+          continue;
+        }
+        report.waiting.push_back({target, 1, callers.worth, seconds(2)});
+        if (callers.unserved_since == TimePoint{}) {
+          callers.unserved_since = now_;
+        }
+        callers.longest_wait =
+            std::max(callers.longest_wait, now_ - callers.unserved_since);
+      }
+      planner_->HandleReport(report, now_);
+      Step();
+    }
+  }
+
+  void ExpectServedWithin(const std::string& target, Duration bound) {
+    const Callers& callers = callers_.at(target);
+    EXPECT_GT(callers.served, 0) << target;
+    EXPECT_LE(ToMillis(callers.longest_wait), ToMillis(bound))
+        << target << ", " << callers.served << " of " << callers.requests;
+  }
+
+  // The share of all requests for `targets` that were served.
+  double ServedShare(const std::vector<std::string>& targets) const {
+    double served = 0;
+    double requests = 0;
+    for (const std::string& target : targets) {
+      served += callers_.at(target).served;
+      requests += callers_.at(target).requests;
+    }
+    return served / requests;
+  }
+
+  // Places `models` models on the engines in turn, each on one engine.
+  void PlaceInTurn(int models) {
+    for (int i = 0; i < models; ++i) {
+      const std::string id = "e" + std::to_string(i % engines_.size());
+      engines_.at(id)->Place(ModelName(i), kModelBytes);
+    }
+    UpdateListing();
+    Run(seconds(3));
+  }
+
+  std::map<std::string, Callers> callers_;
+};
+
+// Guards against rare models that are never loaded, as each model that could be
+// unloaded for them is worth more at every moment.
+TEST_F(UnservedTargetsTest, RareModelsAreLoadedBesideBusyOnes) {
+  CreateEngines(4, 18);
+  PlaceInTurn(12);
+  for (const auto& [id, engine] : engines_) {
+    for (int i = 12; i < 18; ++i) {
+      engine->Place(ModelName(i), kModelBytes);
+      engine->Lose(ModelName(i));
+    }
+  }
+  UpdateListing();
+  std::vector<std::string> busy;
+  for (int i = 0; i < 12; ++i) {
+    busy.push_back(ModelName(i));
+    AddCallers(busy.back(), milliseconds(400), /*worth=*/6);
+  }
+  for (int i = 12; i < 18; ++i) AddCallers(ModelName(i), seconds(2));
+  RunCallers(seconds(90));
+  for (int i = 12; i < 18; ++i) {
+    ExpectServedWithin(ModelName(i), kPrecedenceAfter + 6 * kEngineTurn);
+  }
+  // One of the four engines at a time.
+  EXPECT_GE(ServedShare(busy), 0.75);
+}
+
+// Guards against adapters that wait for one engine whose adapters are all in
+// use, while another engine with the same model has room.
+TEST_F(UnservedTargetsTest, AdaptersUseEveryEngineOfTheirModel) {
+  for (int model = 0; model < 6; ++model) {
+    callers_.clear();
+    engines_.clear();
+    CreateEngines(2, 6, /*adapters=*/16);
+    for (const auto& [id, engine] : engines_) {
+      engine->Place(ModelName(model), kModelBytes);
+    }
+    UpdateListing();
+    Run(seconds(3));
+    for (int a = 1; a <= 16; ++a) {
+      AddCallers(ModelName(model) + "/a" + std::to_string(a), milliseconds(500),
+                 /*worth=*/1, /*running=*/1);
+      RunCallers(seconds(1));
+    }
+    RunCallers(seconds(10));
+    for (int a = 1; a <= 16; ++a) {
+      ExpectServedWithin(ModelName(model) + "/a" + std::to_string(a),
+                         seconds(1));
+    }
+  }
+}
+
+// Guards against adapters that are never loaded, as the others of their model
+// are in use at every moment.
+TEST_F(UnservedTargetsTest, AdaptersOfAFullModelTakeTurns) {
+  CreateEngines(1, 1, /*adapters=*/10);
+  engines_.at("e0")->Place(ModelName(0), kModelBytes);
+  UpdateListing();
+  Run(seconds(3));
+  for (int a = 1; a <= 10; ++a) {
+    AddCallers(ModelName(0) + "/a" + std::to_string(a), seconds(1),
+               /*worth=*/a <= 8 ? 6 : 1, /*running=*/1);
+  }
+  RunCallers(seconds(90));
+  for (int a = 1; a <= 10; ++a) {
+    ExpectServedWithin(ModelName(0) + "/a" + std::to_string(a),
+                       kPrecedenceAfter + 2 * kEngineTurn);
+  }
+}
+
+// Guards against adapters without memory on their engine: those in use there
+// are small enough in number but not in size.
+TEST_F(UnservedTargetsTest, LargeAdaptersReplaceEachOther) {
+  CreateEngines(1, 3, /*adapters=*/4);
+  for (auto& [name, entry] : catalogue_) {
+    if (!entry.base.empty()) entry.bytes = 100'000'000;
+  }
+  catalogue_.at(ModelName(2)).bytes = 89'700'000'000;
+  engines_.at("e0")->Place(ModelName(0), kModelBytes);
+  engines_.at("e0")->Place(ModelName(1), kModelBytes);
+  engines_.at("e0")->Place(ModelName(2), 89'700'000'000);
+  UpdateListing();
+  Run(seconds(3));
+  for (int a = 1; a <= 4; ++a) {
+    AddCallers(ModelName(0) + "/a" + std::to_string(a), seconds(2));
+  }
+  RunCallers(seconds(60));
+  for (int a = 1; a <= 4; ++a) {
+    ExpectServedWithin(ModelName(0) + "/a" + std::to_string(a),
+                       kPrecedenceAfter + 4 * kEngineTurn);
+  }
+}
+
+// Guards against adapters whose base model is loaded nowhere and is not asked
+// for by itself.
+TEST_F(UnservedTargetsTest, AdaptersOfRareModelsAreLoadedBesideBusyModels) {
+  CreateEngines(4, 14, /*adapters=*/1);
+  PlaceInTurn(12);
+  for (const auto& [id, engine] : engines_) {
+    for (int i = 12; i < 14; ++i) {
+      engine->Place(ModelName(i), kModelBytes);
+      engine->Lose(ModelName(i));
+    }
+  }
+  UpdateListing();
+  for (int i = 0; i < 12; ++i) AddCallers(ModelName(i), milliseconds(400), 6);
+  AddCallers(ModelName(12) + "/a1", seconds(3));
+  AddCallers(ModelName(13) + "/a1", seconds(3));
+  RunCallers(seconds(90));
+  ExpectServedWithin(ModelName(12) + "/a1", kPrecedenceAfter + 2 * kEngineTurn);
+  ExpectServedWithin(ModelName(13) + "/a1", kPrecedenceAfter + 2 * kEngineTurn);
+}
+
+// Guards against models whose only copy is in the weight store and whose
+// callers are refused at once: further replicas of busy models took each of the
+// store's free moments.
+TEST_F(UnservedTargetsTest, StoreLoadsRareModelsBesideOverloadedOnes) {
+  CreateEngines(8, 9);
+  for (int i = 0; i < 6; ++i) {
+    engines_.at("e" + std::to_string(i))->Place(ModelName(i), kModelBytes);
+  }
+  UpdateListing();
+  Run(seconds(3));
+  for (int i = 0; i < 6; ++i) AddCallers(ModelName(i), milliseconds(20), 6);
+  for (int i = 6; i < 9; ++i) AddCallers(ModelName(i), seconds(5));
+  RunCallers(seconds(90));
+  // Two loads of 6 s for each of the three, one of them for a busy model.
+  for (int i = 6; i < 9; ++i) {
+    ExpectServedWithin(ModelName(i), 3 * 2 * seconds(6) + kEngineTurn);
+  }
+}
+
+// Guards against first copies in the order of names: models nobody asks for
+// were fetched from the weight store before one whose callers had been refused.
+TEST_F(UnservedTargetsTest, RefusedModelIsFetchedBeforeModelsWithoutRequests) {
+  CreateEngines(20, 60);
+  Run(seconds(1));
+  const std::string last = ModelName(9);  // By name, of m0 to m59.
+  AddCallers(last, seconds(10));
+  RunCallers(seconds(40));
+  ExpectServedWithin(last, seconds(20));
+}
+
+// Guards against a Retry-After that nothing stands behind: a caller that
+// returns when it was told to finds its model loaded.
+TEST_F(UnservedTargetsTest, ModelIsLoadedWhenItsCallerWasToldToReturn) {
+  CreateEngines(8, 12);
+  for (int i = 0; i < 6; ++i) {
+    engines_.at("e" + std::to_string(i))->Place(ModelName(i), kModelBytes);
+  }
+  UpdateListing();
+  Run(seconds(3));
+  for (int i = 0; i < 6; ++i) AddCallers(ModelName(i), milliseconds(20), 6);
+  RunCallers(seconds(5));
+  for (int i = 6; i < 12; ++i) {
+    SCOPED_TRACE(ModelName(i));
+    AddCallers(ModelName(i), seconds(1000));
+    callers_.at(ModelName(i)).next = now_;
+    RunCallers(milliseconds(100));
+    const DemandAnswer answer = planner_->Answer(ModelName(i), now_);
+    RunCallers(std::max<Duration>(answer.expected, milliseconds(500)));
+    // Reports show the end of a load with a lag.
+    RunCallers(milliseconds(500));
+    EXPECT_TRUE(IsReady(ModelName(i)));
+    callers_.at(ModelName(i)).next = now_;
+    RunCallers(milliseconds(100));
+  }
+}
+
+// Guards against an engine that is chosen for an adapter again after each of
+// its refusals, while another one would take it.
+TEST_F(UnservedTargetsTest, EngineThatRefusesAdaptersIsNotTriedForever) {
+  CreateEngines(2, 1, /*adapters=*/6);
+  for (const auto& [id, engine] : engines_) {
+    engine->Place(ModelName(0), kModelBytes);
+  }
+  refusing_.insert("e0");
+  UpdateListing();
+  Run(seconds(3));
+  for (int a = 1; a <= 6; ++a) {
+    AddCallers(ModelName(0) + "/a" + std::to_string(a), seconds(2));
+  }
+  RunCallers(seconds(40));
+  for (int a = 1; a <= 6; ++a) {
+    ExpectServedWithin(ModelName(0) + "/a" + std::to_string(a),
+                       kPrecedenceAfter);
+  }
+}
+
+// Guards against an engine that is chosen for a model again after each of its
+// refusals.
+TEST_F(UnservedTargetsTest, EngineThatRefusesModelsIsNotTriedForever) {
+  CreateEngines(2, 3);
+  refusing_.insert("e0");
+  for (int i = 0; i < 3; ++i) {
+    engines_.at("e0")->Place(ModelName(i), kModelBytes);
+    engines_.at("e0")->Lose(ModelName(i));
+  }
+  UpdateListing();
+  Run(seconds(3));
+  for (int i = 0; i < 3; ++i) AddCallers(ModelName(i), seconds(2));
+  RunCallers(seconds(60));
+  for (int i = 0; i < 3; ++i) {
+    ExpectServedWithin(ModelName(i), kPrecedenceAfter + 3 * seconds(8));
+  }
+}
+
+}  // namespace
+}  // namespace applehall
