The store's width follows from all loads beside a load, and may rise

What callers saw: models that only the weight store has took twice as long to come, for as long as the placement owner lived.

Cause: the estimate divided the number of loads at the start of a load by its slowdown, so loads that had fewer neighbours later gave too low a figure; it took the lowest ever seen and never rose.

Change: StoreWidth integrates the share of the store that a load had over its whole time, which gives the width exactly while the store is full; a fast load after 60 s without a slowed one raises it by one.

The planner's tests of the width pass unchanged.

--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -79,15 +79,11 @@
 constexpr int kMaxBonusReplicas = 5;
 // How long an engine is reserved for the model that a victim was unloaded for.
 constexpr Duration kReservationTime = seconds(3);
-// Assumed number of concurrent loads that the weight store serves at full
-// speed: doubled up to the maximum while loads take the configured time,
-// lowered when they are slower. Starting with four took 53 s per load on a
-// store that serves one in 13 s, and blocked the engine of each for other
-// loads.
+// Assumed number of concurrent loads that the weight store serves at full speed
+// until loads show it. Starting with four took 53 s per load on a store that
+// serves one in 13 s, and blocked the engine of each for other loads.
 constexpr double kInitialStoreWidth = 2.0;
-constexpr double kMaxStoreWidth = 4.0;
-// Ratio to the configured time above which a load was slowed by others.
-constexpr double kSlowedLoadRatio = 1.3;
+constexpr double kFixedStoreWidth = 4.0;
 constexpr Duration kStoreWindow = seconds(5);
 // Requests per second above which a model gets a second replica, to stay
 // available when an engine fails.
@@ -132,8 +128,9 @@
     : self_(std::move(self)),
       token_(token),
       policies_(policies),
-      store_width_(policies.Has(Policy::kStoreWidth) ? kInitialStoreWidth
-                                                     : kMaxStoreWidth) {}
+      store_width_(policies.Has(Policy::kStoreWidth)
+                       ? StoreWidth(kInitialStoreWidth)
+                       : StoreWidth(kFixedStoreWidth, /*is_fixed=*/true)) {}
 
 void FleetPlanner::SetCatalogue(
     const std::map<std::string, CatalogueEntry>* catalogue,
@@ -260,7 +257,7 @@
 
 bool FleetPlanner::HasStoreCapacity(const std::string& service,
                                     TimePoint now) const {
-  if (StoreLoads() >= static_cast<int>(store_width_)) return false;
+  if (StoreLoads() >= static_cast<int>(store_width_.width())) return false;
   const auto engine_class = classes_->find(service);
   if (engine_class == classes_->end()) return false;
   const auto recent = std::count_if(
@@ -577,26 +574,12 @@
   }
 }
 
-// Beyond its width the weight store slows all loads in proportion to their
-// number, so the width is the number of loads divided by the slowdown.
 void FleetPlanner::UpdateStoreWidth(const OpenOrder& order, TimePoint now) {
-  if (!policies_.Has(Policy::kStoreWidth)) return;
   if (order.tier != CheckpointTier::kRemote) return;
   const CatalogueEntry* entry = FindEntry(order.name);
   if (entry == nullptr) return;
-  const double ratio =
-      ToSeconds(now - order.sent_at) / ToSeconds(LoadTime(*entry, order.tier));
-  if (ratio < kSlowedLoadRatio) {
-    const bool was_filled = order.store_loads_at_start >= store_width_;
-    if (was_filled && !is_store_width_known_) {
-      store_width_ = std::min(store_width_ * 2, kMaxStoreWidth);
-    }
-    return;
-  }
-  is_store_width_known_ = true;
-  const double width = std::max(
-      1.0, std::round(static_cast<double>(order.store_loads_at_start) / ratio));
-  store_width_ = std::min(store_width_, width);
+  store_width_.Advance(StoreLoads() + 1, now);  // With this one.
+  store_width_.RecordLoad(order.store_start, LoadTime(*entry, order.tier), now);
 }
 
 // ---- Orders and their answers ----
@@ -635,7 +618,8 @@
       while (now - store_load_starts_.front() > kStoreWindow) {
         store_load_starts_.pop_front();
       }
-      open.store_loads_at_start = StoreLoads() + 1;
+      store_width_.Advance(StoreLoads(), now);
+      open.store_start = store_width_.Begin(StoreLoads(), now);
     }
   } else {
     holding.state = State::kUnloading;
@@ -1214,7 +1198,7 @@
       if (!HasStoreCapacity(entry->service, now)) {
         store_ready_at_[demand.target] = store_free_at + load;
         store_free_at += Duration(static_cast<int64_t>(
-            static_cast<double>(load.count()) / store_width_));
+            static_cast<double>(load.count()) / store_width_.width()));
       }
     }
     TimePoint& next_attempt = next_attempts_[demand.target];
@@ -1378,7 +1362,7 @@
   if (!policies_.Has(Policy::kSeeding)) return;
   if (catalogue_ == nullptr || next_seed_at_ > now) return;
   next_seed_at_ = now + kSeedInterval;
-  const int max_loads = std::min(static_cast<int>(store_width_),
+  const int max_loads = std::min(static_cast<int>(store_width_.width()),
                                  static_cast<int>(engines_.size() + 1) / 2);
   if (StoreLoads() >= max_loads) return;
   for (const auto& [name, entry] : *catalogue_) {
@@ -1447,6 +1431,7 @@
   usage_.Expire(now);
   LogUnserved(now);
   ExpireCalls(now);
+  store_width_.Advance(StoreLoads(), now);
   RequestReports(now, orders);
   UpdateResponsiveness(now);
   if (!may_order || is_superseded_ || classes_ == nullptr) return;
@@ -1521,7 +1506,7 @@
 Json FleetPlanner::ToJson(TimePoint now) const {
   Json json{{"token", token_},
             {"superseded", is_superseded_},
-            {"store_width", store_width_},
+            {"store_width", store_width_.width()},
             {"store_loads", StoreLoads()},
             {"longest_unserved_s", ToSeconds(unserved_.Longest())},
             {"engines", Json::object()}};
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -15,6 +15,7 @@
 #include "membership/engine_list.h"
 #include "placement/demand.h"
 #include "placement/engine_owner.h"
+#include "placement/store_width.h"
 #include "placement/usage_table.h"
 #include "rules/rule_checker.h"
 
@@ -97,7 +98,7 @@
     TimePoint expected_end;
     bool is_accepted = false;
     bool is_unanswered = false;
-    int store_loads_at_start = 0;
+    StoreWidth::LoadStart store_start;
   };
   // One of an engine's entries in the index of holdings.
   struct IndexedName {
@@ -283,8 +284,7 @@
   uint64_t last_order_ = 0;
   uint64_t last_sequence_ = 0;
   std::deque<TimePoint> store_load_starts_;
-  double store_width_;
-  bool is_store_width_known_ = false;  // A load was slowed by concurrent ones.
+  StoreWidth store_width_;
   bool is_superseded_ = false;
   std::vector<PlacementEvent> events_;
 };
