Models that are asked for in vain get their turn

Callers that returned when Retry-After told them were refused again.

Cause: who is next was decided by figures of the moment alone. The worth that waits just then orders engines and the weight store; a refused request left nothing behind, so a model whose callers are refused at once was never there when a place came free. The store's free moments went to further replicas of models in demand, then to models in the order of their names; and a model that was worth less than each candidate for eviction was put off for ever.

Change: the planner decides by the record of unserved demand as well. What was loaded for callers who were refused is kept until they can have returned, in the intervals in which they ask. A displaced model leaves others in their places until it is loaded again: without that each took the place of the next, and four engines did nothing but load. An eviction ahead of a load from the store reserves the store's place; it was lost to another load meanwhile, and the unload was in vain. Estimates of the store count its turns and the replicas that overloaded models lack.

Busy models keep at least three quarters of their requests beside six rare ones on four engines (bound of the test).

Tried and not kept: every second load of the store for whatever has waited longest, also for the first second.

--- a/core/policy_set.h
+++ b/core/policy_set.h
@@ -22,6 +22,7 @@
   kReservations,      // Reserves freed memory for the model it was freed for.
   kAdapterAffinity,   // Places an adapter on the same engine each time.
   kBlockedAdapters,   // Loads avoid engines whose adapters are in demand.
+  kServiceTurns,      // Targets that are asked for in vain get a turn.
   kSilence,           // Treats engines that do not answer as not serving.
   kHandOver,          // An owner that cannot confirm its lease releases it.
   // Routing.
--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -47,6 +47,16 @@
 // Maximum age of the arrivals in a host's report, with its way to the owner.
 constexpr Duration kArrivalLag = seconds(1);
 constexpr Duration kUnservedLogInterval = seconds(1);
+// How long a model is kept beyond the time at which its callers were told to
+// return.
+constexpr Duration kKeptForReturn = seconds(2);
+constexpr int kMaxOwedStoreLoads = 4;
+// One in so many engines may at a time be used for overdue targets that are
+// worth less than what is unloaded for them.
+constexpr size_t kDisplacedShare = 8;
+// The share of its own worth per second up to which a model that was displaced
+// evicts others.
+constexpr double kDisplacedWorthShare = 0.5;
 constexpr Duration kSendWithin = milliseconds(500);
 // Longer than kSendWithin plus the driver's timeout of a second.
 constexpr Duration kCallTimeout = seconds(3);
@@ -255,10 +265,29 @@
   return *store_loads_;
 }
 
-bool FleetPlanner::HasStoreCapacity(const std::string& service,
+// Loads from the weight store that begin as soon as an engine has unloaded
+// another model. Without them the store's free place would be taken meanwhile,
+// and the unload would have been in vain.
+int FleetPlanner::PreparedStoreLoads(const std::string& except,
+                                     TimePoint now) const {
+  const auto prepared =
+      std::count_if(engines_.begin(), engines_.end(), [&](const auto& item) {
+        const Engine& engine = item.second;
+        const bool is_loading =
+            engine.model_order && engine.model_order->kind == OrderKind::kLoad;
+        return engine.is_evicting && !is_loading && !engine.is_unresponsive &&
+               engine.reserved_until > now && engine.reserved_for != except &&
+               !engine.reserved_for.empty() && NeedsStore(engine.reserved_for);
+      });
+  return static_cast<int>(prepared);
+}
+
+bool FleetPlanner::HasStoreCapacity(const CatalogueEntry& model,
                                     TimePoint now) const {
-  if (StoreLoads() >= static_cast<int>(store_width_.width())) return false;
-  const auto engine_class = classes_->find(service);
+  const auto width = static_cast<int>(store_width_.width());
+  if (StoreLoads() >= width) return false;
+  if (StoreLoads() + PreparedStoreLoads(model.name, now) >= width) return false;
+  const auto engine_class = classes_->find(model.service);
   if (engine_class == classes_->end()) return false;
   const auto recent = std::count_if(
       store_load_starts_.begin(), store_load_starts_.end(),
@@ -413,6 +442,8 @@
   for (const HostReport::Waiting& row : report.waiting) {
     if (row.count <= 0 || Locate(row.target).ready > 0) continue;
     unserved_.RecordRequests(row.target, 0, row.worth / row.count, now);
+    Promise& promise = promises_[row.target];
+    promise.callers_until = std::max(promise.callers_until, now + row.slack);
   }
   for (const HostReport::Arrivals& row : report.arrivals) {
     if (row.count <= 0) continue;
@@ -431,6 +462,7 @@
 }
 
 void FleetPlanner::RecordServed(const std::string& target, TimePoint now) {
+  promises_.erase(target);
   const UnservedDemand::Wait* wait = unserved_.RecordServed(target);
   if (wait == nullptr || wait->asked_for() < kUnservedBound) return;
   Record("target_served_again", "", target,
@@ -614,6 +646,8 @@
     holding = {State::kLoading, entry.base, entry.bytes, now};
     open.expected_end = now + (is_model ? LoadTime(entry, tier) : kAdapterLoad);
     if (is_model && tier == CheckpointTier::kRemote) {
+      ++store_loads_sent_;
+      owed_store_loads_ = std::min(owed_store_loads_ + 1, kMaxOwedStoreLoads);
       store_load_starts_.push_back(now);
       while (now - store_load_starts_.front() > kStoreWindow) {
         store_load_starts_.pop_front();
@@ -846,6 +880,7 @@
 // empty if the evictable ones do not suffice.
 std::vector<std::string> FleetPlanner::ChooseVictims(const Engine& engine,
                                                      uint64_t needed,
+                                                     Precedence precedence,
                                                      TimePoint now) const {
   struct Candidate {
     std::string name;
@@ -856,7 +891,9 @@
   for (const auto& [name, holding] : engine.holdings) {
     if (!holding.base.empty() || holding.state != State::kReady) continue;
     if (now - holding.since < kMinResidency) continue;
-    if (usage_.HasWaiting(name)) continue;
+    if (kept_.contains(name)) continue;
+    const bool is_waited_for = usage_.HasWaiting(name);
+    if (is_waited_for && precedence != Precedence::kOverdue) continue;
     double loss = EvictionLoss(engine, name, now);
     // Of equals prefers the one with the most replicas, a hint to its demand
     // while no usage is reported yet, and then the oldest.
@@ -865,6 +902,7 @@
     if (usage_.RunningOn(engine.listed.id, name) > 0) {
       loss += kBusyVictimSeconds;
     }
+    if (is_waited_for) loss += kBusyVictimSeconds;
     candidates.push_back({name, holding.bytes, loss});
   }
   std::sort(candidates.begin(), candidates.end(),
@@ -882,9 +920,31 @@
   return victims;
 }
 
+// Limits the engines on which targets take precedence over models that are
+// worth more, so that most engines serve what is worth most at any time.
+bool FleetPlanner::MayDisplace(TimePoint now) const {
+  const auto displaced = std::count_if(
+      engines_.begin(), engines_.end(),
+      [now](const auto& item) { return item.second.displaced_until > now; });
+  const size_t most = std::max<size_t>(1, engines_.size() / kDisplacedShare);
+  return static_cast<size_t>(displaced) < most;
+}
+
+// Returns the highest loss at which other models are evicted for `entry`. A
+// model that gave up its place for a while would else take that of another one
+// in demand, which would take the next, and all engines would be loading.
+double FleetPlanner::AllowedLoss(const CatalogueEntry& entry,
+                                 double worth) const {
+  const auto displaced = displaced_.find(entry.name);
+  if (displaced == displaced_.end()) return worth;
+  const auto busy = busy_.find(entry.name);
+  const double rate = busy == busy_.end() ? 0 : busy->second.worth_rate;
+  return std::min(worth, rate * kDisplacedWorthShare);
+}
+
 std::optional<FleetPlanner::Option> FleetPlanner::MakeOption(
     Engine& engine, const CatalogueEntry& entry, double worth,
-    bool is_background, TimePoint now, Search& search) {
+    Precedence precedence, TimePoint now, Search& search) {
   const EngineClass* engine_class = FindClass(engine);
   if (engine_class == nullptr || engine.listed.service != entry.service) {
     return std::nullopt;
@@ -918,7 +978,7 @@
   double loss = 0;
   if (used + entry.bytes > engine_class->memory_bytes) {
     const uint64_t needed = used + entry.bytes - engine_class->memory_bytes;
-    option.victims = ChooseVictims(engine, needed, now);
+    option.victims = ChooseVictims(engine, needed, precedence, now);
     if (option.victims.empty()) {
       search.Reject(Deferral::kNothingToEvict);
       return std::nullopt;
@@ -934,14 +994,19 @@
   ready_in += LoadTime(entry, option.tier);
   // Does not evict models whose worth per second exceeds the total worth of the
   // new one; otherwise demand that has moved on would evict models in demand.
-  if (loss > worth) {
+  option.displaces = loss > AllowedLoss(entry, worth);
+  const bool may_displace =
+      precedence == Precedence::kOverdue && MayDisplace(now);
+  if (option.displaces && !may_displace) {
     search.Reject(Deferral::kVictimsWorthMore);
     return std::nullopt;
   }
   const double blocked = BlockedAdapterLoss(engine, ready_in);
   // Waiting requests prefer the engine that blocks the fewest adapters, but are
   // not held back: they would wait forever if all engines serve adapters.
-  if (is_background && loss + blocked > worth) return std::nullopt;
+  if (precedence == Precedence::kSpare && loss + blocked > worth) {
+    return std::nullopt;
+  }
   loss += blocked;
   option.ready_in = ready_in;
   option.cost = ToSeconds(ready_in) + kLossWeight * loss / (worth + 1.0);
@@ -949,14 +1014,15 @@
 }
 
 void FleetPlanner::TryEngine(Engine& engine, const CatalogueEntry& entry,
-                             double worth, bool only_if_idle, TimePoint now,
+                             double worth, Precedence precedence, TimePoint now,
                              Search& search) {
+  const bool only_if_idle = precedence == Precedence::kSpare;
   if (only_if_idle && (engine.model_order || !MayOrder(engine))) {
     search.Reject(Deferral::kEngineBusy);
     return;
   }
   std::optional<Option> option =
-      MakeOption(engine, entry, worth, only_if_idle, now, search);
+      MakeOption(engine, entry, worth, precedence, now, search);
   if (!option) return;
   if (search.best && search.best->cost <= option->cost) return;
   search.best = std::move(option);
@@ -965,18 +1031,19 @@
 // Tries the few engines with a copy first. All others have to load from the
 // weight store and are tried only if it has capacity.
 FleetPlanner::Search FleetPlanner::FindOption(const CatalogueEntry& entry,
-                                              double worth, bool only_if_idle,
+                                              double worth,
+                                              Precedence precedence,
                                               TimePoint now) {
   Search search;
   for (const std::string& id : Locate(entry.name).copies) {
-    TryEngine(engines_.at(id), entry, worth, only_if_idle, now, search);
+    TryEngine(engines_.at(id), entry, worth, precedence, now, search);
   }
-  if (!HasStoreCapacity(entry.service, now)) {
+  if (!HasStoreCapacity(entry, now)) {
     search.Reject(Deferral::kStoreFull);
     return search;
   }
   for (auto& [id, engine] : engines_) {
-    TryEngine(engine, entry, worth, only_if_idle, now, search);
+    TryEngine(engine, entry, worth, precedence, now, search);
   }
   return search;
 }
@@ -1017,7 +1084,7 @@
   // Several engines may have evicted while the store has capacity for one load.
   const bool is_from_store =
       TierOn(engine, entry.name) == CheckpointTier::kRemote;
-  if (is_from_store && !HasStoreCapacity(entry.service, now)) return false;
+  if (is_from_store && !HasStoreCapacity(entry, now)) return false;
   const EngineClass* engine_class = FindClass(engine);
   if (engine_class == nullptr) return false;
   uint64_t freed = 0;
@@ -1054,8 +1121,8 @@
 }
 
 Deferral FleetPlanner::PlaceModel(const CatalogueEntry& entry, double worth,
-                                  const std::string& reason, bool only_if_idle,
-                                  TimePoint now,
+                                  const std::string& reason,
+                                  Precedence precedence, TimePoint now,
                                   std::vector<OrderToSend>& orders) {
   if (Engine* prepared = FindEvictingEngine(entry.name, now)) {
     if (!MayFollowUnload(*prepared, entry, now)) return Deferral::kEngineBusy;
@@ -1064,13 +1131,13 @@
               reason, now, orders);
     return Deferral::kNone;
   }
-  const Search search = FindOption(entry, worth, only_if_idle, now);
+  const Search search = FindOption(entry, worth, precedence, now);
   const std::optional<Option>& option = search.best;
   if (!option) return search.deferral;
   Engine& engine = *option->engine;
   if (!MayOrder(engine) || engine.model_order) {
     // Waiting for this engine is faster than any other option.
-    if (!only_if_idle) {
+    if (precedence != Precedence::kSpare) {
       engine.is_evicting = false;
       engine.reserved_for = entry.name;
       engine.reserved_until = now + kEndPollInterval;
@@ -1080,6 +1147,12 @@
   engine.reserved_for = entry.name;
   engine.reserved_until = now + kReservationTime;
   engine.is_evicting = !option->victims.empty();
+  if (option->displaces) {
+    engine.displaced_until = now + option->ready_in + kKeptForReturn;
+    for (const std::string& victim : option->victims) {
+      displaced_[victim] = now + kUnservedBound;
+    }
+  }
   if (engine.is_evicting) {
     evicting_engines_[entry.name] = engine.listed.id;
     const CatalogueEntry* victim = FindEntry(option->victims.front());
@@ -1148,8 +1221,8 @@
   if (!has_base) {
     const CatalogueEntry* base = FindEntry(entry.base);
     if (base == nullptr) return Deferral::kNoEngine;
-    return PlaceModel(*base, worth, absl::StrCat("for ", entry.name), false,
-                      now, orders);
+    return PlaceModel(*base, worth, absl::StrCat("for ", entry.name),
+                      Precedence::kWaiting, now, orders);
   }
   if (best == nullptr || !MayOrder(*best)) return Deferral::kEngineBusy;
   const auto loading = std::count_if(
@@ -1173,37 +1246,222 @@
   return Deferral::kNone;
 }
 
-void FleetPlanner::ServeWaiting(TimePoint now,
-                                std::vector<OrderToSend>& orders) {
-  // Estimates when the store can deliver each target, highest worth first, so
-  // that hosts can refuse requests that would miss their deadline.
+const std::string& FleetPlanner::ModelOf(const CatalogueEntry& entry) const {
+  return entry.base.empty() ? entry.name : entry.base;
+}
+
+bool FleetPlanner::NeedsStore(const std::string& model) const {
+  const Locations& locations = Locate(model);
+  return locations.holders.empty() && locations.copies.empty();
+}
+
+// Keeps what was loaded for callers who were refused until they can have
+// returned. Without requests meanwhile it would be the first to be evicted. Who
+// has not returned by then asks anew, so that others have their turn.
+void FleetPlanner::UpdateKept(TimePoint now) {
+  unserved_order_.clear();
+  kept_.clear();
+  if (!policies_.Has(Policy::kServiceTurns)) return;
+  unserved_order_ = unserved_.InOrder();
+  for (const UnservedDemand::Wait& wait : unserved_order_) {
+    const CatalogueEntry* entry = FindEntry(wait.name);
+    if (entry == nullptr) continue;
+    const std::string& model = ModelOf(*entry);
+    if (Locate(model).ready == 0) continue;
+    const auto promise = promises_.find(wait.name);
+    TimePoint until =
+        promise == promises_.end() ? TimePoint{} : promise->second.ready_at;
+    for (const std::string& id : Locate(model).holders) {
+      const Engine& engine = engines_.at(id);
+      for (const std::string& name : {model, wait.name}) {
+        const auto holding = engine.holdings.find(name);
+        if (holding == engine.holdings.end()) continue;
+        if (holding->second.state != State::kReady) continue;
+        until = std::max(until, holding->second.since);
+      }
+    }
+    const bool is_ready = Locate(wait.name).ready > 0;
+    if (is_ready && usage_.HasWaiting(wait.name)) {
+      RecordServed(wait.name, now);  // Its callers are still there.
+      continue;
+    }
+    if (now >= until + TimeToReturn(wait)) {
+      if (is_ready) EndWait(wait.name);
+      continue;
+    }
+    if (Locate(model).ready == 1) kept_.insert(model);
+    if (is_ready && wait.asked_for() >= kUnservedBound) kept_.insert(wait.name);
+  }
+}
+
+void FleetPlanner::EndWait(const std::string& target) {
+  promises_.erase(target);
+  unserved_.RecordServed(target);
+}
+
+// Callers that do not follow Retry-After return in their own intervals.
+Duration FleetPlanner::TimeToReturn(const UnservedDemand::Wait& wait) {
+  if (wait.requests < 2) return kKeptForReturn;
+  return std::clamp<Duration>(2 * wait.asked_for() / (wait.requests - 1),
+                              kKeptForReturn, kUnservedBound);
+}
+
+// Estimates when the weight store can have delivered each target, so that hosts
+// refuse requests that would miss their deadline and tell their callers when to
+// return. Turns alternate between the model that has been unserved longest and
+// all others, overloaded ones first.
+void FleetPlanner::EstimateStoreTurns(TimePoint now) {
   store_ready_at_.clear();
-  TimePoint store_free_at = now;
+  std::vector<TimePoint> slots;
   for (const auto& [id, engine] : engines_) {
     const auto& order = engine.model_order;
     if (!order || engine.is_unresponsive) continue;
     if (order->tier != CheckpointTier::kRemote) continue;
-    store_free_at = std::max(store_free_at, order->expected_end);
+    slots.push_back(std::max(now, order->expected_end));
+  }
+  std::sort(slots.begin(), slots.end());
+  const auto width = static_cast<size_t>(std::max(1.0, store_width_.width()));
+  // The next load starts once fewer than `width` are left.
+  if (slots.size() > width) slots.erase(slots.begin(), slots.end() - width);
+  slots.resize(width, now);
+  std::vector<const CatalogueEntry*> by_worth;
+  std::vector<const CatalogueEntry*> by_wait;
+  const auto add = [&](const std::string& target,
+                       std::vector<const CatalogueEntry*>& line) {
+    const CatalogueEntry* entry = FindEntry(target);
+    if (entry != nullptr && NeedsStore(ModelOf(*entry))) line.push_back(entry);
+  };
+  for (const UsageTable::Demand& demand : usage_.Waiting()) {
+    add(demand.target, by_worth);
+  }
+  for (const UnservedDemand::Wait& wait : unserved_order_) {
+    add(wait.name, by_wait);
+  }
+  // The replicas' own load times differ little.
+  Duration replica_load{0};
+  for (const CatalogueEntry* entry : by_wait) {
+    const CatalogueEntry* model = FindEntry(ModelOf(*entry));
+    if (model == nullptr) continue;
+    replica_load =
+        std::max(replica_load, LoadTime(*model, CheckpointTier::kRemote));
+  }
+  std::map<std::string, TimePoint> ready_at;  // By model.
+  const auto take = [&](const CatalogueEntry& entry) {
+    const std::string& model = ModelOf(entry);
+    const CatalogueEntry* loaded = FindEntry(model);
+    if (loaded == nullptr) return false;
+    const auto [known, is_new] = ready_at.try_emplace(model);
+    if (is_new) {
+      const auto slot = std::min_element(slots.begin(), slots.end());
+      *slot += LoadTime(*loaded, CheckpointTier::kRemote);
+      known->second = *slot;
+    }
+    store_ready_at_.try_emplace(entry.name, known->second);
+    return is_new;
+  };
+  size_t next_worth = 0;
+  size_t next_wait = 0;
+  int replicas = lacking_replicas_;
+  int owed = owed_store_loads_;
+  while (next_worth < by_worth.size() || next_wait < by_wait.size()) {
+    const bool has_others = replicas > 0 || next_worth < by_worth.size();
+    if (next_wait < by_wait.size() && (owed > 0 || !has_others)) {
+      if (take(*by_wait[next_wait++])) --owed;
+    } else if (replicas > 0) {
+      --replicas;
+      ++owed;
+      *std::min_element(slots.begin(), slots.end()) += replica_load;
+    } else if (take(*by_worth[next_worth++])) {
+      ++owed;
+    }
   }
+}
+
+// Returns whether a load of `entry` has to begin now if callers who were told
+// when to return, and can return before their deadline, shall find it.
+bool FleetPlanner::IsPromiseDue(const CatalogueEntry& entry,
+                                TimePoint now) const {
+  const auto it = promises_.find(entry.name);
+  const CatalogueEntry* model = FindEntry(ModelOf(entry));
+  if (it == promises_.end() || model == nullptr) return false;
+  const Promise& promise = it->second;
+  if (promise.ready_at > promise.callers_until) return false;
+  const Duration load = LoadTime(*model, CheckpointTier::kRemote);
+  return now < promise.callers_until && now + load >= promise.ready_at;
+}
+
+// Limits the attempts to place one target. While the weight store is full there
+// is nothing to try, and the first attempt after that must not be put off.
+bool FleetPlanner::MayTry(const CatalogueEntry& entry, TimePoint now) {
+  const CatalogueEntry* model = FindEntry(ModelOf(entry));
+  if (model == nullptr) return false;
+  if (NeedsStore(model->name) && !HasStoreCapacity(*model, now)) {
+    RecordDeferral(entry.name, Deferral::kStoreFull);
+    return false;
+  }
+  TimePoint& next_attempt = next_attempts_[entry.name];
+  if (next_attempt > now) return false;
+  next_attempt = now + kPlacementInterval;
+  return true;
+}
+
+// Serves targets in the order in which their callers began to ask. By worth
+// alone a rare one would be the last at each decision, and callers that are
+// refused at once would never be there when an engine or the weight store is
+// free.
+//
+// Those that have been asked for in vain for kUnservedBound take precedence on
+// engines. They, and those whose callers were told to return soon, get every
+// second load of the weight store.
+void FleetPlanner::ServeUnserved(TimePoint now,
+                                 std::vector<OrderToSend>& orders) {
+  for (const UnservedDemand::Wait& wait : unserved_order_) {
+    const CatalogueEntry* entry = FindEntry(wait.name);
+    if (entry == nullptr) continue;
+    const Locations& locations = Locate(wait.name);
+    if (locations.ready + locations.loading > 0) continue;
+    const std::string& name = ModelOf(*entry);
+    const CatalogueEntry* model = FindEntry(name);
+    if (model == nullptr) continue;
+    const bool is_overdue = wait.asked_for() >= kUnservedBound;
+    const Precedence precedence =
+        is_overdue ? Precedence::kOverdue : Precedence::kWaiting;
+    if (Locate(name).ready + Locate(name).loading > 0) {
+      const bool is_next = is_overdue || kept_.contains(name);
+      if (entry->base.empty() || !is_next || !MayTry(*entry, now)) continue;
+      RecordDeferral(wait.name, PlaceAdapter(*entry, wait.worth, now, orders));
+      continue;
+    }
+    const bool needs_store = NeedsStore(name);
+    const bool has_turn =
+        needs_store
+            ? owed_store_loads_ > 0 && (is_overdue || IsPromiseDue(*entry, now))
+            : is_overdue;
+    if (!has_turn) continue;
+    if (!MayTry(*entry, now)) continue;
+    const int owed = owed_store_loads_;
+    const uint64_t sent = store_loads_sent_;
+    const Deferral deferral = PlaceModel(
+        *model, wait.worth,
+        absl::StrCat("unserved for ", ToMillis(now - wait.since), " ms"),
+        precedence, now, orders);
+    RecordDeferral(wait.name, deferral);
+    if (store_loads_sent_ != sent) owed_store_loads_ = owed - 1;
+  }
+}
+
+void FleetPlanner::ServeWaiting(TimePoint now,
+                                std::vector<OrderToSend>& orders) {
   for (const UsageTable::Demand& demand : usage_.Waiting()) {
     const CatalogueEntry* entry = FindEntry(demand.target);
     if (entry == nullptr) continue;
     const Locations& locations = Locate(demand.target);
     if (locations.ready + locations.loading > 0) continue;
-    const std::string& model = entry->base.empty() ? entry->name : entry->base;
-    const Locations& base = Locate(model);
-    const CatalogueEntry* model_entry = FindEntry(model);
-    if (base.holders.empty() && base.copies.empty() && model_entry) {
-      const Duration load = LoadTime(*model_entry, CheckpointTier::kRemote);
-      if (!HasStoreCapacity(entry->service, now)) {
-        store_ready_at_[demand.target] = store_free_at + load;
-        store_free_at += Duration(static_cast<int64_t>(
-            static_cast<double>(load.count()) / store_width_.width()));
-      }
+    const auto ready_at = store_ready_at_.find(demand.target);
+    if (ready_at != store_ready_at_.end()) {
+      promises_[demand.target].ready_at = ready_at->second;
     }
-    TimePoint& next_attempt = next_attempts_[demand.target];
-    if (next_attempt > now) continue;
-    next_attempt = now + kPlacementInterval;
+    if (!MayTry(*entry, now)) continue;
     if (!entry->base.empty()) {
       RecordDeferral(demand.target,
                      PlaceAdapter(*entry, demand.worth, now, orders));
@@ -1211,15 +1469,33 @@
     }
     const Deferral deferral = PlaceModel(
         *entry, demand.worth,
-        absl::StrCat(demand.waiting, " waiting, worth ", demand.worth), false,
-        now, orders);
+        absl::StrCat(demand.waiting, " waiting, worth ", demand.worth),
+        Precedence::kWaiting, now, orders);
     RecordDeferral(demand.target, deferral);
   }
   if (next_attempts_.size() > kMaxTrackedTargets) next_attempts_.clear();
   if (deferrals_.size() > kMaxTrackedTargets) deferrals_.clear();
+  if (promises_.size() > kMaxTrackedTargets) promises_.clear();
   if (evicting_engines_.size() > kMaxTrackedTargets) evicting_engines_.clear();
 }
 
+// Loads models whose callers were refused because a load takes longer than they
+// may wait: they were told to return when it is done.
+void FleetPlanner::ServeRefused(TimePoint now,
+                                std::vector<OrderToSend>& orders) {
+  for (const UnservedDemand::Wait& wait : unserved_order_) {
+    if (usage_.HasWaiting(wait.name)) continue;
+    const CatalogueEntry* entry = FindEntry(wait.name);
+    if (entry == nullptr) continue;
+    const CatalogueEntry* model = FindEntry(ModelOf(*entry));
+    if (model == nullptr || !Locate(model->name).holders.empty()) continue;
+    if (!MayTry(*entry, now)) continue;
+    RecordDeferral(wait.name,
+                   PlaceModel(*model, wait.worth, "callers were refused",
+                              Precedence::kWaiting, now, orders));
+  }
+}
+
 // Logs only changes of the reason: a refusal can be traced to it without a log
 // line per attempt.
 void FleetPlanner::RecordDeferral(const std::string& target, Deferral reason) {
@@ -1235,6 +1511,9 @@
   if (now - unserved_logged_at_ < kUnservedLogInterval) return;
   unserved_logged_at_ = now;
   unserved_.Expire(now);
+  absl::erase_if(displaced_, [&](const auto& item) {
+    return item.second <= now || Locate(item.first).ready > 0;
+  });
   for (const UnservedDemand::Wait& wait :
        unserved_.TakeOverdue(kUnservedBound, now)) {
     const auto deferral = deferrals_.find(wait.name);
@@ -1323,6 +1602,7 @@
                                  std::vector<OrderToSend>& orders) {
   const Policy policy =
       is_overloaded ? Policy::kOverloadReplicas : Policy::kSecondReplica;
+  if (is_overloaded) lacking_replicas_ = 0;
   if (!policies_.Has(policy)) return;
   for (const auto& [model, busy] : busy_) {
     const Locations& locations = Locate(model);
@@ -1348,9 +1628,11 @@
     if ((unmet > 0) != is_overloaded) continue;
     // A replica for an overloaded model may wait for an engine; a spare one is
     // loaded only where it can start at once.
-    PlaceModel(*entry, busy.worth_rate * share * kReplicaHorizonSeconds,
-               is_overloaded ? "overloaded" : "busy",
-               /*only_if_idle=*/!is_overloaded, now, orders);
+    const Deferral deferral = PlaceModel(
+        *entry, busy.worth_rate * share * kReplicaHorizonSeconds,
+        is_overloaded ? "overloaded" : "busy",
+        is_overloaded ? Precedence::kWaiting : Precedence::kSpare, now, orders);
+    if (is_overloaded && deferral == Deferral::kStoreFull) ++lacking_replicas_;
   }
 }
 
@@ -1369,8 +1651,9 @@
     if (!entry.base.empty() || entry.service.empty()) continue;
     const Locations& locations = Locate(name);
     if (!locations.holders.empty() || !locations.copies.empty()) continue;
-    const Deferral deferral = PlaceModel(
-        entry, kSeedWorth, "no engine has a copy", true, now, orders);
+    const Deferral deferral =
+        PlaceModel(entry, kSeedWorth, "no engine has a copy",
+                   Precedence::kSpare, now, orders);
     // Other models of this size would fail for the same reason.
     if (deferral != Deferral::kNone || StoreLoads() >= max_loads) return;
   }
@@ -1437,10 +1720,14 @@
   if (!may_order || is_superseded_ || classes_ == nullptr) return;
   IndexHoldings();
   SumUsage(now);
+  UpdateKept(now);
+  EstimateStoreTurns(now);
+  ServeUnserved(now, orders);
   // Waiting requests can occupy the single order of every engine, so models
   // that are overloaded or no longer loaded anywhere come first.
   ReplicateBusy(/*is_overloaded=*/true, now, orders);
   ServeWaiting(now, orders);
+  ServeRefused(now, orders);
   ReplicateBusy(/*is_overloaded=*/false, now, orders);
   SeedCopies(now, orders);
   FillFreeMemory(now, orders);
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -123,6 +124,9 @@
     std::string reserved_for;
     TimePoint reserved_until;
     bool is_evicting = false;  // Unloads a model for `reserved_for`.
+    // Until when it counts as used for a target that took precedence over
+    // models that are worth more.
+    TimePoint displaced_until;
     // The accepted unload that the open load was sent after, until the engine's
     // answer to the load confirms that it is done.
     std::optional<OpenOrder> unload_before;
@@ -133,6 +137,12 @@
     std::vector<IndexedName> indexed;
     bool is_index_stale = true;
   };
+  // What a load takes precedence over.
+  enum class Precedence : uint8_t {
+    kSpare,    // Nothing: it starts at once or not at all.
+    kWaiting,  // Models that are worth less.
+    kOverdue,  // All but models that were loaded for others just now.
+  };
   // A way to load a model onto one engine.
   struct Option {
     Engine* engine = nullptr;
@@ -140,6 +150,7 @@
     std::vector<std::string> victims;
     double cost = 0;
     Duration ready_in{0};
+    bool displaces = false;  // The victims are worth more.
   };
 
   const CatalogueEntry* FindEntry(const std::string& name) const;
@@ -168,7 +179,10 @@
   double EvictionLoss(const Engine& engine, const std::string& model,
                       TimePoint now) const;
   std::vector<std::string> ChooseVictims(const Engine& engine, uint64_t needed,
+                                         Precedence precedence,
                                          TimePoint now) const;
+  bool MayDisplace(TimePoint now) const;
+  double AllowedLoss(const CatalogueEntry& entry, double worth) const;
   // The best option found so far; without one, the highest reason against it.
   struct Search {
     std::optional<Option> best;
@@ -177,13 +191,14 @@
     void Reject(Deferral reason) { deferral = std::max(deferral, reason); }
   };
   std::optional<Option> MakeOption(Engine& engine, const CatalogueEntry& entry,
-                                   double worth, bool is_background,
+                                   double worth, Precedence precedence,
                                    TimePoint now, Search& search);
   Search FindOption(const CatalogueEntry& entry, double worth,
-                    bool only_if_idle, TimePoint now);
+                    Precedence precedence, TimePoint now);
   void TryEngine(Engine& engine, const CatalogueEntry& entry, double worth,
-                 bool only_if_idle, TimePoint now, Search& search);
-  bool HasStoreCapacity(const std::string& service, TimePoint now) const;
+                 Precedence precedence, TimePoint now, Search& search);
+  int PreparedStoreLoads(const std::string& except, TimePoint now) const;
+  bool HasStoreCapacity(const CatalogueEntry& model, TimePoint now) const;
   Engine* FindEvictingEngine(const std::string& model, TimePoint now);
   bool MayFollowUnload(const Engine& engine, const CatalogueEntry& entry,
                        TimePoint now) const;
@@ -192,7 +207,7 @@
                          OrderResult result, TimePoint now);
   // Returns why no order was sent; kNone if one was.
   Deferral PlaceModel(const CatalogueEntry& entry, double worth,
-                      const std::string& reason, bool only_if_idle,
+                      const std::string& reason, Precedence precedence,
                       TimePoint now, std::vector<OrderToSend>& orders);
   // Returns why no order was sent; kNone if one was.
   Deferral PlaceAdapter(const CatalogueEntry& entry, double worth,
@@ -204,7 +219,17 @@
   void RecordDemand(const HostReport& report, TimePoint now);
   void RecordServed(const std::string& target, TimePoint now);
   void LogUnserved(TimePoint now);
+  const std::string& ModelOf(const CatalogueEntry& entry) const;
+  bool NeedsStore(const std::string& model) const;
+  void UpdateKept(TimePoint now);
+  void EndWait(const std::string& target);
+  bool IsPromiseDue(const CatalogueEntry& entry, TimePoint now) const;
+  static Duration TimeToReturn(const UnservedDemand::Wait& wait);
+  void EstimateStoreTurns(TimePoint now);
+  bool MayTry(const CatalogueEntry& entry, TimePoint now);
+  void ServeUnserved(TimePoint now, std::vector<OrderToSend>& orders);
   void ServeWaiting(TimePoint now, std::vector<OrderToSend>& orders);
+  void ServeRefused(TimePoint now, std::vector<OrderToSend>& orders);
   // Capacity of an engine in replicas: one, or less if it has a rate limit.
   double ReplicaShare(const std::string& engine) const;
   // Capacity in replicas of the engines on which `name` is ready.
@@ -264,10 +289,30 @@
   absl::flat_hash_map<std::string, TimePoint> store_ready_at_;
   // Why no load of a waiting target was ordered at the last attempt.
   absl::flat_hash_map<std::string, Deferral> deferrals_;
-  // Targets that were asked for and not served since. A target counts as served
+  // Targets that were asked for and not served since, whether their callers
+  // still wait or were refused. A target counts as served
   // once requests arrive or run while it is ready.
   UnservedDemand unserved_;
   TimePoint unserved_logged_at_;
+  // The waits of `unserved_` in their order, as of this decision.
+  std::vector<UnservedDemand::Wait> unserved_order_;
+  // What callers of an unserved target were told.
+  struct Promise {
+    TimePoint ready_at;       // Estimated when they were refused.
+    TimePoint callers_until;  // Latest deadline of those who asked.
+  };
+  absl::flat_hash_map<std::string, Promise> promises_;
+  // Until when models that were displaced leave others in their places, unless
+  // they are loaded before.
+  absl::flat_hash_map<std::string, TimePoint> displaced_;
+  // Models that are kept for callers who were told to return.
+  std::set<std::string> kept_;
+  // Loads from the weight store that unserved models are owed: one for each
+  // load of another model.
+  int owed_store_loads_ = 1;
+  uint64_t store_loads_sent_ = 0;
+  // Overloaded models without the replica they need, at the last decision.
+  int lacking_replicas_ = 0;
   TimePoint next_seed_at_;
   TimePoint next_fill_at_;
   UsageTable usage_;
