Adapters use each engine of their model, and take turns

What callers saw, in tests: an adapter was never loaded beside a free place on another engine, behind an engine that refused its orders, or among others that are in use at every moment.

Cause: an adapter went to the one engine that a hash prefers. If all adapters there were in use, or the engine refused, or its memory was full of adapters before its slots were, it was put off, and the same engine chosen again.

Change: engines are tried in the order of the hash, those last that refused an order within 5 s, and the next one where all adapters are in use; memory is freed like slots. For an overdue adapter the one worth least is withdrawn: it gets no more requests and is unloaded when its running ones have ended, as an engine keeps the slot until then and crashes if it is ordered to load more. Models prefer engines that did not refuse just now in the same way.

--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <tuple>
 
 #include "core/hash.h"
 
@@ -51,6 +52,8 @@
 // return.
 constexpr Duration kKeptForReturn = seconds(2);
 constexpr int kMaxOwedStoreLoads = 4;
+// How long an engine that refused an order comes after others.
+constexpr Duration kRefusalMemory = seconds(5);
 // One in so many engines may at a time be used for overdue targets that are
 // worth less than what is unloaded for them.
 constexpr size_t kDisplacedShare = 8;
@@ -747,6 +750,7 @@
       engine.next_report_at = now + kReportLag;
       return;
     case OrderResult::kUnanswered:
+      engine.refused_at = now;
       if (is_model) {
         engine.model_order->is_unanswered = true;
       } else {
@@ -765,6 +769,7 @@
       return;
     default:
       // Refused: the count differs, or another order is in progress.
+      engine.refused_at = now;
       RevertOrder(engine, call, now);
       engine.is_known = false;
       // Accepts the count of the next report even if it is lower.
@@ -1008,6 +1013,7 @@
     return std::nullopt;
   }
   loss += blocked;
+  if (HasRefused(engine, now)) ready_in += kRefusalMemory;
   option.ready_in = ready_in;
   option.cost = ToSeconds(ready_in) + kLossWeight * loss / (worth + 1.0);
   return option;
@@ -1180,10 +1186,16 @@
   std::string victim;
   double min_worth = 0;
   for (const auto& [name, holding] : engine.holdings) {
-    if (holding.base.empty() || holding.state != State::kReady) continue;
-    if (usage_.HasWaiting(name) || now - holding.since < kReportLag) continue;
+    const bool is_withdrawn = holding.state == State::kWithdrawn;
+    if (holding.base.empty()) continue;
+    if (holding.state != State::kReady && !is_withdrawn) continue;
     if (usage_.RunningOn(engine.listed.id, name) > 0) continue;
-    const double worth = usage_.WorthRate(name, now);
+    if (now - holding.since < (is_withdrawn ? kArrivalLag : kReportLag)) {
+      continue;
+    }
+    if (kept_.contains(name)) continue;
+    if (usage_.HasWaiting(name) && !is_withdrawn) continue;
+    const double worth = is_withdrawn ? -1 : usage_.WorthRate(name, now);
     if (!victim.empty() && worth >= min_worth) continue;
     victim = name;
     min_worth = worth;
@@ -1195,57 +1207,123 @@
   return true;
 }
 
-Deferral FleetPlanner::PlaceAdapter(const CatalogueEntry& entry, double worth,
-                                    TimePoint now,
-                                    std::vector<OrderToSend>& orders) {
-  Engine* best = nullptr;
-  uint64_t best_rank = 0;
-  bool has_base = false;
+// Stops sending requests to the adapter on `engine` with the lowest worth rate,
+// so that it can be unloaded when its running requests have ended: the engine
+// would keep its slot until then, and an order to load beyond its slots crashes
+// it.
+void FleetPlanner::WithdrawAdapter(Engine& engine, TimePoint now) {
+  Holding* victim = nullptr;
+  std::string victim_name;
+  double min_worth = 0;
+  for (auto& [name, holding] : engine.holdings) {
+    if (holding.state == State::kWithdrawn) return;  // One at a time.
+    if (holding.base.empty() || holding.state != State::kReady) continue;
+    if (now - holding.since < kMinResidency || kept_.contains(name)) continue;
+    const double worth = usage_.WorthRate(name, now);
+    if (victim != nullptr && worth >= min_worth) continue;
+    victim = &holding;
+    victim_name = name;
+    min_worth = worth;
+  }
+  if (victim == nullptr) return;
+  victim->state = State::kWithdrawn;
+  victim->since = now;
+  RecordChange(engine);
+  Record("adapter_withdrawn", engine.listed.id, victim_name,
+         "for an overdue adapter");
+}
+
+// Returns the engines that hold the base of `entry` and execute no model order,
+// during which they refuse adapters. The order is by a hash of adapter and
+// engine, so that an adapter is loaded on the same engine again, with those
+// last that refused an order just now.
+std::vector<FleetPlanner::Engine*> FleetPlanner::RankForAdapter(
+    const CatalogueEntry& entry, TimePoint now) {
+  struct Ranked {
+    bool has_refused = false;
+    uint64_t rank = 0;
+    Engine* engine = nullptr;
+  };
+  std::vector<Ranked> ranked;
   for (const std::string& id : Locate(entry.base).holders) {
     Engine& engine = engines_.at(id);
     const auto base = engine.holdings.find(entry.base);
     if (base == engine.holdings.end()) continue;
-    has_base = has_base || base->second.state != State::kUnloading;
-    if (base->second.state != State::kReady) continue;
-    // Ranks engines by a hash of adapter and engine, so that an adapter is
-    // loaded on the same engine again.
+    if (base->second.state != State::kReady || engine.model_order) continue;
     const uint64_t rank = policies_.Has(Policy::kAdapterAffinity)
                               ? StableHash(absl::StrCat(entry.name, "|", id))
                               : static_cast<uint64_t>(UsedAdapterSlots(engine));
-    // Engines refuse adapters during a model load or unload.
-    if (engine.model_order) continue;
-    if (best != nullptr && rank >= best_rank) continue;
-    best = &engine;
-    best_rank = rank;
+    ranked.push_back({HasRefused(engine, now), rank, &engine});
   }
-  if (!has_base) {
-    const CatalogueEntry* base = FindEntry(entry.base);
-    if (base == nullptr) return Deferral::kNoEngine;
-    return PlaceModel(*base, worth, absl::StrCat("for ", entry.name),
-                      Precedence::kWaiting, now, orders);
-  }
-  if (best == nullptr || !MayOrder(*best)) return Deferral::kEngineBusy;
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
+    return std::tie(a.has_refused, a.rank, a.engine->listed.id) <
+           std::tie(b.has_refused, b.rank, b.engine->listed.id);
+  });
+  std::vector<Engine*> engines;
+  for (const Ranked& item : ranked) engines.push_back(item.engine);
+  return engines;
+}
+
+bool FleetPlanner::HasRefused(const Engine& engine, TimePoint now) {
+  return engine.refused_at != TimePoint{} &&
+         now - engine.refused_at < kRefusalMemory;
+}
+
+// Loads or unloads one adapter on `engine`. Returns why not; kEngineBusy if the
+// engine can take it later.
+Deferral FleetPlanner::PlaceAdapterOn(Engine& engine,
+                                      const CatalogueEntry& entry,
+                                      TimePoint now,
+                                      std::vector<OrderToSend>& orders) {
+  const EngineClass* engine_class = FindClass(engine);
+  if (engine_class == nullptr) return Deferral::kNoEngine;
+  const bool is_held = engine.holdings.contains(entry.name);
+  if (is_held || !MayOrder(engine)) return Deferral::kEngineBusy;
   const auto loading = std::count_if(
-      best->holdings.begin(), best->holdings.end(), [](const auto& item) {
+      engine.holdings.begin(), engine.holdings.end(), [](const auto& item) {
         return !item.second.base.empty() &&
                item.second.state == State::kLoading;
       });
   if (loading >= kMaxConcurrentAdapterLoads) return Deferral::kEngineBusy;
-  const EngineClass* engine_class = FindClass(*best);
-  if (engine_class == nullptr) return Deferral::kNoEngine;
-  if (UsedAdapterSlots(*best) >= engine_class->adapter_slots) {
-    return EvictAdapter(*best, now, orders) ? Deferral::kNone
-                                            : Deferral::kNothingToEvict;
-  }
-  if (UsedBytes(*best) + entry.bytes >
-      engine_class->memory_bytes + kMemoryMargin / 2) {
-    return Deferral::kNothingToEvict;
-  }
-  SendOrder(*best, OrderKind::kLoad, entry, CheckpointTier::kMemory,
+  const bool has_room =
+      UsedAdapterSlots(engine) < engine_class->adapter_slots &&
+      UsedBytes(engine) + entry.bytes <=
+          engine_class->memory_bytes + kMemoryMargin / 2;
+  if (!has_room) {
+    return EvictAdapter(engine, now, orders) ? Deferral::kNone
+                                             : Deferral::kNothingToEvict;
+  }
+  SendOrder(engine, OrderKind::kLoad, entry, CheckpointTier::kMemory,
             "requests waiting", now, orders);
   return Deferral::kNone;
 }
 
+// Uses the first engine in order that can take the adapter now or soon; others
+// only if all adapters there are in use. An overdue adapter tries all of them.
+Deferral FleetPlanner::PlaceAdapter(const CatalogueEntry& entry, double worth,
+                                    Precedence precedence, TimePoint now,
+                                    std::vector<OrderToSend>& orders) {
+  const Locations& bases = Locate(entry.base);
+  if (bases.ready + bases.loading == 0) {
+    const CatalogueEntry* base = FindEntry(entry.base);
+    if (base == nullptr) return Deferral::kNoEngine;
+    return PlaceModel(*base, worth, absl::StrCat("for ", entry.name),
+                      Precedence::kWaiting, now, orders);
+  }
+  const bool is_overdue = precedence == Precedence::kOverdue;
+  const std::vector<Engine*> engines = RankForAdapter(entry, now);
+  Deferral deferral = Deferral::kEngineBusy;
+  for (Engine* engine : engines) {
+    deferral = PlaceAdapterOn(*engine, entry, now, orders);
+    if (deferral == Deferral::kNone) return deferral;
+    if (deferral == Deferral::kEngineBusy && !is_overdue) return deferral;
+  }
+  if (is_overdue && deferral == Deferral::kNothingToEvict) {
+    WithdrawAdapter(*engines.front(), now);
+  }
+  return deferral;
+}
+
 const std::string& FleetPlanner::ModelOf(const CatalogueEntry& entry) const {
   return entry.base.empty() ? entry.name : entry.base;
 }
@@ -1429,7 +1507,8 @@
     if (Locate(name).ready + Locate(name).loading > 0) {
       const bool is_next = is_overdue || kept_.contains(name);
       if (entry->base.empty() || !is_next || !MayTry(*entry, now)) continue;
-      RecordDeferral(wait.name, PlaceAdapter(*entry, wait.worth, now, orders));
+      RecordDeferral(wait.name,
+                     PlaceAdapter(*entry, wait.worth, precedence, now, orders));
       continue;
     }
     const bool needs_store = NeedsStore(name);
@@ -1464,7 +1543,8 @@
     if (!MayTry(*entry, now)) continue;
     if (!entry->base.empty()) {
       RecordDeferral(demand.target,
-                     PlaceAdapter(*entry, demand.worth, now, orders));
+                     PlaceAdapter(*entry, demand.worth, Precedence::kWaiting,
+                                  now, orders));
       continue;
     }
     const Deferral deferral = PlaceModel(
@@ -1790,6 +1870,20 @@
   return answer;
 }
 
+const char* FleetPlanner::StateName(State state) {
+  switch (state) {
+    case State::kLoading:
+      return "loading";
+    case State::kReady:
+      return "ready";
+    case State::kWithdrawn:
+      return "withdrawn";
+    case State::kUnloading:
+      return "unloading";
+  }
+  return "";
+}
+
 Json FleetPlanner::ToJson(TimePoint now) const {
   Json json{{"token", token_},
             {"superseded", is_superseded_},
@@ -1810,9 +1904,7 @@
                {"accepted", engine.model_order->is_accepted}};
     }
     for (const auto& [name, holding] : engine.holdings) {
-      item["holdings"][name] = holding.state == State::kReady     ? "ready"
-                               : holding.state == State::kLoading ? "loading"
-                                                                  : "unloading";
+      item["holdings"][name] = StateName(holding.state);
     }
     json["engines"][id] = std::move(item);
   }
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -83,7 +83,13 @@
   Json ToJson(TimePoint now) const;
 
  private:
-  enum class State : uint8_t { kLoading, kReady, kUnloading };
+  enum class State : uint8_t {
+    kLoading,
+    kReady,
+    kWithdrawn,  // Gets no more requests, to be unloaded when it is unused.
+    kUnloading,
+  };
+  static const char* StateName(State state);
   struct Holding {
     State state = State::kReady;
     std::string base;
@@ -124,6 +130,7 @@
     std::string reserved_for;
     TimePoint reserved_until;
     bool is_evicting = false;  // Unloads a model for `reserved_for`.
+    TimePoint refused_at;  // Of the last order it refused or left unanswered.
     // Until when it counts as used for a target that took precedence over
     // models that are worth more.
     TimePoint displaced_until;
@@ -209,9 +216,16 @@
   Deferral PlaceModel(const CatalogueEntry& entry, double worth,
                       const std::string& reason, Precedence precedence,
                       TimePoint now, std::vector<OrderToSend>& orders);
+  std::vector<Engine*> RankForAdapter(const CatalogueEntry& entry,
+                                      TimePoint now);
+  static bool HasRefused(const Engine& engine, TimePoint now);
+  Deferral PlaceAdapterOn(Engine& engine, const CatalogueEntry& entry,
+                          TimePoint now, std::vector<OrderToSend>& orders);
   // Returns why no order was sent; kNone if one was.
   Deferral PlaceAdapter(const CatalogueEntry& entry, double worth,
-                        TimePoint now, std::vector<OrderToSend>& orders);
+                        Precedence precedence, TimePoint now,
+                        std::vector<OrderToSend>& orders);
+  void WithdrawAdapter(Engine& engine, TimePoint now);
   bool EvictAdapter(Engine& engine, TimePoint now,
                     std::vector<OrderToSend>& orders);
   static int UsedAdapterSlots(const Engine& engine);
