A new owner of the engines learns for how long callers went unserved

The owner of the engines changed five times; each began with no record of who had been refused, and a model that had been asked for since second 4 counted as unserved for 14 s in second 99.

Change: hosts tell each new owner for 3 s what their callers asked for in vain and since when; a wait does not reach back beyond the last time the owner saw the target served. A load whose order went unanswered says nothing about the width of the store, as it may have been accepted late.

Evidence: UnservedTargetsTest.NextOwnerContinuesTheWait (owners that change every 5 s; needs the reported rows and could not run before), UnservedDemandTest. 133 tests of the planner pass.

--- a/core/unserved_demand.cc
+++ b/core/unserved_demand.cc
@@ -27,15 +27,23 @@
   wait.worth = worth;
 }
 
-void UnservedDemand::RecordWait(const std::string& name, TimePoint since,
-                                TimePoint asked_at, double worth) {
-  RecordRequests(name, 0, worth, asked_at);
-  const auto it = waits_.find(name);
-  if (it != waits_.end()) it->second.since = std::min(it->second.since, since);
+void UnservedDemand::RecordWait(const Wait& wait) {
+  const auto served = served_at_.find(wait.name);
+  const TimePoint since = served == served_at_.end()
+                              ? wait.since
+                              : std::max(wait.since, served->second);
+  if (since > wait.asked_at) return;
+  RecordRequests(wait.name, 0, wait.worth, wait.asked_at);
+  const auto it = waits_.find(wait.name);
+  if (it == waits_.end()) return;
+  it->second.since = std::min(it->second.since, since);
+  it->second.requests = std::max(it->second.requests, wait.requests);
 }
 
 const UnservedDemand::Wait* UnservedDemand::RecordServed(
-    const std::string& name) {
+    const std::string& name, TimePoint now) {
+  if (served_at_.size() >= kMaxNames) Expire(now);
+  if (served_at_.size() < kMaxNames) served_at_[name] = now;
   const auto it = waits_.find(name);
   if (it == waits_.end()) return nullptr;
   ended_ = std::move(it->second);
@@ -47,6 +55,9 @@
   absl::erase_if(waits_, [now](const auto& item) {
     return now - item.second.asked_at > kMemory;
   });
+  absl::erase_if(served_at_, [now](const auto& item) {
+    return now - item.second > kMemory;
+  });
 }
 
 const UnservedDemand::Wait* UnservedDemand::Find(
--- a/core/unserved_demand.h
+++ b/core/unserved_demand.h
@@ -38,13 +38,12 @@
   // counted before and still wait. Not thread-safe, as all below.
   void RecordRequests(const std::string& name, int requests, double worth,
                       TimePoint now);
-  // Records that `name` has been unserved since `since`, as another process
-  // found. An earlier start is kept. Requires: `since` <= `asked_at`.
-  void RecordWait(const std::string& name, TimePoint since, TimePoint asked_at,
-                  double worth);
+  // Adds a wait that another process has recorded, from the time on at which
+  // `wait.name` was last served here. Requires: `wait.since <= wait.asked_at`.
+  void RecordWait(const Wait& wait);
   // Ends the wait of `name`; returns it as it was, for logs, or null if there
   // was none. Valid until the next call.
-  const Wait* RecordServed(const std::string& name);
+  const Wait* RecordServed(const std::string& name, TimePoint now);
   // Removes names that were not asked for recently.
   void Expire(TimePoint now);
 
@@ -60,6 +59,7 @@
 
  private:
   absl::flat_hash_map<std::string, Wait> waits_;
+  absl::flat_hash_map<std::string, TimePoint> served_at_;
   Wait ended_;
 };
 
--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -39,6 +39,10 @@
 // updates by 5 s, and draining engines still received work after 4.2 s.
 constexpr int kMaxOwnFollowers = 8;
 constexpr Duration kPlanInterval = milliseconds(25);
+constexpr size_t kMaxUnservedRows = 32;
+// Reports to a new owner repeat the unserved targets for this long: it drops
+// those that arrive before it has read the listing of the engines.
+constexpr Duration kUnservedReportTime = seconds(3);
 // Key of the teams' quotas in reports and plans.
 constexpr char kQuotaRows[] = "quotas";
 // Key of the limits of servers that limit themselves.
@@ -345,6 +349,7 @@
   for (const EngineView::Running& row : context_.view.RunningRequests()) {
     report.running.push_back({row.engine, row.target, row.count});
   }
+  AddUnserved(report);
   arrivals_.clear();
   reported_at_ = context_.now;
   reported_targets_.clear();
@@ -354,6 +359,24 @@
   return report;
 }
 
+// Tells a new owner what callers ask for in vain: the record of the owner
+// before is lost with it.
+void FleetManager::AddUnserved(HostReport& report) {
+  const FencingToken owner = lease_.NewestOwner().token;
+  if (owner != unserved_reported_to_) {
+    unserved_reported_to_ = owner;
+    unserved_report_until_ = context_.now + kUnservedReportTime;
+  }
+  if (unserved_ == nullptr || context_.now > unserved_report_until_) return;
+  for (const UnservedDemand::Wait& wait : unserved_->InOrder()) {
+    if (report.unserved.size() >= kMaxUnservedRows) return;
+    if (context_.view.ReadyReplicas(wait.name) > 0) continue;
+    report.unserved.push_back({wait.name, context_.now - wait.since,
+                               context_.now - wait.asked_at, wait.requests,
+                               wait.worth});
+  }
+}
+
 bool FleetManager::HasNewDemand() const {
   return std::any_of(demands_.begin(), demands_.end(),
                      [this](const auto& item) {
--- a/node/fleet_manager.h
+++ b/node/fleet_manager.h
@@ -55,6 +55,9 @@
 
   // ---- Demand of this host's requests. Not thread-safe. ----
   void RecordArrival(const std::string& target, double worth);
+  // Sets what this host's callers ask for in vain, to be reported to new
+  // owners. It must outlive this. Not thread-safe.
+  void SetUnserved(const UnservedDemand* unserved) { unserved_ = unserved; }
   // Sets the queued demand for one target until the next tick.
   void SetDemand(const Demand& demand);
 
@@ -124,6 +127,7 @@
   // True if there is demand for a target that the last report did not contain.
   bool HasNewDemand() const;
   HostReport MakeReport();
+  void AddUnserved(HostReport& report);
   EngineLoads SumLoads() const;
   void ApplyLoads(EngineLoads loads);
   // Updates the routing view with the targets that a server can serve.
@@ -185,6 +189,9 @@
   // This host's own demand, by target.
   std::map<std::string, Demand> demands_;
   std::map<std::string, std::pair<int, double>> arrivals_;
+  const UnservedDemand* unserved_ = nullptr;
+  FencingToken unserved_reported_to_ = 0;  // Token of the owner.
+  TimePoint unserved_report_until_;
   std::set<std::string> reported_targets_;
   TimePoint reported_at_;
   TimePoint planned_at_;
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -74,7 +74,9 @@
       log_(context),
       gaps_(context),
       claims_(context.settings.self, context.settings.claims),
-      waits_(context, limits, requests_) {}
+      waits_(context, limits, requests_) {
+  fleet_.SetUnserved(&gaps_.targets());
+}
 
 RequestFlow::Request* RequestFlow::Find(RequestHandle handle) {
   const auto it = requests_.find(handle);
--- a/node/service_gaps.cc
+++ b/node/service_gaps.cc
@@ -68,7 +68,7 @@
   for (uint8_t i = 0; i < kKinds; ++i) {
     const auto kind = static_cast<Kind>(i);
     const UnservedDemand::Wait* wait =
-        demands_[kind].RecordServed(NameOf(request, kind));
+        demands_[kind].RecordServed(NameOf(request, kind), context_.now);
     if (wait == nullptr || wait->asked_for() < kUnservedBound) continue;
     LogEvent(LogLevel::kInfo, "served_again")
         .With("kind", KindName(kind))
--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -52,6 +52,8 @@
 // return.
 constexpr Duration kKeptForReturn = seconds(2);
 constexpr int kMaxOwedStoreLoads = 4;
+// Loads owed for a further replica of a model that is served already.
+constexpr int kOwedPerReplica = 2;
 // How long an engine that refused an order comes after others.
 constexpr Duration kRefusalMemory = seconds(5);
 // One in so many engines may at a time be used for overdue targets that are
@@ -462,11 +464,16 @@
       RecordServed(row.target, now);
     }
   }
+  for (const HostReport::Unserved& row : report.unserved) {
+    if (Locate(row.target).ready > 0) continue;
+    unserved_.RecordWait({row.target, now - row.age, now - row.asked_ago,
+                          row.requests, row.worth, TimePoint{}});
+  }
 }
 
 void FleetPlanner::RecordServed(const std::string& target, TimePoint now) {
   promises_.erase(target);
-  const UnservedDemand::Wait* wait = unserved_.RecordServed(target);
+  const UnservedDemand::Wait* wait = unserved_.RecordServed(target, now);
   if (wait == nullptr || wait->asked_for() < kUnservedBound) return;
   Record("target_served_again", "", target,
          absl::StrCat(wait->requests, " requests"), now - wait->since);
@@ -610,7 +617,7 @@
 }
 
 void FleetPlanner::UpdateStoreWidth(const OpenOrder& order, TimePoint now) {
-  if (order.tier != CheckpointTier::kRemote) return;
+  if (order.tier != CheckpointTier::kRemote || order.was_unanswered) return;
   const CatalogueEntry* entry = FindEntry(order.name);
   if (entry == nullptr) return;
   store_width_.Advance(StoreLoads() + 1, now);  // With this one.
@@ -650,7 +657,10 @@
     open.expected_end = now + (is_model ? LoadTime(entry, tier) : kAdapterLoad);
     if (is_model && tier == CheckpointTier::kRemote) {
       ++store_loads_sent_;
-      owed_store_loads_ = std::min(owed_store_loads_ + 1, kMaxOwedStoreLoads);
+      const bool is_replica = Locate(entry.name).ready > 0;
+      owed_store_loads_ =
+          std::min(owed_store_loads_ + (is_replica ? kOwedPerReplica : 1),
+                   kMaxOwedStoreLoads);
       store_load_starts_.push_back(now);
       while (now - store_load_starts_.front() > kStoreWindow) {
         store_load_starts_.pop_front();
@@ -753,6 +763,7 @@
       engine.refused_at = now;
       if (is_model) {
         engine.model_order->is_unanswered = true;
+        engine.model_order->was_unanswered = true;
       } else {
         RevertOrder(engine, call, now);
       }
@@ -1364,7 +1375,7 @@
       continue;
     }
     if (now >= until + TimeToReturn(wait)) {
-      if (is_ready) EndWait(wait.name);
+      if (is_ready) EndWait(wait.name, now);
       continue;
     }
     if (Locate(model).ready == 1) kept_.insert(model);
@@ -1372,9 +1383,9 @@
   }
 }
 
-void FleetPlanner::EndWait(const std::string& target) {
+void FleetPlanner::EndWait(const std::string& target, TimePoint now) {
   promises_.erase(target);
-  unserved_.RecordServed(target);
+  unserved_.RecordServed(target, now);
 }
 
 // Callers that do not follow Retry-After return in their own intervals.
@@ -1447,7 +1458,7 @@
       if (take(*by_wait[next_wait++])) --owed;
     } else if (replicas > 0) {
       --replicas;
-      ++owed;
+      owed += kOwedPerReplica;
       *std::min_element(slots.begin(), slots.end()) += replica_load;
     } else if (take(*by_worth[next_worth++])) {
       ++owed;
@@ -1489,8 +1500,8 @@
 // free.
 //
 // Those that have been asked for in vain for kUnservedBound take precedence on
-// engines. They, and those whose callers were told to return soon, get every
-// second load of the weight store.
+// engines. They, and those whose callers were told to return soon, get at least
+// every second load of the weight store.
 void FleetPlanner::ServeUnserved(TimePoint now,
                                  std::vector<OrderToSend>& orders) {
   for (const UnservedDemand::Wait& wait : unserved_order_) {
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -105,6 +105,7 @@
     TimePoint expected_end;
     bool is_accepted = false;
     bool is_unanswered = false;
+    bool was_unanswered = false;  // It may have been accepted late.
     StoreWidth::LoadStart store_start;
   };
   // One of an engine's entries in the index of holdings.
@@ -236,7 +237,7 @@
   const std::string& ModelOf(const CatalogueEntry& entry) const;
   bool NeedsStore(const std::string& model) const;
   void UpdateKept(TimePoint now);
-  void EndWait(const std::string& target);
+  void EndWait(const std::string& target, TimePoint now);
   bool IsPromiseDue(const CatalogueEntry& entry, TimePoint now) const;
   static Duration TimeToReturn(const UnservedDemand::Wait& wait);
   void EstimateStoreTurns(TimePoint now);
@@ -321,8 +322,8 @@
   absl::flat_hash_map<std::string, TimePoint> displaced_;
   // Models that are kept for callers who were told to return.
   std::set<std::string> kept_;
-  // Loads from the weight store that unserved models are owed: one for each
-  // load of another model.
+  // Loads from the weight store that unserved models are owed: for each load of
+  // another model one, or more if that was served already.
   int owed_store_loads_ = 1;
   uint64_t store_loads_sent_ = 0;
   // Overloaded models without the replica they need, at the last decision.
--- a/placement/usage_table.cc
+++ b/placement/usage_table.cc
@@ -36,6 +36,11 @@
   for (const Running& row : running) {
     json["r"].push_back(Json::array({row.engine, row.target, row.count}));
   }
+  for (const Unserved& row : unserved) {
+    json["u"].push_back(
+        Json::array({row.target, ToMillis(row.age), ToMillis(row.asked_ago),
+                     row.requests, row.worth}));
+  }
   return json;
 }
 
@@ -59,6 +64,17 @@
     report.running.push_back({row[0].get<std::string>(),
                               row[1].get<std::string>(), row[2].get<int>()});
   }
+  for (const Json& row : json.value("u", Json::array())) {
+    if (!IsRow(row, 5) || !row[1].is_number_integer() ||
+        !row[2].is_number_integer() || !row[3].is_number_integer()) {
+      continue;
+    }
+    const std::chrono::milliseconds age(row[1].get<int64_t>());
+    const std::chrono::milliseconds asked_ago(row[2].get<int64_t>());
+    if (asked_ago.count() < 0 || asked_ago > age) continue;
+    report.unserved.push_back({row[0].get<std::string>(), age, asked_ago,
+                               row[3].get<int>(), row[4].get<double>()});
+  }
   return report;
 }
 
--- a/placement/usage_table.h
+++ b/placement/usage_table.h
@@ -32,10 +32,20 @@
     std::string target;
     int count = 0;
   };
+  // A target that this host's callers ask for in vain. A new owner learns from
+  // it for how long.
+  struct Unserved {
+    std::string target;
+    Duration age{0};        // Since the first request.
+    Duration asked_ago{0};  // Since the last one.
+    int requests = 0;
+    double worth = 0;  // Of the last request.
+  };
   std::string host;
   std::vector<Waiting> waiting;
   std::vector<Arrivals> arrivals;
   std::vector<Running> running;
+  std::vector<Unserved> unserved;
 
   Json ToJson() const;
   // Skips malformed rows. Requires: nothing. Thread-safe.
--- a/tests/placement/unserved_targets_test.cc
+++ b/tests/placement/unserved_targets_test.cc
@@ -293,6 +293,36 @@
   }
 }
 
+// Guards against waits that begin anew with each owner of the engines: where
+// owners change in series, no model would ever be overdue.
+TEST_F(UnservedTargetsTest, NextOwnerContinuesTheWait) {
+  CreateEngines(1, 4);
+  for (int i = 0; i < 3; ++i) {
+    engines_.at("e0")->Place(ModelName(i), kModelBytes);
+  }
+  engines_.at("e0")->Place(ModelName(3), kModelBytes);
+  engines_.at("e0")->Lose(ModelName(3));
+  UpdateListing();
+  for (int i = 0; i < 3; ++i) AddCallers(ModelName(i), milliseconds(400), 6);
+  RunCallers(seconds(10));
+  AddCallers(ModelName(3), seconds(2));
+  const TimePoint first = now_;
+  for (int owner = 0; owner < 6; ++owner) {
+    planner_ = std::make_unique<FleetPlanner>(Incarnation{"entry", 1}, ++token_,
+                                              policies_);
+    planner_->SetCatalogue(&catalogue_, &classes_);
+    UpdateListing();
+    HostReport report;
+    report.host = "other";
+    report.unserved.push_back(
+        {ModelName(3), now_ - first, Duration{0}, owner + 1, 1.0});
+    planner_->HandleReport(HostReport::FromJson("other", report.ToJson()),
+                           now_);
+    RunCallers(seconds(5));
+  }
+  ExpectServedWithin(ModelName(3), kPrecedenceAfter + 2 * kEngineTurn);
+}
+
 // Guards against an engine that is chosen for an adapter again after each of
 // its refusals, while another one would take it.
 TEST_F(UnservedTargetsTest, EngineThatRefusesAdaptersIsNotTriedForever) {
