A host serves any number of models over its life

What callers would see: a host that has served 8,192 different models and adapters refuses all requests from then on ("this host has no capacity left"), until it is restarted.

Cause: what is known of a target was kept for ever once it had served a request, and the table's bound refuses requests instead of dropping what is idle.

Change: from half of the bound on, idle targets are dropped at each tick.

--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -1032,9 +1032,11 @@
   RunDemands();
   PumpAll();
   gaps_.RunTick();
-  std::erase_if(targets_, [this](const auto& entry) {
-    return entry.second.queue.empty() &&
-           entry.second.service_time == Duration{0} &&
+  // What is known of a target, such as its service time, is learnt anew soon.
+  const bool is_crowded = targets_.size() >= kMaxTargets / 2;
+  std::erase_if(targets_, [&](const auto& entry) {
+    const bool is_known = entry.second.service_time != Duration{0};
+    return entry.second.queue.empty() && (is_crowded || !is_known) &&
            context_.now - entry.second.demanded_at > kAnswerTtl;
   });
 }
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -1,6 +1,7 @@
 // Placement and request handling in a fleet of a few hosts.
 
 #include "tests/node/fleet_fixture.h"
+#include "tests/node/fleet_load_fixture.h"
 
 namespace applehall {
 namespace {
@@ -645,108 +646,6 @@
   EXPECT_GE(refusal.retry_after, seconds(1));
 }
 
-// Simulates engines that run eight requests at a time for a second each and
-// queue the rest in order of arrival, and callers that cancel after four times
-// the target latency.
-class FleetLoadTest : public FleetTest {
- protected:
-  static constexpr Duration kTargetLatency = milliseconds(600);
-  static constexpr Duration kMaxWait = milliseconds(2400);
-  static constexpr size_t kSlots = 8;
-
-  struct EngineRequest {
-    std::string host;
-    DispatchRequest sent;
-    TimePoint ends;
-    bool is_running = false;
-  };
-
-  void Send(const std::string& host) {
-    const RequestHandle handle = ++last_handle_;
-    arrived_[handle] = {host, now_};
-    Arrive(host, handle, "/hot/x", "m0");
-  }
-
-  void Step() {
-    Run(milliseconds(25));
-    for (auto& [name, host] : hosts_) {
-      for (Action& action : host.done) {
-        if (auto* sent = std::get_if<DispatchRequest>(&action)) {
-          engines_[sent->backend].push_back({name, *sent, {}, false});
-        } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
-          RemoveFromEngines(cancel->handle);
-        } else if (const auto* refuse = std::get_if<RefuseRequest>(&action)) {
-          ++refused_;
-          EXPECT_EQ(refuse->refusal.verdict, Verdict::kNotRun);
-          EXPECT_GT(refuse->refusal.retry_after, Duration{0});
-          EXPECT_LE(now_ - arrived_[refuse->handle].second,
-                    kTargetLatency * 3 / 2);
-          arrived_.erase(refuse->handle);
-        }
-      }
-      host.done.clear();
-    }
-    CancelOverdueRequests();
-    for (auto& [id, requests] : engines_) RunEngine(requests);
-  }
-
-  void RemoveFromEngines(RequestHandle handle) {
-    for (auto& [id, requests] : engines_) {
-      std::erase_if(requests, [handle](const EngineRequest& request) {
-        return request.sent.handle == handle;
-      });
-    }
-  }
-
-  void CancelOverdueRequests() {
-    std::vector<RequestHandle> overdue;
-    for (const auto& [handle, arrival] : arrived_) {
-      if (now_ - arrival.second > kMaxWait && !started_.contains(handle)) {
-        overdue.push_back(handle);
-      }
-    }
-    for (const RequestHandle handle : overdue) {
-      ++cancelled_;
-      RemoveFromEngines(handle);
-      Handle(arrived_[handle].first, CallerDisconnected{handle});
-      arrived_.erase(handle);
-    }
-  }
-
-  void RunEngine(std::vector<EngineRequest>& requests) {
-    for (size_t i = 0; i < std::min(kSlots, requests.size()); ++i) {
-      if (requests[i].is_running) continue;
-      requests[i].is_running = true;
-      requests[i].ends = now_ + seconds(1);
-      const RequestHandle handle = requests[i].sent.handle;
-      started_.insert(handle);
-      if (now_ - arrived_[handle].second <= kTargetLatency) ++in_time_;
-    }
-    std::vector<EngineRequest> ended;
-    std::erase_if(requests, [&](const EngineRequest& request) {
-      if (!request.is_running || request.ends > now_) return false;
-      ended.push_back(request);
-      return true;
-    });
-    for (const EngineRequest& request : ended) {
-      AttemptEnded end;
-      end.handle = request.sent.handle;
-      end.attempt = request.sent.attempt;
-      end.result = AttemptResult::kCompleted;
-      arrived_.erase(request.sent.handle);
-      Handle(request.host, end);
-    }
-  }
-
-  std::map<std::string, std::vector<EngineRequest>> engines_;
-  std::map<RequestHandle, std::pair<std::string, TimePoint>> arrived_;
-  std::set<RequestHandle> started_;
-  RequestHandle last_handle_ = 0;
-  int in_time_ = 0;
-  int refused_ = 0;
-  int cancelled_ = 0;
-};
-
 // Twelve hosts receive three times as many requests for a model as its two
 // engines can run (16 a second). If each host sends all of its few requests,
 // the engines' queues grow until callers cancel before their requests start.
@@ -768,15 +667,19 @@
   constexpr int kWarmupSeconds = 5;
   for (int step = 0; step < kSeconds * 40; ++step) {
     const auto at = std::next(hosts_.begin(), step % 12);
-    Send(at->first);
-    if (step % 5 == 0) Send(std::next(hosts_.begin(), (step / 5) % 12)->first);
+    Send(at->first, kHot);
+    if (step % 5 == 0) {
+      Send(std::next(hosts_.begin(), (step / 5) % 12)->first, kHot);
+    }
     Step();
-    if (step == kWarmupSeconds * 40) in_time_ = cancelled_ = 0;
+    if (step == kWarmupSeconds * 40) counts_.clear();
   }
-  EXPECT_GT(in_time_, (kSeconds - kWarmupSeconds) * 16 / 2)
+  const Count& hot = counts_[kHot.path];
+  EXPECT_GT(hot.in_time, (kSeconds - kWarmupSeconds) * 16 / 2)
       << "at least half of the engines' capacity";
-  EXPECT_GT(refused_, 0);
-  EXPECT_LT(cancelled_, 10) << "requests that cannot be served must be refused";
+  EXPECT_GT(hot.refused, 0);
+  EXPECT_LT(hot.cancelled, 10)
+      << "requests that cannot be served must be refused";
 }
 
 // An engine dies during a resumable stream. Another engine must continue it
