The policy of service turns has its name

The table of names lists policies in their order; the new one was missing, so that switching off `silence` or any after it switched off its neighbour.

--- a/tests/placement/fleet_planner_test.cc
+++ b/tests/placement/fleet_planner_test.cc
@@ -593,7 +593,8 @@
                          testing::Values("overload_replicas", "second_replica",
                                          "last_pair", "seeding", "store_width",
                                          "reservations", "adapter_affinity",
-                                         "blocked_adapters", "silence"));
+                                         "blocked_adapters", "service_turns",
+                                         "silence"));
 
 }  // namespace
 }  // namespace applehall
