--- a/soak/applehall_soak.cc
+++ b/soak/applehall_soak.cc
@@ -26,6 +26,8 @@
                "Some requests crash the servers that execute them");
   app.add_flag("--limits", options.has_limits,
                "Servers announce request rate limits");
+  app.add_flag("--rare", options.has_rare,
+               "More models than places, some with a single caller each");
   CLI11_PARSE(app, argc, argv);
   options.length = std::chrono::seconds(seconds);
   std::signal(SIGPIPE, SIG_IGN);
--- a/soak/platform_standin.cc
+++ b/soak/platform_standin.cc
@@ -20,7 +20,6 @@
 constexpr uint64_t kModelMegabytes = 70000;
 constexpr uint64_t kEngineMegabytes = 200000;
 constexpr uint64_t kBytesPerMegabyte = 1000000;
-constexpr int kModels = 6;
 constexpr int kEvents = 12;
 constexpr Duration kEventGap = milliseconds(8);
 constexpr Duration kPoll = milliseconds(10);
@@ -69,9 +68,11 @@
 
 }  // namespace
 
-PlatformStandin::PlatformStandin(asio::io_context& io, uint64_t seed)
+PlatformStandin::PlatformStandin(asio::io_context& io, uint64_t seed,
+                                 int models)
     : io_(io),
       seed_(seed),
+      models_(models),
       store_(
           io, Address{kLoopback, 0},
           [this](HttpExchange& exchange) { return ServeStore(exchange); },
@@ -99,7 +100,7 @@
     config["routes"].push_back(Route(name, "idempotent", "app"));
   }
   Json models = Json::array();
-  for (int i = 0; i < kModels; ++i) {
+  for (int i = 0; i < models_; ++i) {
     models.push_back({{"name", absl::StrCat("m", i)},
                       {"weights_mb", kModelMegabytes},
                       {"load_s", 0.6},
--- a/soak/platform_standin.h
+++ b/soak/platform_standin.h
@@ -49,8 +49,9 @@
   enum class StoreMode : uint8_t { kUp, kRefusing, kUnresponsive };
 
   // Server ids contain `seed`: a server of a concurrent soak may get the port
-  // of a stopped server of this one, and must not be mistaken for it.
-  PlatformStandin(boost::asio::io_context& io, uint64_t seed);
+  // of a stopped server of this one, and must not be mistaken for it. The
+  // catalogue has `models` models, "m0" and so on.
+  PlatformStandin(boost::asio::io_context& io, uint64_t seed, int models);
 
   Address store_address() const;
   void SetStoreMode(StoreMode mode) { store_mode_ = mode; }
@@ -131,6 +132,7 @@
 
   boost::asio::io_context& io_;
   uint64_t seed_;
+  int models_;
   SystemClock clock_;
   HttpServer store_;
   StoreMode store_mode_ = StoreMode::kUp;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -27,6 +27,16 @@
   bool has_poison = false;
   // Some servers announce request rate limits, change and withdraw them.
   bool has_limits = false;
+  // There are more models than places, some with a single caller each.
+  bool has_rare = false;
+};
+
+// A caller of a model that nobody else asks for, on one connection.
+struct RareCaller {
+  int requests = 0;
+  int served = 0;
+  Duration unserved{0};  // Without faults, since it was last served.
+  Duration longest_unserved{0};
 };
 
 // A request and the response that its caller received.
@@ -59,6 +69,7 @@
   Awaitable<void> RunCaller(int host, uint64_t seed);
   // Sends a poison message of `kind` repeatedly to all hosts.
   Awaitable<void> RunPoisonCaller(std::string kind);
+  Awaitable<void> RunRareCaller(int index);
   // Makes servers announce, change and withdraw limits.
   Awaitable<void> RunLimits();
   Awaitable<void> RunFaults();
@@ -75,6 +86,7 @@
   void CheckRuns(std::vector<std::string>& broken) const;
   void CheckPoison(std::vector<std::string>& broken) const;
   void CheckLimits(std::vector<std::string>& broken) const;
+  void CheckRare(std::vector<std::string>& broken) const;
   // Arrivals at `server` from hosts that had received its limit and had no
   // fault.
   std::vector<TimePoint> ArrivalsWithKnownLimit(
@@ -104,6 +116,7 @@
   TimePoint disturbed_until_;
   // True for requests sent without a fault; time bounds apply only to them.
   std::map<std::string, bool> is_calm_;
+  std::map<std::string, RareCaller> rare_callers_;  // By model.
   std::map<int, int> poison_answers_;  // Keyed by status; zero: no answer.
   // Time of the first response with a limit, by host and server.
   std::map<std::pair<int, std::string>, TimePoint> limit_received_at_;
