Withdrawn adapters return, and late loads do not narrow the store

An adapter that was withdrawn for an overdue one stayed so if that one was served elsewhere or not asked for any more, and its own callers were put off for ever. It is served again after 4 s if its callers wait. UnservedTargetsTest.WithdrawnAdapterIsServedAgain.

A load that got less than the share of a single one was late for another reason and says nothing about the width.

--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -54,6 +54,9 @@
 constexpr int kMaxOwedStoreLoads = 4;
 // Loads owed for a further replica of a model that is served already.
 constexpr int kOwedPerReplica = 2;
+// How long an adapter in use may be withdrawn before its own callers are served
+// again.
+constexpr Duration kMaxWithdrawal = seconds(4);
 // How long an engine that refused an order comes after others.
 constexpr Duration kRefusalMemory = seconds(5);
 // One in so many engines may at a time be used for overdue targets that are
@@ -1244,6 +1247,19 @@
          "for an overdue adapter");
 }
 
+// Serves requests for an adapter again that was withdrawn and not unloaded: who
+// it was withdrawn for may have been served elsewhere, or not have returned.
+Deferral FleetPlanner::RestoreWithdrawn(Engine& engine, Holding& holding,
+                                        TimePoint now) {
+  const bool is_due = holding.state == State::kWithdrawn &&
+                      now - holding.since >= kMaxWithdrawal;
+  if (!is_due) return Deferral::kEngineBusy;
+  holding.state = State::kReady;
+  holding.since = now;
+  RecordChange(engine);
+  return Deferral::kNone;
+}
+
 // Returns the engines that hold the base of `entry` and execute no model order,
 // during which they refuse adapters. The order is by a hash of adapter and
 // engine, so that an adapter is loaded on the same engine again, with those
@@ -1288,8 +1304,11 @@
                                       std::vector<OrderToSend>& orders) {
   const EngineClass* engine_class = FindClass(engine);
   if (engine_class == nullptr) return Deferral::kNoEngine;
-  const bool is_held = engine.holdings.contains(entry.name);
-  if (is_held || !MayOrder(engine)) return Deferral::kEngineBusy;
+  if (!MayOrder(engine)) return Deferral::kEngineBusy;
+  if (const auto held = engine.holdings.find(entry.name);
+      held != engine.holdings.end()) {
+    return RestoreWithdrawn(engine, held->second, now);
+  }
   const auto loading = std::count_if(
       engine.holdings.begin(), engine.holdings.end(), [](const auto& item) {
         return !item.second.base.empty() &&
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -227,6 +227,7 @@
                         Precedence precedence, TimePoint now,
                         std::vector<OrderToSend>& orders);
   void WithdrawAdapter(Engine& engine, TimePoint now);
+  Deferral RestoreWithdrawn(Engine& engine, Holding& holding, TimePoint now);
   bool EvictAdapter(Engine& engine, TimePoint now,
                     std::vector<OrderToSend>& orders);
   static int UsedAdapterSlots(const Engine& engine);
@@ -305,8 +306,8 @@
   // Why no load of a waiting target was ordered at the last attempt.
   absl::flat_hash_map<std::string, Deferral> deferrals_;
   // Targets that were asked for and not served since, whether their callers
-  // still wait or were refused. A target counts as served
-  // once requests arrive or run while it is ready.
+  // still wait or were refused. A target counts as served once requests arrive
+  // or run while it is ready.
   UnservedDemand unserved_;
   TimePoint unserved_logged_at_;
   // The waits of `unserved_` in their order, as of this decision.
--- a/placement/store_width.cc
+++ b/placement/store_width.cc
@@ -9,6 +9,9 @@
 constexpr double kMaxWidth = 4.0;
 // Ratio to the time of a load by itself above which it was slowed by others.
 constexpr double kSlowedRatio = 1.3;
+// A load that got less than this was late for another reason than others beside
+// it, such as an order that was carried out late or an engine in trouble.
+constexpr double kLowestWidth = 0.75;
 // After this time without a slowed load, one more is tried.
 constexpr Duration kProbeInterval = std::chrono::seconds(60);
 
@@ -30,9 +33,11 @@
   if (is_fixed_ || nominal <= Duration{0}) return;
   const double ratio = ToSeconds(now - start.at) / ToSeconds(nominal);
   if (ratio >= kSlowedRatio) {
-    slowed_at_ = now;
     const double share = ToSeconds(progress_ - start.progress);
-    width_ = std::clamp(std::round(ToSeconds(nominal) / share), 1.0, kMaxWidth);
+    const double shown = ToSeconds(nominal) / share;
+    if (shown < kLowestWidth) return;
+    slowed_at_ = now;
+    width_ = std::clamp(std::round(shown), 1.0, kMaxWidth);
     return;
   }
   if (!start.filled_width) return;
--- a/tests/placement/unserved_targets_test.cc
+++ b/tests/placement/unserved_targets_test.cc
@@ -262,6 +262,35 @@
   }
 }
 
+// Guards against an adapter that was withdrawn for another one, which nobody
+// asks for any more, and stays withdrawn.
+TEST_F(UnservedTargetsTest, WithdrawnAdapterIsServedAgain) {
+  CreateEngines(1, 1, /*adapters=*/9);
+  engines_.at("e0")->Place(ModelName(0), kModelBytes);
+  UpdateListing();
+  Run(seconds(3));
+  HostReport streams;
+  streams.host = "streams";
+  for (int a = 1; a <= 8; ++a) {
+    const std::string adapter = ModelName(0) + "/a" + std::to_string(a);
+    AddCallers(adapter, seconds(1), /*worth=*/6, /*running=*/1);
+    streams.running.push_back({"e0", adapter, 1});
+  }
+  RunCallers(seconds(5));
+  AddCallers(ModelName(0) + "/a9", seconds(1));
+  for (int second = 0; second < 80; ++second) {
+    // Long streams end after a minute.
+    if (second < 60) planner_->HandleReport(streams, now_);
+    if (second == 20) callers_.at(ModelName(0) + "/a9").interval = seconds(999);
+    RunCallers(seconds(1));
+  }
+  for (int a = 1; a <= 8; ++a) {
+    const std::string adapter = ModelName(0) + "/a" + std::to_string(a);
+    EXPECT_TRUE(IsReady(adapter)) << adapter;
+    ExpectServedWithin(adapter, kPrecedenceAfter + 8 * kEngineTurn);
+  }
+}
+
 // Guards against adapters without memory on their engine: those in use there
 // are small enough in number but not in size.
 TEST_F(UnservedTargetsTest, LargeAdaptersReplaceEachOther) {
