Log and export the versions of streams

server_listed names the version of the server, request_end the versions of all parts of the answer and the request that it resumes; streams_resumed_total counts by whom (host or caller) and, for a host's own, whether the version is the same. The version of an entry is read for it and decides nothing.

--- a/membership/engine_list.h
+++ b/membership/engine_list.h
@@ -17,6 +17,7 @@
   // id; the epoch if not reported.
   TimePoint started_at;
   std::string service;
+  std::string version;  // Of its software; versions have no order.
   std::string address;
   std::string data_centre;
   int slots = 0;
--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -119,6 +119,7 @@
       LogEvent(LogLevel::kInfo, "server_listed")
           .With("server", server.id)
           .With("service", server.service)
+          .With("version", server.version)
           .With("address", server.address)
           .With("data_centre", server.data_centre)
           .With("leaving", server.is_leaving ? "yes" : "no")
@@ -211,6 +212,7 @@
   digest.engine = id;
   digest.address = server.address;
   digest.data_centre = server.data_centre;
+  digest.version = server.version;
   digest.sequence = ++digest_count_;
   digest.base_sequence = digest.sequence;
   digest.slots = std::max(1, server.slots);
--- a/node/messages.h
+++ b/node/messages.h
@@ -42,6 +42,10 @@
   std::optional<ApiKeyDigest> api_key;
   // Number of tokens that the request declares, if it does.
   std::optional<double> declared_tokens;
+  // Continues a stream that broke, after the last event that arrived.
+  bool is_resumption = false;
+  // Id of the caller's request that brought the first event of that stream.
+  std::string resumes = {};
 };
 
 // The caller closed its connection.
--- a/node/open_request.h
+++ b/node/open_request.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "node/messages.h"
 #include "rules/rule_registry.h"
@@ -54,6 +55,8 @@
   bool has_arrived = false;   // Reached an engine, which may have refused it.
   bool may_have_run = false;  // By an earlier attempt.
   bool may_resume = false;
+  // Software versions of the servers that sent parts of the stream, in order.
+  std::vector<std::string> versions;
   std::string failed_backend;           // Backend of the last failed attempt.
   bool was_forwarded = false;           // Already sent to another host.
   std::set<std::string> helpers_tried;  // Hosts it was forwarded to.
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -169,6 +169,9 @@
     RefuseNow(request.arrival, request.RuleLabel(), *refusal);
     return;
   }
+  if (event.is_resumption) {
+    context_.metrics.Count("streams_resumed_total{by=\"caller\"}");
+  }
   requests_[event.handle] = std::move(owned);
   ++callers_[caller].open;
   callers_[caller].retries.RecordFirstAttempt();
@@ -474,6 +477,7 @@
                          dispatch.is_repeatable &&
                          request.retries < request.rule().then.retries;
   dispatch.resume = request.may_resume;
+  if (request.has_started) RecordResumption(request);
   dispatch.is_claimed = request.is_granted || request.arrival.is_forwarded;
   dispatch.deadline = request.deadline;
   dispatch.team = request.team;
@@ -481,6 +485,22 @@
   context_.Emit(std::move(dispatch));
 }
 
+// Empty for servers whose version is not listed, and for other hosts.
+std::string RequestFlow::VersionOf(const std::string& backend) const {
+  const EngineDigest* server = context_.view.Find(backend);
+  return server == nullptr ? "" : server->version;
+}
+
+void RequestFlow::RecordResumption(Request& request) {
+  const std::string version = VersionOf(request.backend);
+  const bool is_same =
+      !request.versions.empty() && request.versions.back() == version;
+  context_.metrics.Count(
+      absl::StrCat("streams_resumed_total{by=\"host\",version=\"",
+                   is_same ? "same" : "other", "\"}"));
+  if (!is_same) request.versions.push_back(version);
+}
+
 // Forwards at most once, to a data centre that holds the model.
 bool RequestFlow::TryForward(Request& request) {
   if (request.arrival.is_forwarded || request.was_forwarded) return false;
@@ -511,7 +531,10 @@
 void RequestFlow::HandleAttemptStarted(const AttemptStarted& event) {
   Request* request = Find(event.handle);
   if (request == nullptr) return;
-  if (!request->has_started) request->started_at = context_.now;
+  if (!request->has_started) {
+    request->started_at = context_.now;
+    request->versions.push_back(VersionOf(request->backend));
+  }
   if (request->phase == Phase::kSent &&
       request->backend_kind != BackendKind::kEntryHost) {
     limits_.ApplyReported(request->backend, event.limit, request->sent_at);
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -106,6 +106,10 @@
   Duration MaxPermitWait(const Request& request, const EngineDigest& engine);
   void HandlePermit(const LimitManager::Outcome& outcome);
   void HandleDenial(Request& request, Duration retry_after);
+  // Returns the software version of a backend server.
+  std::string VersionOf(const std::string& backend) const;
+  // Records that the stream of `request` goes on at its backend.
+  void RecordResumption(Request& request);
   bool TryForward(Request& request);
   // Forwards a request whose service cannot be reached from here to a host that
   // reaches it, or refuses it if it cannot be served. Returns false if it did
--- a/node/request_log.cc
+++ b/node/request_log.cc
@@ -1,6 +1,7 @@
 #include "node/request_log.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include "core/event_log.h"
 #include "core/request_fingerprint.h"
@@ -69,6 +70,8 @@
       .With("action", decision.action)
       .With("verdict", VerdictName(verdict))
       .With("backend", decision.backend)
+      .With("versions", absl::StrJoin(request.versions, ","))
+      .With("resumes", request.arrival.resumes)
       .With("reason", reason)
       .With("key", request.arrival.idempotency_key)
       .With("attempts", request.attempt)
--- a/routing/engine_digest.h
+++ b/routing/engine_digest.h
@@ -28,6 +28,7 @@
   std::string address;
   // Empty if all engines of the view are equally near.
   std::string data_centre = {};
+  std::string version = {};  // Of its software, as far as the platform lists it.
   uint64_t incarnation = 0;
   FencingToken token = 0;
   uint64_t sequence = 0;
