--- a/tests/node/fleet_fixture.h
+++ b/tests/node/fleet_fixture.h
@@ -77,6 +77,7 @@
     settings.retry_slack = retry_slack_;
     settings.link_mbps = links_mbps_[name];
     settings.policies = policies_;
+    settings.seed = seed_;
     Host& host = hosts_[name];
     host.node = std::make_unique<Node>(settings);
   }
@@ -258,6 +259,7 @@
   TimePoint now_{std::chrono::hours(500000)};
   uint64_t incarnation_ = 1;  // Of added hosts.
   PolicySet policies_;        // Of added hosts.
+  uint64_t seed_ = 1;         // Of added hosts.
   bool engines_check_fences_ = true;
   double retry_slack_ = 50;
   std::map<std::string, double> links_mbps_;  // Zero: not reported.
