A first start settles versions; origins over the hop are tested; the soak has versions

When the whole deployment starts for the first time no stream began before: the platform says so in its settings ("bootstrap"), and the first listing settles a service with one version.

Tests: the origin of a stream passes between hosts and from no caller; the first start.

--- a/membership/version_history.cc
+++ b/membership/version_history.cc
@@ -44,8 +44,10 @@
 
 void VersionHistory::RecordListing(bool is_contiguous, TimePoint now) {
   RemoveOld(now);
-  if (known_since_ == TimePoint{}) SettleCommonVersions(now);
-  if (known_since_ == TimePoint{} || !is_contiguous) known_since_ = now;
+  const bool is_first = known_since_ == TimePoint{};
+  if (is_first) SettleCommonVersions(now);
+  if (is_first || !is_contiguous) known_since_ = now;
+  if (is_first && is_first_start_) known_since_ = now - kMaxStreamAge;
 }
 
 void VersionHistory::SettleCommonVersions(TimePoint now) {
--- a/membership/version_history.h
+++ b/membership/version_history.h
@@ -32,10 +32,12 @@
 // which is less.
 class VersionHistory {
  public:
-  // Requires: `max_listing_age` is positive.
-  explicit VersionHistory(Duration max_listing_age)
+  // `is_first_start`: no stream began before this host did. Requires:
+  // `max_listing_age` is positive.
+  VersionHistory(Duration max_listing_age, bool is_first_start)
       : max_listing_age_(max_listing_age),
-        settle_time_(max_listing_age + kSettleMargin) {}
+        settle_time_(max_listing_age + kSettleMargin),
+        is_first_start_(is_first_start) {}
 
   // ---- Commands. Not thread-safe. ----
 
@@ -92,6 +94,7 @@
 
   Duration max_listing_age_;
   Duration settle_time_;
+  bool is_first_start_;
   std::map<std::string, Versions> services_;
   // All versions since then are known; the epoch before the first listing.
   TimePoint known_since_;
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -72,6 +72,9 @@
   // Time from the store's acknowledgement of a change until it is in force
   // here.
   FreshnessBudget freshness = FreshnessBudget::Within(std::chrono::seconds(2));
+  // Whether all hosts of the deployment start for the first time, so that no
+  // stream began before.
+  bool is_first_start = false;
   // Minimum duration of a drain. The platform takes some time to route callers
   // elsewhere; until then a draining host still serves them.
   Duration min_drain{0};
--- a/node/stream_manager.cc
+++ b/node/stream_manager.cc
@@ -36,7 +36,9 @@
 }  // namespace
 
 StreamManager::StreamManager(NodeContext& context)
-    : context_(context), versions_(context.settings.freshness.max_staleness) {}
+    : context_(context),
+      versions_(context.settings.freshness.max_staleness,
+                context.settings.is_first_start) {}
 
 // ---- Listing ----
 
--- a/soak/applehall_soak.cc
+++ b/soak/applehall_soak.cc
@@ -29,6 +29,9 @@
   app.add_flag("--cuts", options.has_cuts,
                "Hosts lose their links to all servers, and servers are silent "
                "or brittle for a while");
+  app.add_flag("--versions", options.has_versions,
+               "Engines of several software versions serve, and callers take "
+               "broken streams up again");
   app.add_flag("--rare", options.has_rare,
                "More models than places, some with a single caller each");
   CLI11_PARSE(app, argc, argv);
--- a/soak/platform_standin.cc
+++ b/soak/platform_standin.cc
@@ -251,6 +251,7 @@
   const std::string id = NextId();
   const auto server = std::make_shared<Server>();
   server->service = service;
+  server->version = engine ? version_ : "v1";
   server->engine = std::move(engine);
   server->http = std::make_unique<HttpServer>(
       io_, Address{kLoopback, 0},
@@ -281,6 +282,7 @@
   Json entry{{"service", server.service},
              {"address", absl::StrCat(kLoopback, ":", server.http->port())},
              {"zone", "hall"},
+             {"version", server.version},
              {"capacity", capacity_},
              {"state", server.is_leaving ? "draining" : "ready"},
              {"seq", ++server.entry_sequence}};
@@ -496,6 +498,8 @@
                                                    HttpExchange& exchange) {
   const Server& server = *servers_.at(id);
   const std::string attempt = exchange.request().Header("x-attempt-id");
+  const bool names_version =
+      !exchange.request().Header(kVersionsHeader).empty();
   int from = 0;
   (void)absl::SimpleAtoi(exchange.request().Header("last-event-id"), &from);
   HttpResponse head = StampedResponse(attempt, "");
@@ -510,8 +514,10 @@
       exchange.Abort();
       co_return;
     }
+    const std::string version =
+        names_version ? absl::StrCat("version: ", server.version, "\n") : "";
     const std::string text =
-        absl::StrCat("id: ", event, "\ndata: ", attempt, "\n\n");
+        absl::StrCat("id: ", event, "\n", version, "data: ", attempt, "\n\n");
     is_ok = co_await exchange.Write(text);
   }
   if (is_ok) co_await exchange.EndStream();
--- a/soak/platform_standin.h
+++ b/soak/platform_standin.h
@@ -53,6 +53,9 @@
 
 // Response header with the server that answered, for the soak's checks.
 inline constexpr char kServerHeader[] = "x-soak-server";
+// Request header: events of the stream name the software version that sent
+// them.
+inline constexpr char kVersionsHeader[] = "x-soak-versions";
 inline constexpr char kLimitHeader[] = "server-limit";
 inline constexpr char kBrittleHeader[] = "server-brittle";
 
@@ -74,6 +77,8 @@
   void SetStoreMode(StoreMode mode) { store_mode_ = mode; }
   // Publishes a new configuration, with an additional route for each `extra`.
   void PutConfig(const std::vector<std::string>& extra);
+  // Sets the software version of engines that start from now on.
+  void SetEngineVersion(const std::string& version) { version_ = version; }
   // Starts a server with a new id and returns the id.
   std::string StartEngine(const std::vector<std::string>& models);
   std::string StartApp();
@@ -132,6 +137,7 @@
     std::unique_ptr<HttpServer> http;
     std::unique_ptr<FakeCountedEngine> engine;  // Null: a plain service.
     std::string service;
+    std::string version;
     bool is_leaving = false;
     bool is_stopped = false;
     uint64_t entry_sequence = 0;
@@ -193,7 +199,8 @@
   bool is_brittle_ = false;
   bool are_engines_brittle_ = false;
   int capacity_ = 16;
-  TimePoint none_wait_from_;  // At brittle servers.
+  std::string version_ = "v1";  // Of engines.
+  TimePoint none_wait_from_;    // At brittle servers.
   std::map<std::string, TimePoint> silent_until_;
   uint64_t config_version_ = 0;
   int started_ = 0;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -19,6 +19,7 @@
 
 constexpr int kEvents = 12;
 constexpr int kModels = 6;
+constexpr int kStreamCallers = 12;
 // Further models with one caller each. The engines hold eight models together.
 constexpr int kRareModels = 8;
 constexpr Duration kRareInterval = milliseconds(800);
@@ -126,6 +127,12 @@
     ++callers_running_;
     asio::co_spawn(io_, RunRareCaller(i), asio::detached);
   }
+  for (int i = 0; i < kStreamCallers && options_.has_versions; ++i) {
+    ++callers_running_;
+    asio::co_spawn(io_, RunStreamCaller(options_.seed * 100 + i),
+                   asio::detached);
+  }
+  if (options_.has_versions) asio::co_spawn(io_, RunVersions(), asio::detached);
   if (options_.has_limits) asio::co_spawn(io_, RunLimits(), asio::detached);
   if (options_.has_cuts) {
     asio::co_spawn(io_, RunCuts(), asio::detached);
@@ -149,6 +156,7 @@
   CheckRare(broken);
   CheckCuts(broken);
   CheckBrittle(broken);
+  CheckStreams(broken);
   return broken;
 }
 
@@ -589,6 +597,12 @@
   for (const auto& [status, count] : poison_answers_) {
     absl::StrAppend(&text, " poison_", status, "=", count);
   }
+  if (options_.has_versions) {
+    absl::StrAppend(&text, " streams=", streams_.size(),
+                    " calm_new=", new_streams_.served, "/", new_streams_.asked,
+                    " calm_resumed=", resumptions_.served, "/",
+                    resumptions_.asked);
+  }
   absl::StrAppend(&text, " faults=", faults_.size());
   for (const std::string& fault : faults_) absl::StrAppend(&text, "; ", fault);
   return text;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -30,6 +30,8 @@
   bool has_limits = false;
   // Hosts lose their links to all servers; servers are silent or brittle.
   bool has_cuts = false;
+  // Engines of several software versions serve, and callers take up streams.
+  bool has_versions = false;
   // There are more models than places, some with a single caller each.
   bool has_rare = false;
 };
@@ -42,6 +44,21 @@
   Duration longest_unserved{0};
 };
 
+// A stream over all tries of its caller.
+struct StreamRecord {
+  std::string model;
+  std::string begun_by;  // Id of the try that brought the first event.
+  int events = 0;
+  std::vector<std::string> versions;  // Distinct neighbours, of all events.
+  bool is_complete = false;           // The last try ended as complete.
+};
+
+// Tries of callers at hosts without faults, and those that brought an event.
+struct StreamTries {
+  int asked = 0;
+  int served = 0;
+};
+
 // A request and the response that its caller received.
 struct RequestRecord {
   std::string kind;  // Name of the route.
@@ -76,6 +93,13 @@
   // Sends a poison message of `kind` repeatedly to all hosts.
   Awaitable<void> RunPoisonCaller(std::string kind);
   Awaitable<void> RunRareCaller(int index);
+  // Begins streams, and takes them up at other hosts when they break.
+  Awaitable<void> RunStreamCaller(uint64_t seed);
+  // Sends one try; returns whether the stream may be taken up again.
+  Awaitable<bool> SendStreamTry(int host, const std::string& id,
+                                StreamRecord& stream);
+  // Replaces engines by those of other versions, and ends some.
+  Awaitable<void> RunVersions();
   // Makes servers announce, change and withdraw limits.
   Awaitable<void> RunLimits();
   // Cuts hosts from all servers, in series and overlapping.
@@ -100,6 +124,7 @@
   void CheckRare(std::vector<std::string>& broken) const;
   void CheckCuts(std::vector<std::string>& broken) const;
   void CheckBrittle(std::vector<std::string>& broken) const;
+  void CheckStreams(std::vector<std::string>& broken) const;
   // Arrivals at `server` from hosts that had received its limit and had no
   // fault.
   std::vector<TimePoint> ArrivalsWithKnownLimit(
@@ -131,6 +156,9 @@
   // True for requests sent without a fault; time bounds apply only to them.
   std::map<std::string, bool> is_calm_;
   std::map<std::string, RareCaller> rare_callers_;  // By model.
+  std::vector<std::unique_ptr<StreamRecord>> streams_;
+  StreamTries new_streams_;
+  StreamTries resumptions_;
   std::map<int, int> poison_answers_;  // Keyed by status; zero: no answer.
   // Time of the first response with a limit, by host and server.
   std::map<std::pair<int, std::string>, TimePoint> limit_received_at_;
--- a/tests/membership/version_history_test.cc
+++ b/tests/membership/version_history_test.cc
@@ -29,7 +29,7 @@
   }
 
   TimePoint now_ = kStart;
-  VersionHistory history_{kMaxAge};
+  VersionHistory history_{kMaxAge, /*is_first_start=*/false};
 };
 
 TEST_F(VersionHistoryTest, OneVersionIsSettledOnceThePastIsKnown) {
@@ -40,6 +40,13 @@
   EXPECT_EQ(Settled(), "v1");
 }
 
+TEST_F(VersionHistoryTest, NoStreamBeganBeforeTheFirstStart) {
+  VersionHistory first(kMaxAge, /*is_first_start=*/true);
+  first.Add("llm", "v1", now_);
+  first.RecordListing(true, now_);
+  EXPECT_TRUE(first.IsSettled("llm", kFresh, now_));
+}
+
 // Guards against trust in a listing that may lack a newer version.
 TEST_F(VersionHistoryTest, OldListingSettlesNothing) {
   Start("v1");
@@ -107,7 +114,7 @@
 TEST_F(VersionHistoryTest, HostThatStartedLearnsThePastFromThePlan) {
   Start("v1");
   now_ += seconds(100);
-  VersionHistory started(kMaxAge);
+  VersionHistory started(kMaxAge, /*is_first_start=*/false);
   started.Add("llm", "v1", now_);
   started.RecordListing(true, now_);
   now_ += seconds(1);
@@ -123,7 +130,7 @@
   now_ += seconds(100);
   Stop("v1");
   now_ += seconds(10);
-  VersionHistory started(kMaxAge);
+  VersionHistory started(kMaxAge, /*is_first_start=*/false);
   started.Add("llm", "v2", now_);
   started.RecordListing(true, now_);
   now_ += seconds(1);
@@ -139,7 +146,7 @@
   now_ += seconds(100);
   const Json old = history_.ToRows(kMaxAge + milliseconds(1), now_);
   const Json before_own = history_.ToRows(kFresh, now_);
-  VersionHistory started(kMaxAge);
+  VersionHistory started(kMaxAge, /*is_first_start=*/false);
   started.Add("llm", "v1", now_);
   started.RecordListing(true, now_);
   started.MergeRows(before_own, now_);
--- a/tests/platform/forwarded_request_test.cc
+++ b/tests/platform/forwarded_request_test.cc
@@ -62,7 +62,9 @@
   }
 
   // Sends a caller's request to the cut host, which forwards it.
-  void SendAndForward(const std::string& helper_key = kKey) {
+  void SendAndForward(const std::string& helper_key = kKey,
+                      const HttpHeaders& extra = {},
+                      const std::optional<StreamOrigin>& origin = {}) {
     const uint16_t port = FreePort();
     cut_ = std::make_unique<TestHost>(io_, port, FreePort(), kKey);
     helper_ =
@@ -76,6 +78,7 @@
     call.request.headers[wire::kAuthorization] = "Token secret";
     call.request.headers["host"] = "shop.example";
     call.request.headers["x-own"] = "kept";
+    for (const auto& [name, value] : extra) call.request.headers[name] = value;
     call.request.body = "hi";
     stream_ = client_.Prepare(call);
     asio::co_spawn(
@@ -101,6 +104,7 @@
     dispatch.backend = "helper";
     dispatch.address = helper_->forward_address;
     dispatch.is_repeatable = false;
+    dispatch.origin = origin;
     dispatch.deadline = SystemClock().Now() + std::chrono::seconds(4);
     cut_->engines.Dispatch(dispatch, cut_->ingress.Find(dispatch.handle));
   }
@@ -142,6 +146,52 @@
   EXPECT_FALSE(cut_->Find<RequestArrived>()->is_forwarded);
 }
 
+// Guards against a host that resumes a forwarded stream without the origin that
+// is known, or with one that a caller has made up.
+TEST_F(ForwardedRequestTest, OriginOfAStreamComesFromTheHostOnly) {
+  const HttpHeaders made_up{{"applehall-stream-service", "llm"},
+                            {"applehall-stream-version", "v9"},
+                            {wire::kLastEventId, "4"},
+                            {wire::kResumes, "id-0"}};
+  SendAndForward(kKey, made_up, StreamOrigin{"llm", "v1"});
+  const RequestArrived* arrived = AwaitForwarded();
+  ASSERT_NE(arrived, nullptr);
+  EXPECT_EQ(arrived->origin, (StreamOrigin{"llm", "v1"}));
+  EXPECT_TRUE(arrived->is_resumption);
+  EXPECT_EQ(arrived->resumes, "id-0");
+  const RequestArrived* from_caller = cut_->Find<RequestArrived>();
+  EXPECT_EQ(from_caller->origin, std::nullopt);
+  EXPECT_EQ(from_caller->resumes, "id-0");
+}
+
+TEST_F(ForwardedRequestTest, MadeUpOriginIsNotForwarded) {
+  SendAndForward(kKey, {{"applehall-stream-service", "llm"},
+                        {"applehall-stream-version", "v9"}});
+  ASSERT_NE(AwaitForwarded(), nullptr);
+  EXPECT_EQ(AwaitForwarded()->origin, std::nullopt);
+  EXPECT_FALSE(AwaitForwarded()->is_resumption);
+}
+
+// Guards against a host that forwarded a stream and does not learn its origin,
+// and against callers that receive it.
+TEST_F(ForwardedRequestTest, OriginOfABegunStreamReachesTheForwardingHost) {
+  SendAndForward();
+  ASSERT_NE(AwaitForwarded(), nullptr);
+  ReplyPart begin;
+  begin.kind = ReplyPart::Kind::kBegin;
+  begin.response.headers[wire::kAttemptId] = "id-1";
+  begin.response.headers[wire::kServerStamp] = "stamp";
+  begin.response.headers["content-type"] = "text/event-stream";
+  WriteOrigin(StreamOrigin{"llm", "v1"}, begin.response.headers);
+  HelperSession()->Push(begin);
+  HelperSession()->PushChunk("id: 1\ndata: a\n\n");
+  ASSERT_TRUE(RunUntil([this] { return !body_.empty(); }));
+  const auto* started = cut_->Find<AttemptStarted>();
+  ASSERT_NE(started, nullptr);
+  EXPECT_EQ(started->origin, (StreamOrigin{"llm", "v1"}));
+  EXPECT_EQ(ReadOrigin(stream_->head().headers), std::nullopt);
+}
+
 // Guards against an answer of a server that reaches the caller changed.
 TEST_F(ForwardedRequestTest, AnswerOfTheServerReachesTheCaller) {
   SendAndForward();
--- a/tests/platform/server_entry_test.cc
+++ b/tests/platform/server_entry_test.cc
@@ -33,6 +33,8 @@
     "adapters": ["a3@2"]}], "at_hand": {"in_memory": ["x"],
     "on_disk": ["x", "m"]}})"));
   ASSERT_TRUE(server.ok());
+  EXPECT_EQ(server->version, "");
+  EXPECT_EQ(ReadServer("i-1", *ParseJson(kEntry))->version, "v1");
   EXPECT_TRUE(server->is_leaving);
   EXPECT_TRUE(server->is_engine);
   EXPECT_EQ(server->models.at("llm/m"), std::vector<std::string>{"llm/m/a3"});
