--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -93,7 +93,7 @@
 
 Json PlatformFields() {
   return *ParseJson(R"({"node_name": "edge-1", "zone": "hall",
-    "ip_addr": "10.0.0.1", "port_range": [7000, 7015],
+    "ip_addr": "10.0.0.1", "bootstrap": true, "port_range": [7000, 7015],
     "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
     "platform": {"address": "10.0.0.2:90"},
     "limits": {"cpu_share": 0.25, "memory_mb": 260},
@@ -121,6 +121,7 @@
   fields["bounds"]["config_apply_ms"] = 6000.5;
   const auto settings = ParseFilledTemplate(fields);
   ASSERT_TRUE(settings.ok()) << settings.status().message();
+  EXPECT_TRUE(settings->node.is_first_start);
   EXPECT_DOUBLE_EQ(settings->node.retry_slack, 52.5);
   EXPECT_GT(settings->node.max_drain, std::chrono::seconds(7));
   EXPECT_LT(settings->node.max_drain, std::chrono::milliseconds(8500));
