--- a/main/request_timeline.cc
+++ b/main/request_timeline.cc
@@ -82,6 +82,7 @@
   std::set<std::string> backends;
   std::string rules_version;
   std::string fingerprint;  // Of its content.
+  std::string resumes;      // Earlier request whose stream it continues.
   TimePoint arrived;
   TimePoint ended;
 };
@@ -100,6 +101,9 @@
     details.arrived = line.time - milliseconds(took_ms);
     details.ended = line.time;
     details.fingerprint = line.Value("fingerprint");
+    if (!line.Value("resumes").empty()) {
+      details.resumes = line.Value("resumes");
+    }
     if (!line.Value("backend").empty()) {
       details.backends.insert(line.Value("backend"));
     }
@@ -118,6 +122,10 @@
     return line.host == details.host &&
            line.Value("version") == details.rules_version;
   }
+  // At any host: it shows at which version the stream began.
+  if (!details.resumes.empty() && line.Value("request") == details.resumes) {
+    return true;
+  }
   if (ContentEvents().contains(line.event)) {
     return line.Value("fingerprint") == details.fingerprint;
   }
--- a/tests/main/request_timeline_test.cc
+++ b/tests/main/request_timeline_test.cc
@@ -45,6 +45,22 @@
   EXPECT_EQ(timeline[3].host, "a") << "its own host";
 }
 
+// Guards against a resumed stream whose beginning at another host is not shown.
+TEST(RequestTimelineTest, ListsTheRequestThatBeganTheStream) {
+  std::istringstream logs(
+      R"(time_ms=1000 host=b event=request_end request=41 versions=v1 rule=9/r
+time_ms=1001 host=b event=request_end request=40 versions=v2 rule=9/r
+time_ms=2000 host=a event=stream_located request=42 resumes=41 version=v1
+time_ms=3000 host=a event=request_end request=42 resumes=41 versions=v1 rule=9/r
+)");
+  const std::vector<LogLine> timeline =
+      BuildRequestTimeline(ReadLogLines(logs), "42");
+  const std::vector<std::string> expected = {"request_end", "stream_located",
+                                             "request_end"};
+  EXPECT_EQ(Events(timeline), expected);
+  EXPECT_EQ(timeline[0].Value("request"), "41");
+}
+
 // Copies of a refused request, with other ids and at other hosts, terminated
 // servers minutes earlier.
 TEST(RequestTimelineTest, ListsServersTerminatedByTheSameContent) {
--- a/tests/node/stream_version_test.cc
+++ b/tests/node/stream_version_test.cc
@@ -215,6 +215,42 @@
   EXPECT_GE(Resumptions().Value(), 0.95 * NewStreams().Value()) << Describe();
 }
 
+// Guards against streams that nobody was told of, as they began before there
+// was a second version.
+TEST_F(StreamVersionTest, StreamsThatAreOpenAtARollOutGoOn) {
+  for (int i = 1; i <= 4; ++i) StartServer(absl::StrCat("old-", i), "v1");
+  AddHosts({"a", "b", "c", "d"});
+  RunStreams(seconds(70));
+  BeginStreams({"a"}, 40, seconds(1));
+  for (int i = 1; i <= 4; ++i) StartServer(absl::StrCat("new-", i), "v2");
+  RunStreams(milliseconds(400));
+  choose_host_ = [](size_t i) { return std::string(1, "bcd"[i % 3]); };
+  Kill("a");
+  RunStreams(seconds(6));
+  EXPECT_EQ(CountMixed(), 0) << Describe();
+  EXPECT_GT(Resumptions().asked, 30);
+  EXPECT_GE(Resumptions().Value(), 0.95 * NewStreams().Value()) << Describe();
+}
+
+// Guards against a stream that waits, or goes on at another version, after the
+// last server of its own has left.
+TEST_F(StreamVersionTest, StreamOfAVersionThatIsGoneIsRefusedAtOnce) {
+  StartServer("old-1", "v1");
+  AddHosts({"a", "b"});
+  RunStreams(seconds(5));
+  const size_t stream = Begin("a");
+  RunStreams(milliseconds(500));
+  StartServer("new-1", "v2");
+  RunStreams(milliseconds(500));
+  StopServer("old-1");
+  RunStreams(seconds(1));
+  EXPECT_EQ(CountMixed(), 0) << Describe();
+  const Try& resumed = streams_[stream].tries.at(1);
+  ASSERT_TRUE(resumed.refusal);
+  EXPECT_EQ(resumed.refusal->reason, RefusalReason::kVersionGone);
+  EXPECT_LE(resumed.refused_after, milliseconds(500));
+}
+
 // Guards against a new version that takes no streams, and one that is left.
 TEST_F(StreamVersionTest, RollOutAndRollBackServeNewStreams) {
   for (int i = 1; i <= 4; ++i) StartServer(absl::StrCat("v1-", i), "v1");
