A stream whose version only leaving servers have is refused at once

Whether the version has a staying server is asked of the listing now. Test: StreamVersionTest.StreamOfAVersionThatLeavesIsRefusedAtOnce.

--- a/membership/version_history.cc
+++ b/membership/version_history.cc
@@ -116,13 +116,6 @@
   return only;
 }
 
-bool VersionHistory::IsListed(const StreamOrigin& origin) const {
-  const auto versions = services_.find(origin.service);
-  if (versions == services_.end()) return false;
-  const auto known = versions->second.find(origin.version);
-  return known != versions->second.end() && known->second.servers > 0;
-}
-
 TimePoint VersionHistory::StreamsFrom(const std::string& service,
                                       const std::string& version) const {
   const auto versions = services_.find(service);
--- a/membership/version_history.h
+++ b/membership/version_history.h
@@ -63,10 +63,6 @@
                  TimePoint now) const {
     return SettledVersion(service, listing_age, now).has_value();
   }
-  // Returns whether a listing was applied.
-  bool IsKnown() const { return known_since_ != TimePoint{}; }
-  // Returns whether a server of this origin is listed.
-  bool IsListed(const StreamOrigin& origin) const;
   // Returns from when new streams may begin at a version.
   TimePoint StreamsFrom(const std::string& service,
                         const std::string& version) const;
--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -75,6 +75,14 @@
   });
 }
 
+bool FleetManager::OffersVersion(const StreamOrigin& origin) const {
+  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
+    const ListedServer& server = item.second;
+    return server.service == origin.service &&
+           server.version == origin.version && !server.is_leaving;
+  });
+}
+
 // ---- Listing ----
 
 Duration FleetManager::ListingAge() const {
--- a/node/fleet_manager.h
+++ b/node/fleet_manager.h
@@ -92,6 +92,9 @@
   const EngineList& servers() const { return servers_; }
   // Whether a backend server of `service` is listed. Not thread-safe.
   bool OffersService(const std::string& service) const;
+  // Whether a server of this origin is listed that does not leave. Not
+  // thread-safe.
+  bool OffersVersion(const StreamOrigin& origin) const;
   Json ToJson() const;
 
  private:
--- a/node/request_flow_streams.cc
+++ b/node/request_flow_streams.cc
@@ -86,14 +86,14 @@
 }
 
 bool RequestFlow::RefuseStranded(Request& request) {
-  if (!request.origin || !streams_.versions().IsKnown()) return false;
+  if (!request.origin || !fleet_.is_known()) return false;
   const StreamOrigin& origin = *request.origin;
   const bool is_ready =
       context_.view.ReadyReplicas(request.target, origin.version) > 0;
   if (is_ready) return false;
   // A model may be loaded at a server of this version.
   const bool may_become_ready =
-      !request.is_service_call && streams_.versions().IsListed(origin);
+      !request.is_service_call && fleet_.OffersVersion(origin);
   if (may_become_ready) return false;
   Refuse(request.arrival.handle,
          NotRun(RefusalReason::kVersionGone,
--- a/tests/membership/version_history_test.cc
+++ b/tests/membership/version_history_test.cc
@@ -61,7 +61,6 @@
   Start("v2");
   now_ += seconds(100);
   Stop("v1");
-  EXPECT_FALSE(history_.IsListed({"llm", "v1"}));
   now_ += kMaxStreamAge;
   EXPECT_FALSE(Settled());
   now_ += milliseconds(1);
@@ -162,7 +161,8 @@
                            "{\"c\": \"x\", \"a\": []}"}) {
     history_.MergeRows(*ParseJson(text), now_);
   }
-  EXPECT_TRUE(history_.IsListed({"llm", "v1"}));
+  now_ += kMaxStreamAge;
+  EXPECT_EQ(Settled(), "v1");
 }
 
 }  // namespace
--- a/tests/node/stream_fixture.h
+++ b/tests/node/stream_fixture.h
@@ -138,6 +138,12 @@
     models_at_[id] = {model};
     listing_log_.push_back({id, server});
   }
+  // Lists a server as leaving; it serves on.
+  void Drain(const std::string& id) {
+    ListedServer server = servers_.at(id);
+    server.is_leaving = true;
+    listing_log_.push_back({id, server});
+  }
   // Ends a server; its entry is removed.
   void StopServer(const std::string& id) {
     servers_.erase(id);
--- a/tests/node/stream_version_test.cc
+++ b/tests/node/stream_version_test.cc
@@ -251,6 +251,31 @@
   EXPECT_LE(resumed.refused_after, milliseconds(500));
 }
 
+// Guards against a stream that waits for servers that all leave.
+TEST_F(StreamVersionTest, StreamOfAVersionThatLeavesIsRefusedAtOnce) {
+  StartServer("old-1", "v1");
+  StartServer("new-1", "v2");
+  AddHosts({"a", "b"});
+  RunStreams(seconds(5));
+  std::vector<size_t> begun;
+  for (int i = 0; i < 8; ++i) begun.push_back(Begin("a"));
+  RunStreams(milliseconds(500));
+  Drain("old-1");
+  RunStreams(milliseconds(500));
+  CrashRuns("old-1");
+  RunStreams(seconds(1));
+  EXPECT_EQ(CountMixed(), 0) << Describe();
+  int refused = 0;
+  for (const Stream& stream : streams_) {
+    if (stream.versions.at(0) != "v1") continue;
+    ASSERT_GE(stream.tries.size(), 2u);
+    ASSERT_TRUE(stream.tries[1].refusal) << Describe();
+    EXPECT_LE(stream.tries[1].refused_after, milliseconds(500));
+    ++refused;
+  }
+  EXPECT_GT(refused, 0);
+}
+
 // Guards against a new version that takes no streams, and one that is left.
 TEST_F(StreamVersionTest, RollOutAndRollBackServeNewStreams) {
   for (int i = 1; i <= 4; ++i) StartServer(absl::StrCat("v1-", i), "v1");
