An idle weight store loads unserved models one after another

An idle store owes a turn to whoever has waited longest; beside other loads at least every second one stays with them. Test: UnservedTargetsTest.IdleStoreLoadsRareModelsOneAfterAnother.

--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -1546,10 +1546,10 @@
       continue;
     }
     const bool needs_store = NeedsStore(name);
-    const bool has_turn =
-        needs_store
-            ? owed_store_loads_ > 0 && (is_overdue || IsPromiseDue(*entry, now))
-            : is_overdue;
+    const bool has_turn = needs_store
+                              ? (owed_store_loads_ > 0 || StoreLoads() == 0) &&
+                                    (is_overdue || IsPromiseDue(*entry, now))
+                              : is_overdue;
     if (!has_turn) continue;
     if (!MayTry(*entry, now)) continue;
     const int owed = owed_store_loads_;
@@ -1559,7 +1559,7 @@
         absl::StrCat("unserved for ", ToMillis(now - wait.since), " ms"),
         precedence, now, orders);
     RecordDeferral(wait.name, deferral);
-    if (store_loads_sent_ != sent) owed_store_loads_ = owed - 1;
+    if (store_loads_sent_ != sent) owed_store_loads_ = std::max(0, owed - 1);
   }
 }
 
--- a/tests/placement/unserved_targets_test.cc
+++ b/tests/placement/unserved_targets_test.cc
@@ -144,6 +144,23 @@
   EXPECT_GE(ServedShare(busy), 0.75);
 }
 
+// Guards against an idle weight store beside models that wait for it, where no
+// other load earns them a turn.
+TEST_F(UnservedTargetsTest, IdleStoreLoadsRareModelsOneAfterAnother) {
+  CreateEngines(4, 18);
+  PlaceInTurn(12);
+  UpdateListing();
+  for (int i = 0; i < 12; ++i) AddCallers(ModelName(i), milliseconds(400), 6);
+  RunCallers(seconds(30));
+  ResetCounts();
+  for (int i = 12; i < 18; ++i) AddCallers(ModelName(i), seconds(2));
+  RunCallers(seconds(120));
+  for (int i = 12; i < 18; ++i) {
+    ExpectServedWithin(ModelName(i),
+                       kPrecedenceAfter + 6 * (2 * seconds(6) + kEngineTurn));
+  }
+}
+
 // Guards against rare models that take too many engines from busy ones at once.
 TEST_F(UnservedTargetsTest, OverdueModelsUseFewEnginesAtATime) {
   CreateEngines(16, 56);
