Streams that callers do not name go on where one version is known

No host can look up what is not named, so such a stream goes on where one version has been seen, and is refused where two have. Streams that are named keep their promise.

--- a/membership/version_history.cc
+++ b/membership/version_history.cc
@@ -105,8 +105,13 @@
   const bool is_known = known_since_ != TimePoint{} &&
                         now - known_since_ >= kMaxStreamAge &&
                         listing_age <= max_listing_age_;
+  return is_known ? OnlySeenVersion(service, now) : std::nullopt;
+}
+
+std::optional<std::string> VersionHistory::OnlySeenVersion(
+    const std::string& service, TimePoint now) const {
   const auto versions = services_.find(service);
-  if (!is_known || versions == services_.end()) return std::nullopt;
+  if (versions == services_.end()) return std::nullopt;
   std::optional<std::string> only;
   for (const auto& [version, state] : versions->second) {
     if (!IsRecent(state, now)) continue;
--- a/membership/version_history.h
+++ b/membership/version_history.h
@@ -59,6 +59,10 @@
   std::optional<std::string> SettledVersion(const std::string& service,
                                             Duration listing_age,
                                             TimePoint now) const;
+  // Returns the only version of `service` that this host has seen lately;
+  // nothing if it has seen several or none. Another one may have begun streams.
+  std::optional<std::string> OnlySeenVersion(const std::string& service,
+                                             TimePoint now) const;
   bool IsSettled(const std::string& service, Duration listing_age,
                  TimePoint now) const {
     return SettledVersion(service, listing_age, now).has_value();
--- a/node/request_flow_streams.cc
+++ b/node/request_flow_streams.cc
@@ -31,8 +31,12 @@
   if (!IsFleet() || !request.is_resumable() || is_located) return true;
   const RequestHandle handle = request.arrival.handle;
   if (request.arrival.origin) {
-    return ContinueAt(request, {handle, request.arrival.origin,
-                                StreamManager::Source::kForwarder});
+    return ContinueAt(request,
+                      {handle, request.arrival.origin,
+                       StreamManager::Source::kForwarder, Duration{0}});
+  }
+  if (request.arrival.resumes.empty()) {
+    return ContinueAt(request, FindUnnamed(request));
   }
   const std::optional<StreamManager::Finding> finding =
       streams_.Find(handle, request.stream_key(), request.service);
@@ -43,6 +47,17 @@
   return false;
 }
 
+// A caller that does not name the stream could be told nothing by any host.
+StreamManager::Finding RequestFlow::FindUnnamed(const Request& request) const {
+  StreamManager::Finding finding{request.arrival.handle, std::nullopt,
+                                 StreamManager::Source::kOnlyVersion,
+                                 Duration{0}};
+  const std::optional<std::string> only =
+      streams_.versions().OnlySeenVersion(request.service, context_.now);
+  if (only) finding.origin = StreamOrigin{request.service, *only};
+  return finding;
+}
+
 void RequestFlow::RunResumptions() {
   for (const StreamManager::Finding& finding : streams_.TakeFindings()) {
     Request* request = Find(finding.handle);
--- a/tests/node/stream_fixture.h
+++ b/tests/node/stream_fixture.h
@@ -189,7 +189,9 @@
     request.facts.model = "m0";
     request.facts.caller = "c";
     request.is_resumption = stream.events > 0;
-    if (request.is_resumption) request.resumes = stream.begun_by;
+    if (request.is_resumption && !has_unnamed_resumptions_) {
+      request.resumes = stream.begun_by;
+    }
     open_[{host, request.handle}] = number;
     Handle(host, request);
   }
@@ -287,6 +289,7 @@
   std::map<std::string, ListedServer> servers_;
   std::map<std::string, std::string> centres_;
   std::vector<ServerRun> runs_;
+  bool has_unnamed_resumptions_ = false;
   int false_refusals_ = 0;  // Refused as not run although events were sent.
 
  private:
--- a/tests/node/stream_version_test.cc
+++ b/tests/node/stream_version_test.cc
@@ -276,6 +276,37 @@
   EXPECT_GT(refused, 0);
 }
 
+// Guards against callers of an older protocol who are refused wherever a host
+// has just started, though one version is all there is.
+TEST_F(StreamVersionTest, UnnamedStreamGoesOnWhereOneVersionIsKnown) {
+  for (int i = 1; i <= 4; ++i) StartServer(absl::StrCat("s-", i), "v1");
+  AddHosts({"a", "b"});
+  RunStreams(seconds(5));
+  has_unnamed_resumptions_ = true;
+  BeginStreams({"a"}, 20, seconds(1));
+  Kill("a");
+  Kill("b");
+  Restart("a");
+  Restart("b");
+  RunStreams(seconds(6));
+  EXPECT_GT(Resumptions().asked, 10);
+  EXPECT_EQ(Resumptions().Value(), 1.0) << Describe();
+}
+
+// Guards against a guess for a stream that its caller does not name.
+TEST_F(StreamVersionTest, UnnamedStreamIsRefusedWhereTwoVersionsAreKnown) {
+  StartBothVersions();
+  AddHosts({"a", "b"});
+  RunStreams(seconds(5));
+  has_unnamed_resumptions_ = true;
+  BeginStreams({"a"}, 20, seconds(1));
+  Kill("a");
+  RunStreams(seconds(6));
+  EXPECT_EQ(CountMixed(), 0) << Describe();
+  EXPECT_GT(Resumptions().asked, 10);
+  EXPECT_EQ(Resumptions().served, 0) << Describe();
+}
+
 // Guards against a new version that takes no streams, and one that is left.
 TEST_F(StreamVersionTest, RollOutAndRollBackServeNewStreams) {
   for (int i = 1; i <= 4; ++i) StartServer(absl::StrCat("v1-", i), "v1");
