--- a/node/request_flow_streams.cc
+++ b/node/request_flow_streams.cc
@@ -47,7 +47,7 @@
   return false;
 }
 
-// A caller that does not name the stream could be told nothing by any host.
+// There are no records of streams that callers do not name.
 StreamManager::Finding RequestFlow::FindUnnamed(const Request& request) const {
   StreamManager::Finding finding{request.arrival.handle, std::nullopt,
                                  StreamManager::Source::kOnlyVersion,
@@ -82,11 +82,10 @@
       .With("source", finding.origin ? SourceName(finding.source) : "none")
       .With("took_ms", ToMillis(finding.took));
   if (!finding.origin) {
-    Refuse(handle,
-           NotRun(RefusalReason::kStreamUnknown,
-                  absl::StrCat("no host that answered knows which software "
-                               "version began the stream ",
-                               request.arrival.resumes)));
+    Refuse(handle, NotRun(RefusalReason::kStreamUnknown,
+                          absl::StrCat("no record was found of the software "
+                                       "version that began the stream ",
+                                       request.arrival.resumes)));
     return false;
   }
   if (!decider_.SetService(request, finding.origin->service)) {
--- a/node/stream_manager.cc
+++ b/node/stream_manager.cc
@@ -15,7 +15,7 @@
 // Callers leave after a pause of two seconds, most of which belongs to the
 // server that resumes the stream.
 constexpr Duration kMaxAskTime = milliseconds(400);
-// The same at a host that has just started and learns whom to ask meanwhile.
+// The same just after the start, until the list of registrars is complete.
 constexpr Duration kMaxStartTime = seconds(1);
 // Plans repeat the registrars this often, in case a plan was lost.
 constexpr Duration kRegistrarInterval = seconds(5);
@@ -183,10 +183,10 @@
   return context_.now - context_.started_at < kMaxStartTime;
 }
 
-// A host that has just started may not know all registrars yet.
+// The list of registrars may be incomplete just after the start.
 bool StreamManager::IsUnknown(const Question& question) const {
   return !IsStarting() && !registrars_.is_empty() &&
-         question.ignorant.size() == question.asked.size();
+         question.without_record.size() == question.asked.size();
 }
 
 void StreamManager::HandleQuery(const std::string& host, const Json& body) {
@@ -217,7 +217,7 @@
     return;
   }
   if (!question->second.asked.contains(host)) return;
-  question->second.ignorant.insert(host);
+  question->second.without_record.insert(host);
   if (IsUnknown(question->second)) End(key, std::nullopt);
 }
 
--- a/node/stream_manager.h
+++ b/node/stream_manager.h
@@ -19,7 +19,7 @@
 //
 // Hosts tell the origins of their streams to a few other hosts, the registrars
 // that the placement owner names, while a service is or was lately served by
-// more than one version, or a host cannot know whether it was.
+// more than one version, or while that cannot be ruled out.
 //
 // Not thread-safe.
 class StreamManager {
@@ -88,7 +88,7 @@
     std::set<RequestHandle> requests;
     TimePoint asked_at;
     std::set<std::string> asked;
-    std::set<std::string> ignorant;  // Answered that they do not know.
+    std::set<std::string> without_record;  // Hosts that found no origin.
   };
   struct Outbox {
     std::string address;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -17,17 +17,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int kEvents = 12;
-constexpr int kModels = 6;
 constexpr int kStreamCallers = 12;
-// Further models with one caller each. The engines hold eight models together.
-constexpr int kRareModels = 8;
-constexpr Duration kRareInterval = milliseconds(800);
-// How long a caller that keeps asking goes unserved at most: the time after
-// which its model takes precedence, and a turn for each of the rare models.
-constexpr Duration kUnservedLimit = seconds(12) + kRareModels * seconds(4);
-constexpr Duration kCallTimeout = seconds(7);
-constexpr Duration kWarmUp = seconds(4);
 constexpr Duration kCoolDown = seconds(9);
 // A leaving server gets no new requests after 2 s; the remainder allows for a
 // loaded machine.
@@ -214,54 +204,6 @@
   --callers_running_;
 }
 
-asio::awaitable<void> Soak::RunRareCaller(int index) {
-  const int host = index % hosts_.count();
-  RareCaller& caller = rare_callers_[absl::StrCat("m", kModels + index)];
-  co_await Sleep(io_, kWarmUp);
-  while (clock_.Now() < ends_at_) {
-    const std::string id = absl::StrCat("rare-", index, "-", caller.requests++);
-    HttpCall call;
-    call.address = hosts_.caller_address(host);
-    call.request.method = "POST";
-    call.request.target = "/stream/x";
-    call.request.headers["host"] = "soak.example";
-    call.request.headers["x-attempt-id"] = id;
-    call.request.headers["x-deadline-ms"] = "4000";
-    call.request.headers["x-model"] = absl::StrCat("m", kModels + index);
-    call.request.body = "body";
-    call.connect_timeout = milliseconds(500);
-    call.header_timeout = kCallTimeout;
-    const bool was_calm = clock_.Now() > disturbed_until_;
-    const TimePoint sent_at = clock_.Now();
-    RequestRecord& view = sent_requests_[id];
-    view.kind = "stream";
-    view.host = host;
-    view.sent_at = sent_at;
-    is_calm_[id] = false;  // They are refused more often than others.
-    const HttpResult result = co_await client_.Fetch(call);
-    if (result.state == SendState::kAnswered) RecordAnswer(result, view);
-    const bool is_served = view.status / 100 == 2;
-    co_await Sleep(io_, kRareInterval);
-    caller.served += is_served ? 1 : 0;
-    if (is_served) caller.unserved = Duration{0};
-    const bool is_calm = was_calm && clock_.Now() > disturbed_until_;
-    if (!is_served && is_calm) caller.unserved += clock_.Now() - sent_at;
-    caller.longest_unserved =
-        std::max(caller.longest_unserved, caller.unserved);
-  }
-  --callers_running_;
-}
-
-// Only time without faults counts.
-void Soak::CheckRare(std::vector<std::string>& broken) const {
-  for (const auto& [model, caller] : rare_callers_) {
-    if (caller.longest_unserved <= kUnservedLimit) continue;
-    broken.push_back(absl::StrCat(
-        "STARVED ", model, " unserved for ", ToMillis(caller.longest_unserved),
-        " ms, ", caller.served, " of ", caller.requests, " requests served"));
-  }
-}
-
 asio::awaitable<void> Soak::RunPoisonCaller(std::string kind) {
   // A separate generator keeps the faults of a seed the same without poison.
   Random random(options_.seed + 1);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -17,6 +17,15 @@
 
 namespace applehall {
 
+// Models of the catalogue; with rare ones there are `kRareModels` more, each
+// asked for by one caller. The engines hold eight models together.
+inline constexpr int kModels = 6;
+inline constexpr int kRareModels = 8;
+// Events of a whole stream.
+inline constexpr int kEvents = 12;
+inline constexpr Duration kWarmUp = std::chrono::seconds(4);
+inline constexpr Duration kCallTimeout = std::chrono::seconds(7);
+
 struct SoakOptions {
   std::string daemon;
   std::string folder;
--- a/soak/soak_cuts.cc
+++ b/soak/soak_cuts.cc
@@ -18,7 +18,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Duration kWarmUp = seconds(4);
 // Callers of hosts that are cut from all servers are served two thirds as often
 // as those of the others, from 3 s after the cut, unless few fail at all.
 constexpr double kMinShareOfOthers = 2.0 / 3;
--- a/soak/soak_streams.cc
+++ b/soak/soak_streams.cc
@@ -16,8 +16,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kEvents = 12;
-constexpr int kModels = 6;
 constexpr int kMaxTries = 4;
 constexpr const char* kVersions[] = {"v1", "v1.1", "v1.2"};
 // Of the share of new streams; and the tries without which it proves nothing.
@@ -110,7 +108,7 @@
 
 boost::asio::awaitable<void> Soak::RunStreamCaller(uint64_t seed) {
   Random random(seed);
-  co_await Sleep(io_, std::chrono::seconds(4));
+  co_await Sleep(io_, kWarmUp);
   while (clock_.Now() < ends_at_) {
     streams_.push_back(std::make_unique<StreamRecord>());
     StreamRecord& stream = *streams_.back();
@@ -134,7 +132,7 @@
 boost::asio::awaitable<void> Soak::RunVersions() {
   // A separate generator keeps the faults of a seed the same without versions.
   Random random(options_.seed + 3);
-  co_await Sleep(io_, std::chrono::seconds(4));
+  co_await Sleep(io_, kWarmUp);
   int started = 0;
   while (clock_.Now() < ends_at_) {
     platform_.SetEngineVersion(kVersions[random.Below(std::size(kVersions))]);
--- a/tests/node/stream_fixture.h
+++ b/tests/node/stream_fixture.h
@@ -12,9 +12,8 @@
 
 namespace applehall {
 
-// Simulates the store's listing as a log that hosts read or get relayed, runs
-// of streams at servers, and callers. Each event of a stream keeps the version
-// of the server that sent it, over all tries of its caller.
+// Simulates the store's listing, which hosts read or get relayed, runs of
+// streams at servers, and callers, and records the versions of all events.
 class StreamFixture : public FleetTest {
  protected:
   // The budget of retries is not tested here.
