--- a/main/request_timeline.h
+++ b/main/request_timeline.h
@@ -39,7 +39,8 @@
 // own lines, and earlier ones on the rules in force and the servers listed at
 // its host, the placement of its model, changes of the placement owner,
 // failures at its host, servers that terminated on requests with the same
-// content, and the lines of the request whose stream it resumes. Empty if no line contains the request. Thread-safe.
+// content, and the lines of the request whose stream it resumes. Empty if no
+// line contains the request. Thread-safe.
 std::vector<LogLine> BuildRequestTimeline(std::vector<LogLine> lines,
                                           const std::string& request);
 
