Log the prompt parts of requests, and whether an answer had begun

RequestArrived carries the ids and a hash of the whole prompt; the records of the quarantine have room for parts, and the end of an attempt for how its answer ended. No decision changes.

--- a/node/messages.h
+++ b/node/messages.h
@@ -36,8 +36,11 @@
   // The caller's own limit; can only shorten the deadline of the rule.
   std::optional<Duration> deadline;
   std::string idempotency_key;
-  uint64_t prefix_hash = 0;   // Of the start of the prompt; 0: no prompt.
-  uint64_t fingerprint = 0;   // Of the request content; 0: unknown.
+  uint64_t prefix_hash = 0;  // Of the start of the prompt; 0: no prompt.
+  uint64_t fingerprint = 0;  // Of the request content; 0: unknown.
+  // Ids of the parts of its prompt that other requests may share, in order.
+  std::vector<std::string> prompt_parts = {};
+  uint64_t prompt_hash = 0;   // Of the whole prompt; 0: no prompt.
   bool is_forwarded = false;  // By another entry host.
   // Digest of the API key that the request carries, if any.
   std::optional<ApiKeyDigest> api_key;
@@ -111,6 +114,9 @@
   // Time from the dispatch until the request was written to the server's
   // connection; nothing if it was not written.
   std::optional<Duration> send_delay = std::nullopt;
+  // kCompleted: the end of the connection ended the answer, as it does if the
+  // server crashes.
+  bool ended_with_connection = false;
   // From the headers of the answer, if one was received.
   ReportedLimit limit = {};
   // Of the host that the request was forwarded to; nothing if it passed on the
@@ -233,11 +239,12 @@
   OrderResult result = OrderResult::kUnanswered;
 };
 
-// Requests with this content are not sent to any server until `until`; the
-// epoch lifts the quarantine.
+// Requests with this content, or with all of these prompt parts, are not sent
+// to any server until `until`; the epoch lifts the quarantine.
 struct QuarantineRecord {
   uint64_t fingerprint = 0;
   TimePoint until;
+  std::vector<uint64_t> parts = {};  // Of prompts; empty for a content.
 };
 
 // Result of ReadQuarantine.
--- a/node/quarantine_manager.cc
+++ b/node/quarantine_manager.cc
@@ -1,6 +1,7 @@
 #include "node/quarantine_manager.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 
@@ -47,9 +48,14 @@
     LogEvent(LogLevel::kWarning, "server_ended")
         .With("server", server)
         .With("fingerprint", FingerprintText(cut.fingerprint))
+        .With("parts", absl::StrJoin(cut.prompt_parts, ","))
         .With("answered_ms", ToMillis(cut.answered_for))
+        .With("started", cut.has_started ? "yes" : "no")
         .With("requests", cuts.size())
         .With("counts", is_cleared ? "no" : "yes");
+    if (!cut.has_started) {
+      context_.metrics.Count("requests_cut_unanswered_total");
+    }
     if (is_cleared) continue;
     const ServerEnd end{cut.fingerprint, server,
                         cut.answered_for > kLateAnswerAge, context_.now};
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -609,7 +609,8 @@
 void RequestFlow::RecordCut(const Request& request, const AttemptEnded& event) {
   const EngineDigest* server = context_.view.Find(request.backend);
   if (server == nullptr || request.arrival.fingerprint == 0) return;
-  const CutRequest cut{request.arrival.fingerprint, event.answered_for};
+  const CutRequest cut{request.arrival.fingerprint, event.answered_for,
+                       request.arrival.prompt_parts, request.has_started};
   if (!ends_.RecordCut(request.backend, cut, context_.now)) return;
   context_.Emit(ProbeServer{request.backend, std::string(server->address)});
 }
--- a/node/server_ends.h
+++ b/node/server_ends.h
@@ -14,6 +14,10 @@
   uint64_t fingerprint = 0;
   // For how long its answer had been under way.
   Duration answered_for{0};
+  // As in RequestArrived.
+  std::vector<std::string> prompt_parts{};
+  // An earlier attempt or this one has answered in part.
+  bool has_started = false;
 };
 
 // Distinguishes servers that ended from servers that only closed a connection.
