--- a/tests/platform/edge_test.cc
+++ b/tests/platform/edge_test.cc
@@ -1,158 +1,11 @@
 // Ingress and engine client over loopback, with faulty callers and servers.
 
-#include <gtest/gtest.h>
-
-#include <boost/asio.hpp>
-#include <deque>
-#include <functional>
-#include <memory>
-
 #include "core/request_fingerprint.h"
-#include "platform/engine_client.h"
-#include "platform/ingress.h"
+#include "tests/platform/edge_fixture.h"
 
 namespace applehall {
 namespace {
 
-namespace asio = boost::asio;
-using tcp = asio::ip::tcp;
-
-constexpr char kAnswer[] =
-    "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Server-Stamp: s\r\n"
-    "Content-Length: 5\r\n\r\nhello";
-
-// Serves one connection at a time: reads a request, sends the next scripted
-// text and closes.
-class ScriptedServer {
- public:
-  explicit ScriptedServer(asio::io_context& io)
-      : acceptor_(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {
-    asio::co_spawn(io, Serve(), asio::detached);
-  }
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-  }
-
-  std::deque<std::string> answers;
-  std::vector<std::string> requests;
-
- private:
-  asio::awaitable<void> Serve() {
-    while (true) {
-      tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
-      std::string request;
-      const auto read = co_await asio::async_read_until(
-          socket, asio::dynamic_buffer(request), "\r\n\r\n",
-          asio::as_tuple(asio::use_awaitable));
-      requests.push_back(request);
-      if (answers.empty()) continue;
-      const std::string answer = answers.front();
-      answers.pop_front();
-      const auto written = co_await asio::async_write(
-          socket, asio::buffer(answer), asio::as_tuple(asio::use_awaitable));
-      (void)read;
-      (void)written;
-    }
-  }
-
-  tcp::acceptor acceptor_;
-};
-
-// Connects a caller to the ingress and the engine client; the test takes the
-// node's place.
-class EdgeTest : public testing::Test {
- protected:
-  EdgeTest()
-      : server_(io_),
-        ingress_(io_, Address{"127.0.0.1", ChoosePort()},
-                 Address{"127.0.0.1", 0}, "key",
-                 [this](Event event) { events_.push_back(std::move(event)); }),
-        engines_(
-            io_, "edge-1", "key",
-            [this](Event event) { events_.push_back(std::move(event)); },
-            [this](Duration) { ++cancels_after_close_; }) {}
-
-  // Returns a free port, chosen by the kernel.
-  uint16_t FindUnusedPort() {
-    tcp::acceptor probe(io_,
-                        tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return probe.local_endpoint().port();
-  }
-  uint16_t ChoosePort() { return port_ = FindUnusedPort(); }
-
-  bool RunUntil(const std::function<bool()>& is_done) {
-    for (int i = 0; i < 2000 && !is_done(); ++i) {
-      io_.run_for(std::chrono::milliseconds(5));
-      io_.restart();
-    }
-    return is_done();
-  }
-
-  template <typename T>
-  const T* Find() const {
-    for (const Event& event : events_) {
-      if (const T* found = std::get_if<T>(&event)) return found;
-    }
-    return nullptr;
-  }
-
-  // Sends a caller's request and waits for its event.
-  const RequestArrived& SendRequest(const std::string& extra = "") {
-    caller_ = std::make_unique<tcp::socket>(io_);
-    caller_->connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port_));
-    const std::string request =
-        "POST /a/b?q=1 HTTP/1.1\r\nHost: Shop.Example:80\r\n"
-        "X-Attempt-Id: id-1\r\nX-Deadline-Ms: 5000\r\nX-Model: m\r\n" +
-        extra + "Content-Length: 2\r\n\r\nhi";
-    asio::write(*caller_, asio::buffer(request));
-    EXPECT_TRUE(RunUntil([this] { return Find<RequestArrived>() != nullptr; }));
-    return *Find<RequestArrived>();
-  }
-
-  void Dispatch(RequestHandle handle, int attempt = 1, bool resume = false) {
-    DispatchRequest dispatch;
-    dispatch.handle = handle;
-    dispatch.attempt = attempt;
-    dispatch.backend = "i-7";
-    dispatch.address = server_.address();
-    dispatch.resume = resume;
-    dispatch.deadline = SystemClock().Now() + std::chrono::seconds(4);
-    dispatch.priority = 2;
-    dispatch.team = team_;
-    engines_.Dispatch(dispatch, ingress_.Find(handle));
-  }
-
-  const AttemptEnded& WaitForAttemptEnd() {
-    EXPECT_TRUE(RunUntil([this] { return Find<AttemptEnded>() != nullptr; }));
-    return *Find<AttemptEnded>();
-  }
-
-  // Returns everything that the caller has received so far.
-  std::string ReceivedByCaller() {
-    io_.run_for(std::chrono::milliseconds(20));
-    io_.restart();
-    while (caller_->available() > 0) {
-      std::string bytes(caller_->available(), '\0');
-      boost::system::error_code error;
-      bytes.resize(caller_->read_some(asio::buffer(bytes), error));
-      if (error) break;
-      received_ += bytes;
-    }
-    return received_;
-  }
-
-  asio::io_context io_;
-  ScriptedServer server_;
-  uint16_t port_ = 0;
-  std::deque<Event> events_;
-  Ingress ingress_;
-  EngineClient engines_;
-  std::unique_ptr<tcp::socket> caller_;
-  std::string received_;
-  std::optional<std::string> team_;  // Of the dispatched request.
-  int cancels_after_close_ = 0;
-};
-
 // Guards against a caller that names another team, or hides the header behind
 // "Connection", so that the engine bills the wrong team; and against engines
 // that receive callers' keys.
@@ -216,6 +69,24 @@
   }
 }
 
+// Guards against ids of prompt parts that differ between hosts by case or
+// blanks, or contain the last part, which belongs to the request itself.
+TEST_F(EdgeTest, SharedPromptPartsAreReadWithoutTheLast) {
+  const auto parts = [this](const std::string& prefix) {
+    const std::vector<std::string> ids =
+        SendRequest("X-Prompt-Prefix: " + prefix + "\r\n").prompt_parts;
+    events_.clear();
+    return ids;
+  };
+  const std::vector<std::string> both = {"5c1e07a2", "91bd3f06"};
+  EXPECT_EQ(parts("5c1e07a2:800,91BD3F06:410, e4402b7d:250"), both);
+  EXPECT_EQ(parts("5c1e07a2:800"), std::vector<std::string>{});
+  EXPECT_EQ(parts(",:,91bd3f06,e4402b7d:250"),
+            std::vector<std::string>{"91bd3f06"});
+  EXPECT_EQ(parts(std::string(100, 'a') + ":1,91bd3f06:2,b:3"),
+            std::vector<std::string>{"91bd3f06"});
+}
+
 TEST_F(EdgeTest, ResponseIsForwardedUnchanged) {
   server_.answers = {kAnswer};
   const RequestArrived& request = SendRequest();
