--- a/core/request_fingerprint.cc
+++ b/core/request_fingerprint.cc
@@ -22,6 +22,11 @@
   return hash == 0 ? 1 : hash;
 }
 
+uint64_t PromptPartKey(std::string_view part, std::string_view scope) {
+  const uint64_t hash = StableHash(part, StableHash(scope));
+  return hash == 0 ? 1 : hash;
+}
+
 std::string FingerprintText(uint64_t fingerprint) {
   return absl::StrCat(absl::Hex(fingerprint, absl::kZeroPad16));
 }
--- a/core/request_fingerprint.h
+++ b/core/request_fingerprint.h
@@ -26,6 +26,11 @@
 // Requires: `fingerprint` is not zero. Thread-safe.
 uint64_t FingerprintForCaller(uint64_t fingerprint, std::string_view caller);
 
+// Returns a key for a part of prompts, equal at every host and never zero. The
+// same part has another key in each scope, such as a service or a model.
+// Requires: nothing. Thread-safe.
+uint64_t PromptPartKey(std::string_view part, std::string_view scope);
+
 // Format in logs and records: 16 hexadecimal digits. Thread-safe.
 std::string FingerprintText(uint64_t fingerprint);
 
--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -651,6 +651,12 @@
     const bool has_updates =
         state.update < last_update_ || quotas_.IsThrottling();
     const Duration interval = has_updates ? kBatchInterval : kHeartbeatInterval;
+    // Each request that is sent meanwhile may end another server.
+    if (state.update < quarantine_.urgent_update()) {
+      SendUrgentPlan(centre, state);
+      --turns;
+      continue;
+    }
     if (context_.now - state.sent_at < interval) continue;
     SendSharedPlan(centre, state);
     last_shared_centre_ = centre;
@@ -658,8 +664,16 @@
   }
 }
 
-void FleetManager::SendSharedPlan(const std::string& data_centre,
+// Sends the updates alone, ahead of the next shared plan.
+void FleetManager::SendUrgentPlan(const std::string& data_centre,
                                   SharedPlanState& state) {
+  SendPeers action = AddressPlan(data_centre);
+  action.message.body = PlanBody(data_centre, state.update);
+  state.update = last_update_;
+  if (!action.peers.empty()) context_.Emit(std::move(action));
+}
+
+SendPeers FleetManager::AddressPlan(const std::string& data_centre) {
   SendPeers action;
   for (auto& [host, peer] : peers_) {
     if (peer.data_centre != data_centre || !peer.has_plan) continue;
@@ -667,6 +681,12 @@
     peer.sent_change = last_update_;
   }
   action.message.type = PeerMessageType::kFleetPlan;
+  return action;
+}
+
+void FleetManager::SendSharedPlan(const std::string& data_centre,
+                                  SharedPlanState& state) {
+  SendPeers action = AddressPlan(data_centre);
   action.message.body = PlanBody(data_centre, state.update);
   action.message.body["l"] = LoadsToJson(loads_);
   const auto [backup, second] = ChooseBackups(data_centre);
--- a/node/fleet_manager.h
+++ b/node/fleet_manager.h
@@ -127,6 +127,10 @@
   // Sends the part of the plan that all hosts of a data centre share.
   void SendSharedPlans();
   void SendSharedPlan(const std::string& data_centre, SharedPlanState& state);
+  void SendUrgentPlan(const std::string& data_centre, SharedPlanState& state);
+  // Returns an empty plan to the hosts of a data centre, which have all earlier
+  // updates.
+  SendPeers AddressPlan(const std::string& data_centre);
   // Returns the fields common to all plans, with the engines' updates after
   // `since`. One-letter keys, as in reports: k token, p address, e engines,
   // w answers, r reader, n hosts, f and u first and last update, q quarantined
--- a/node/open_request.h
+++ b/node/open_request.h
@@ -9,8 +9,10 @@
 #include <string>
 #include <vector>
 
+#include "core/request_fingerprint.h"
 #include "node/messages.h"
 #include "node/stream_table.h"
+#include "routing/prompt_part_ledger.h"
 #include "rules/rule_registry.h"
 
 namespace applehall {
@@ -61,7 +63,10 @@
   std::vector<std::string> versions;
   // Where its stream began; it is sent to servers of this origin only.
   std::optional<StreamOrigin> origin;
-  std::string failed_backend;           // Backend of the last failed attempt.
+  std::string failed_backend;  // Backend of the last failed attempt.
+  // The server closed the connection of the last attempt before an answer.
+  bool was_cut_unanswered = false;
+  int suspect_delays = 0;  // See RequestFlow::DelayIfSuspect().
   bool was_forwarded = false;           // Already sent to another host.
   std::set<std::string> helpers_tried;  // Hosts it was forwarded to.
   std::string permit_server;            // In kPermit.
@@ -94,6 +99,15 @@
   std::string queue_name() const {
     return origin ? absl::StrCat(target, "@", origin->version) : target;
   }
+  // Keys of the parts of its prompt. Requires: the target is chosen.
+  std::vector<PartKeys> part_keys() const {
+    std::vector<PartKeys> keys;
+    for (const std::string& part : arrival.prompt_parts) {
+      keys.push_back(
+          {PromptPartKey(part, service), PromptPartKey(part, target)});
+    }
+    return keys;
+  }
   // "VERSION/NAME". Requires: the rule is decided. Thread-safe.
   std::string RuleLabel() const {
     return absl::StrCat(rules->version, "/", rule().name);
--- a/node/quarantine_manager.cc
+++ b/node/quarantine_manager.cc
@@ -19,11 +19,9 @@
 // A poison message crashes its server soon after it starts. An answer that was
 // under way for longer than this was probably cut by another request's crash.
 constexpr Duration kLateAnswerAge = seconds(1);
-// A content with a complete answer within this time is not counted as the cause
-// of an end.
-constexpr Duration kCompletedTtl = minutes(1);
-// 18 requests a second at each host of the largest fleet, for a minute.
-constexpr size_t kMaxCompleted = 1080;
+// Time for the owner's announcement of a suspect and for the reports of hosts
+// that have an answer to it.
+constexpr Duration kObjectionTime = milliseconds(250);
 // Validity of a suspect that the owner announced. Hosts report complete answers
 // of suspects.
 constexpr Duration kSuspectTtl = minutes(10);
@@ -60,31 +58,28 @@
     const ServerEnd end{cut.fingerprint, server,
                         cut.answered_for > kLateAnswerAge, context_.now};
     ends.push_back(end);
-    QueueRow({.kind = end.is_late ? ServerEndRow::Kind::kLateEnd
-                                  : ServerEndRow::Kind::kEnd,
-              .fingerprint = end.fingerprint,
-              .server = server,
-              .at = end.at});
+    ServerEndRow row{.kind = end.is_late ? ServerEndRow::Kind::kLateEnd
+                                         : ServerEndRow::Kind::kEnd,
+                     .fingerprint = end.fingerprint,
+                     .server = server,
+                     .at = end.at};
+    if (cut.answered_for < kAnswerProvenAge) {
+      row.prompt = cut.prompt_hash;
+      row.parts = part_judge_.Unanswered(cut.parts, context_.now);
+    }
+    const CutPrompt prompt{server, end.at, row.prompt, row.parts};
+    QueueRow(std::move(row));
     ApplyEnd(end, context_.settings.self.host);
+    ApplyCut(prompt, context_.settings.self.host);
   }
   if (IsFleet() || ends.empty()) return;
   writer_.Append(absl::StrCat("end/", server), ServerEndRecord(ends));
 }
 
-bool QuarantineManager::HasCompletedLately(uint64_t fingerprint) const {
-  const auto it = completed_.find(fingerprint);
-  return it != completed_.end() && context_.now - it->second <= kCompletedTtl;
-}
-
 void QuarantineManager::RecordCompleted(uint64_t fingerprint) {
   if (fingerprint == 0) return;
-  const auto [it, is_new] = completed_.insert({fingerprint, context_.now});
-  it->second = context_.now;
-  if (is_new) completed_order_.push_back(fingerprint);
-  if (completed_order_.size() > kMaxCompleted) {
-    completed_.erase(completed_order_.front());
-    completed_order_.pop_front();
-  }
+  completed_.Record(fingerprint, context_.now);
+  on_probation_.Remove(fingerprint);
   const bool is_suspected = StateOf(fingerprint) != ContentState::kClear;
   Lift(fingerprint);
   if (!is_suspected) return;
@@ -96,74 +91,195 @@
                  ContentClearedRecord(fingerprint));
 }
 
-QuarantineManager::ContentState QuarantineManager::StateOf(
-    uint64_t fingerprint) const {
-  if (Holds(fingerprint)) return ContentState::kQuarantined;
-  const bool is_suspect = suspects_.contains(fingerprint) ||
-                          ledger_.IsSuspect(fingerprint) ||
-                          context_.control.crashes().IsSuspect(fingerprint);
+void QuarantineManager::RecordAnswer(const std::vector<PartKeys>& parts) {
+  for (const PartKeys& part : parts) {
+    for (const uint64_t key : {part.service, part.target}) {
+      part_judge_.RecordAnswer(key, context_.now);
+      on_probation_.Remove(key);
+      const bool is_held = !quarantine_.GroupsWith(key).empty();
+      if (!is_held && StateOf(key) == ContentState::kClear) continue;
+      Lift(key);
+      QueueRow({.kind = ServerEndRow::Kind::kCleared,
+                .fingerprint = key,
+                .at = context_.now});
+    }
+  }
+}
+
+uint64_t QuarantineManager::FindHeld(uint64_t fingerprint,
+                                     const std::vector<PartKeys>& parts) const {
+  if (quarantine_.Holds(fingerprint, context_.now)) return fingerprint;
+  if (!quarantine_.has_groups()) return 0;
+  Quarantine::Parts keys;
+  for (const PartKeys& part : parts) {
+    keys.push_back(part.service);
+    keys.push_back(part.target);
+  }
+  return quarantine_.FindGroup(keys, context_.now);
+}
+
+bool QuarantineManager::NeedsProof(uint64_t fingerprint,
+                                   const std::vector<PartKeys>& parts) const {
+  return StateOf(fingerprint) != ContentState::kClear ||
+         !part_judge_.Unanswered(parts, context_.now).empty();
+}
+
+bool QuarantineManager::HasSuspect(const std::vector<PartKeys>& parts) const {
+  const std::vector<PartKeys> unanswered =
+      part_judge_.Unanswered(parts, context_.now);
+  return std::any_of(unanswered.begin(), unanswered.end(),
+                     [this](const PartKeys& part) {
+                       return StateOf(part.widest()) == ContentState::kSuspect;
+                     });
+}
+
+QuarantineManager::ContentState QuarantineManager::StateOf(uint64_t key) const {
+  if (quarantine_.Holds(key, context_.now)) return ContentState::kQuarantined;
+  const bool is_suspect = suspects_.contains(key) || ledger_.IsSuspect(key) ||
+                          part_judge_.IsSuspect(key) ||
+                          context_.control.crashes().IsSuspect(key);
   return is_suspect ? ContentState::kSuspect : ContentState::kClear;
 }
 
-bool QuarantineManager::Clear(uint64_t fingerprint) {
-  const ContentState before = StateOf(fingerprint);
-  ledger_.Clear(fingerprint);
-  suspects_.erase(fingerprint);
-  reports_.Remove(fingerprint);
-  if (before == ContentState::kClear) return false;
-  changed_.insert(fingerprint);
-  if (before != ContentState::kQuarantined) return false;
-  quarantine_.Remove(fingerprint);
-  unrecorded_.erase(fingerprint);
+std::vector<uint64_t> QuarantineManager::Clear(uint64_t key) {
+  const ContentState before = StateOf(key);
+  std::vector<uint64_t> lifted;
+  ledger_.Clear(key);
+  for (const uint64_t narrower : part_judge_.Clear(key, context_.now)) {
+    changed_.insert(narrower);
+  }
+  suspects_.erase(key);
+  reports_.Remove(key);
+  ClearFromGroups(key, lifted);
+  if (before == ContentState::kClear) return lifted;
+  changed_.insert(key);
+  if (!quarantine_.Holds(key, context_.now)) return lifted;
+  RemoveHeld(key, "a server answered it");
+  lifted.push_back(key);
+  return lifted;
+}
+
+void QuarantineManager::ClearFromGroups(uint64_t part,
+                                        std::vector<uint64_t>& lifted) {
+  for (const uint64_t key : quarantine_.GroupsWith(part)) {
+    Quarantine::Parts rest = quarantine_.PartsOf(key);
+    const TimePoint until = quarantine_.Until(key);
+    RemoveHeld(key, "a server answered a part of it");
+    changed_.insert(key);
+    lifted.push_back(key);
+    std::erase(rest, part);
+    if (rest.empty()) continue;
+    unrecorded_.insert(Quarantine::KeyOf(rest));
+    Add(Quarantine::KeyOf(rest), until, "what is left of a group", rest);
+  }
+}
+
+void QuarantineManager::RemoveHeld(uint64_t key, const std::string& reason) {
+  quarantine_.Remove(key);
+  unrecorded_.erase(key);
   LogEvent(LogLevel::kWarning, "quarantine_lifted")
-      .With("fingerprint", FingerprintText(fingerprint))
-      .With("reason", "a server answered it completely");
-  return true;
+      .With("fingerprint", FingerprintText(key))
+      .With("reason", reason);
 }
 
-void QuarantineManager::Lift(uint64_t fingerprint) {
-  if (Clear(fingerprint) && IsFleet()) unreleased_.insert(fingerprint);
+void QuarantineManager::Lift(uint64_t key) {
+  const std::vector<uint64_t> lifted = Clear(key);
+  if (IsFleet()) unreleased_.insert(lifted.begin(), lifted.end());
 }
 
 void QuarantineManager::ApplyEnd(const ServerEnd& end,
                                  const std::string& host) {
-  if (end.fingerprint == 0 || Holds(end.fingerprint)) return;
+  const uint64_t key = end.fingerprint;
+  if (key == 0 || quarantine_.Holds(key, context_.now)) return;
+  const std::string source =
+      absl::StrCat("server ", end.server, " reported by ", host);
+  if (on_probation_.Holds(key, context_.now)) {
+    Hold(key, {}, absl::StrCat("again, ", source));
+    return;
+  }
   switch (ledger_.Record(end, context_.now)) {
     case CrashLedger::Finding::kNothing:
       return;
     case CrashLedger::Finding::kSuspect:
-      changed_.insert(end.fingerprint);
+      changed_.insert(key);
       return;
     case CrashLedger::Finding::kProven:
-      break;
+      Hold(key, {}, source);
+      return;
+  }
+}
+
+void QuarantineManager::ApplyCut(CutPrompt cut, const std::string& host) {
+  for (const PartKeys& part : part_judge_.Unanswered(cut.parts, context_.now)) {
+    const uint64_t key = part.widest();
+    const bool is_held = quarantine_.Holds(key, context_.now);
+    if (is_held || !on_probation_.Holds(key, context_.now)) continue;
+    Hold(key, {key},
+         absl::StrCat("again, server ", cut.server, " reported by ", host));
+  }
+  for (const uint64_t key : part_judge_.Record(std::move(cut), context_.now)) {
+    changed_.insert(key);
+  }
+}
+
+// A host that reaches the owner leaves the judgement to it: the owner has the
+// ends and the answers of all hosts.
+void QuarantineManager::JudgeParts(bool is_owner_reachable) {
+  part_judge_.DropExpired(context_.now);
+  if (!is_owner_ && is_owner_reachable) return;
+  const PromptPartLedger::Findings findings =
+      part_judge_.Judge(kObjectionTime, context_.now);
+  for (const Quarantine::Parts& parts : findings.causes) {
+    Hold(Quarantine::KeyOf(parts), parts,
+         absl::StrCat("parts of prompts at ends of servers, by ",
+                      context_.settings.self.host));
+  }
+  for (const Quarantine::Parts& parts : findings.explained) {
+    const uint64_t key = Quarantine::KeyOf(parts);
+    if (!quarantine_.Holds(key, context_.now)) continue;
+    RemoveHeld(key, "another part explains the ends");
+    changed_.insert(key);
+    unreleased_.insert(key);
   }
-  unrecorded_.insert(end.fingerprint);
+}
+
+void QuarantineManager::Hold(uint64_t key, const Quarantine::Parts& parts,
+                             const std::string& source) {
+  if (quarantine_.Holds(key, context_.now)) return;
+  unrecorded_.insert(key);
   const TimePoint until = context_.now + kQuarantineTtl;
-  Add(end.fingerprint, until,
-      absl::StrCat("server ", end.server, " reported by ", host));
+  Add(key, until, source, parts);
   if (is_owner_) return;
   // The ends may expire before the owner is reachable.
   QueueRow({.kind = ServerEndRow::Kind::kProven,
-            .fingerprint = end.fingerprint,
-            .at = until});
+            .fingerprint = key,
+            .at = until,
+            .group = parts});
 }
 
-void QuarantineManager::Add(uint64_t fingerprint, TimePoint until,
-                            const std::string& source) {
+void QuarantineManager::Add(uint64_t key, TimePoint until,
+                            const std::string& source,
+                            const Quarantine::Parts& parts) {
   // Clock skew between hosts must not extend the quarantine.
   const TimePoint latest = context_.now + kQuarantineTtl;
-  const bool was_held = Holds(fingerprint);
-  if (!quarantine_.Add(fingerprint, std::min(until, latest))) return;
+  const bool was_held = quarantine_.Holds(key, context_.now);
+  if (!quarantine_.Add(key, std::min(until, latest), parts)) return;
   if (was_held) return;
-  ledger_.MarkProven(fingerprint, context_.now);
-  suspects_.erase(fingerprint);
-  unreleased_.erase(fingerprint);
-  added_.push_back(fingerprint);
-  changed_.insert(fingerprint);
+  ledger_.MarkProven(key, context_.now);
+  suspects_.erase(key);
+  unreleased_.erase(key);
+  added_.push_back(key);
+  changed_.insert(key);
   context_.metrics.Count("quarantines_total");
+  if (!parts.empty()) context_.metrics.Count("quarantined_parts_total");
   LogEvent(LogLevel::kWarning, "quarantine_begin")
-      .With("fingerprint", FingerprintText(fingerprint))
-      .With("for_ms", ToMillis(Remaining(fingerprint)))
+      .With("fingerprint", FingerprintText(key))
+      .With("parts", absl::StrJoin(parts, ",",
+                                   [](std::string* text, uint64_t part) {
+                                     absl::StrAppend(text,
+                                                     FingerprintText(part));
+                                   }))
+      .With("for_ms", ToMillis(Remaining(key)))
       .With("source", source);
 }
 
@@ -208,15 +324,21 @@
     case ServerEndRow::Kind::kLateEnd: {
       const bool is_late = row.kind == ServerEndRow::Kind::kLateEnd;
       ApplyEnd({row.fingerprint, row.server, is_late, row.at}, host);
+      ApplyCut({row.server, row.at, row.prompt, row.parts}, host);
       return;
     }
     case ServerEndRow::Kind::kCleared:
+      part_judge_.RecordAnswer(row.fingerprint, context_.now);
+      on_probation_.Remove(row.fingerprint);
       Lift(row.fingerprint);
       return;
     case ServerEndRow::Kind::kProven:
-      if (HasCompletedLately(row.fingerprint) || Holds(row.fingerprint)) return;
+      if (HasCompletedLately(row.fingerprint) || HasAnsweredPart(row.group) ||
+          quarantine_.Holds(row.fingerprint, context_.now)) {
+        return;
+      }
       unrecorded_.insert(row.fingerprint);
-      Add(row.fingerprint, row.at, absl::StrCat("host ", host));
+      Add(row.fingerprint, row.at, absl::StrCat("host ", host), row.group);
       return;
   }
 }
@@ -226,13 +348,16 @@
     Announcement& announced = announced_[fingerprint];
     announced.update = ++last_update;
     announced.at = context_.now;
-    announced.was_quarantined = announced.was_quarantined || Holds(fingerprint);
+    const ContentState state = StateOf(fingerprint);
+    if (state != ContentState::kClear) urgent_update_ = last_update;
+    if (state == ContentState::kQuarantined) announced.was_quarantined = true;
   }
   // Keeps a row for as long as a host that missed it may apply an earlier one.
   std::erase_if(announced_, [this](const auto& item) {
     const Duration ttl =
         item.second.was_quarantined ? kQuarantineTtl : kSuspectTtl;
-    return !Holds(item.first) && context_.now - item.second.at > ttl;
+    return !quarantine_.Holds(item.first, context_.now) &&
+           context_.now - item.second.at > ttl;
   });
 }
 
@@ -248,8 +373,11 @@
   Json rows = Json::array();
   for (const auto& [fingerprint, announced] : announced_) {
     if (announced.update <= since) continue;
-    rows.push_back({fingerprint, static_cast<int>(StateOf(fingerprint)),
-                    ToUnixMillis(quarantine_.Until(fingerprint))});
+    Json row = Json::array({fingerprint, static_cast<int>(StateOf(fingerprint)),
+                            ToUnixMillis(quarantine_.Until(fingerprint))});
+    Quarantine::Parts parts = quarantine_.PartsOf(fingerprint);
+    if (!parts.empty()) row.push_back(std::move(parts));
+    rows.push_back(std::move(row));
   }
   return rows;
 }
@@ -257,8 +385,9 @@
 void QuarantineManager::HandlePlan(const Json& rows) {
   if (!rows.is_array()) return;
   for (const Json& row : rows) {
-    if (!row.is_array() || row.size() != 3 || !row[0].is_number_unsigned() ||
-        !row[1].is_number_integer() || !row[2].is_number_integer()) {
+    if (!row.is_array() || row.size() < 3 || row.size() > 4 ||
+        !row[0].is_number_unsigned() || !row[1].is_number_integer() ||
+        !row[2].is_number_integer()) {
       continue;
     }
     const auto fingerprint = row[0].get<uint64_t>();
@@ -267,16 +396,41 @@
         Clear(fingerprint);
         break;
       case ContentState::kSuspect:
-        if (suspects_.size() >= kMaxSuspects) break;
-        suspects_[fingerprint] = context_.now;
+        HandleSuspect(fingerprint);
         break;
       case ContentState::kQuarantined:
-        Add(fingerprint, FromUnixMillis(row[2].get<int64_t>()), "plan");
+        HandleHeld(fingerprint, row);
         break;
     }
   }
 }
 
+bool QuarantineManager::HasAnsweredPart(const Quarantine::Parts& group) const {
+  return std::any_of(group.begin(), group.end(), [this](uint64_t part) {
+    return part_judge_.HasAnswer(part, context_.now);
+  });
+}
+
+void QuarantineManager::HandleSuspect(uint64_t key) {
+  const bool is_new = !suspects_.contains(key);
+  if (is_new && suspects_.size() >= kMaxSuspects) return;
+  suspects_[key] = context_.now;
+  if (!is_new || !part_judge_.HasAnswer(key, context_.now)) return;
+  QueueRow({.kind = ServerEndRow::Kind::kCleared,
+            .fingerprint = key,
+            .at = context_.now});
+}
+
+void QuarantineManager::HandleHeld(uint64_t key, const Json& row) {
+  const TimePoint until = FromUnixMillis(row[2].get<int64_t>());
+  if (row.size() == 3) {
+    Add(key, until, "plan");
+    return;
+  }
+  const std::optional<Quarantine::Parts> parts = Quarantine::ReadParts(row[3]);
+  if (parts) Add(key, until, "plan", *parts);
+}
+
 // ---- Control stream ----
 
 void QuarantineManager::HandleControl() {
@@ -301,7 +455,7 @@
   has_read_ = true;
   for (const QuarantineRecord& record : event.records) {
     if (record.until > context_.now) {
-      Add(record.fingerprint, record.until, "store");
+      Add(record.fingerprint, record.until, "store", record.parts);
     } else if (is_owner_) {
       unreleased_.insert(record.fingerprint);
     }
@@ -319,6 +473,7 @@
   for (const uint64_t fingerprint : quarantine_.TakeEnded(context_.now)) {
     changed_.insert(fingerprint);
     unrecorded_.erase(fingerprint);
+    on_probation_.Record(fingerprint, context_.now);
     if (is_owner) unreleased_.insert(fingerprint);
     LogEvent(LogLevel::kInfo, "quarantine_end")
         .With("fingerprint", FingerprintText(fingerprint));
@@ -348,12 +503,12 @@
   int appends = 0;
   for (const uint64_t fingerprint : unrecorded_) {
     if (++appends > kMaxAppendsPerRound) return;
-    context_.Emit(
-        AppendQuarantine{{fingerprint, quarantine_.Until(fingerprint)}});
+    context_.Emit(AppendQuarantine{{fingerprint, quarantine_.Until(fingerprint),
+                                    quarantine_.PartsOf(fingerprint)}});
   }
   for (const uint64_t fingerprint : unreleased_) {
     if (++appends > kMaxAppendsPerRound) return;
-    context_.Emit(AppendQuarantine{{fingerprint, TimePoint{}}});
+    context_.Emit(AppendQuarantine{{fingerprint, TimePoint{}, {}}});
   }
 }
 
@@ -366,19 +521,24 @@
   if (!is_owner) changed_.clear();
   if (!IsFleet()) return;
   ReadRecordIfDue(is_owner, is_owner_reachable);
+  JudgeParts(is_owner_reachable);
   AppendIfDue();
 }
 
 Json QuarantineManager::ToJson() const {
   Json json{{"held", Json::object()},
             {"suspects", ledger_.size()},
+            {"cut_prompts", part_judge_.size()},
             {"told_suspects", suspects_.size()},
             {"unrecorded", unrecorded_.size()},
             {"rows_owed", reports_.owed()},
             {"has_read_store", has_read_}};
   for (const auto& [fingerprint, until] : quarantine_.entries()) {
-    json["held"][FingerprintText(fingerprint)] =
-        Json{{"for_ms", ToMillis(until - context_.now)}};
+    Json& item = json["held"][FingerprintText(fingerprint)];
+    item["for_ms"] = ToMillis(until - context_.now);
+    for (const uint64_t part : quarantine_.PartsOf(fingerprint)) {
+      item["parts"].push_back(FingerprintText(part));
+    }
   }
   return json;
 }
--- a/node/quarantine_manager.h
+++ b/node/quarantine_manager.h
@@ -1,7 +1,6 @@
 #ifndef APPLEHALL_NODE_QUARANTINE_MANAGER_H_
 #define APPLEHALL_NODE_QUARANTINE_MANAGER_H_
 
-#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -14,7 +13,9 @@
 #include "node/server_end_reports.h"
 #include "node/server_ends.h"
 #include "routing/crash_ledger.h"
+#include "routing/prompt_part_judge.h"
 #include "routing/quarantine.h"
+#include "routing/recent_keys.h"
 
 namespace applehall {
 
@@ -24,16 +25,22 @@
 // single host recognises it, and it crashes one engine after another with all
 // requests that run there. Therefore hosts report to the placement owner which
 // contents were under way at a server that ended, and the owner quarantines the
-// content that was there each time. The owner's plans carry the quarantine to
-// all hosts without the store. The store keeps a record for the case that all
-// hosts restart: a host reads it when it starts, when it becomes the owner and
-// while no owner is reachable. Without an owner each host counts only the ends
-// that it observed itself.
+// content that was there each time. If each request is new but all share a part
+// of their prompts, the owner quarantines that part. It announces each suspect,
+// and hosts that have an answer to a request with it report that. The owner's
+// plans carry the quarantine to all hosts without the store. The store keeps a
+// record for the case that all hosts restart: a host reads it when it starts,
+// when it becomes the owner and while no owner is reachable. Without an owner
+// each host counts only the ends that it observed itself.
 //
 // With placement by groups there is no single owner. There the ends are records
 // of the control stream, from which all hosts derive the same quarantines.
 class QuarantineManager {
  public:
+  // An answer that has been under way for this long shows that its request does
+  // not end its server.
+  static constexpr Duration kAnswerProvenAge = std::chrono::milliseconds(250);
+
   QuarantineManager(NodeContext& context, LogWriter& writer)
       : context_(context), writer_(writer), reports_(context.settings.self) {}
 
@@ -43,14 +50,24 @@
                  const std::vector<CutRequest>& cuts);
   // Records that a server answered the content completely.
   void RecordCompleted(uint64_t fingerprint);
-  // True if the content must not be sent to any server.
-  bool Holds(uint64_t fingerprint) const {
-    return quarantine_.Holds(fingerprint, context_.now);
-  }
-  Duration Remaining(uint64_t fingerprint) const {
-    return quarantine_.Until(fingerprint) - context_.now;
+  // Records that a server answered a request with these parts, or that its
+  // answer has been under way for kAnswerProvenAge.
+  void RecordAnswer(const std::vector<PartKeys>& parts);
+  // Returns the key of the content or of the group of prompt parts for which
+  // the request must not be sent to any server; zero if there is none.
+  uint64_t FindHeld(uint64_t fingerprint,
+                    const std::vector<PartKeys>& parts) const;
+  // Returns whether the content is suspect, or a part that no server has
+  // answered lately might be. Not thread-safe.
+  bool NeedsProof(uint64_t fingerprint,
+                  const std::vector<PartKeys>& parts) const;
+  // Returns whether one of the parts was at the end of a server and no answer
+  // has cleared it.
+  bool HasSuspect(const std::vector<PartKeys>& parts) const;
+  Duration Remaining(uint64_t key) const {
+    return quarantine_.Until(key) - context_.now;
   }
-  // Returns the contents that were quarantined since the last call.
+  // Returns the keys that were quarantined since the last call.
   std::vector<uint64_t> TakeAdded() { return std::exchange(added_, {}); }
 
   // ---- Reports and plans between hosts. Not thread-safe. ----
@@ -72,6 +89,8 @@
   // Assigns new update numbers to all quarantines, for the first plans of a new
   // owner.
   void RenumberRows(uint64_t& last_update);
+  // The last update about a suspect or quarantined key. Hosts need it at once.
+  uint64_t urgent_update() const { return urgent_update_; }
   // Returns the rows of a plan with the updates after `since`.
   Json PlanRows(uint64_t since) const;
   void HandlePlan(const Json& rows);
@@ -90,25 +109,52 @@
   Json ToJson() const;
 
  private:
-  // State of a content. The values are those in plans.
+  // A content with a complete answer within this time is not counted as the
+  // cause of an end.
+  static constexpr Duration kCompletedTtl = std::chrono::minutes(1);
+  // 18 requests a second at each host of the largest fleet, for a minute.
+  static constexpr size_t kMaxCompleted = 1080;
+  static constexpr Duration kProbationTtl = std::chrono::hours(24);
+  static constexpr size_t kMaxOnProbation = 1024;
+
+  // State of a content or prompt part. The values are those in plans.
   enum class ContentState : uint8_t { kClear, kSuspect, kQuarantined };
   bool IsFleet() const {
     return context_.settings.placement == PlacementStyle::kFleet;
   }
-  bool HasCompletedLately(uint64_t fingerprint) const;
-  ContentState StateOf(uint64_t fingerprint) const;
+  bool HasCompletedLately(uint64_t fingerprint) const {
+    return completed_.Holds(fingerprint, context_.now);
+  }
+  ContentState StateOf(uint64_t key) const;
   // Queues a row for the next report to the owner.
   void QueueRow(ServerEndRow row);
   void ApplyRow(const std::string& host, const ServerEndRow& row);
   void LogDropped(size_t rows, const char* reason);
   // Counts an end that `host` observed, and quarantines a proven content.
   void ApplyEnd(const ServerEnd& end, const std::string& host);
-  // Removes all suspicion of a content; true if it was quarantined.
-  bool Clear(uint64_t fingerprint);
-  // Clears a content that a server answered completely, and schedules the
-  // release of its record in the store.
-  void Lift(uint64_t fingerprint);
-  void Add(uint64_t fingerprint, TimePoint until, const std::string& source);
+  // Records a request that was cut at an end.
+  void ApplyCut(CutPrompt cut, const std::string& host);
+  // Quarantines the prompt parts that explain the ends.
+  void JudgeParts(bool is_owner_reachable);
+  // Removes all suspicion of a content or part. Returns the keys that are no
+  // longer quarantined.
+  std::vector<uint64_t> Clear(uint64_t key);
+  // Removes a part from the groups that contain it.
+  void ClearFromGroups(uint64_t part, std::vector<uint64_t>& lifted);
+  void RemoveHeld(uint64_t key, const std::string& reason);
+  // Clears a key that a server answered, and schedules the release of its
+  // record in the store.
+  void Lift(uint64_t key);
+  // Quarantines what was found here, and records it in the store.
+  void Hold(uint64_t key, const Quarantine::Parts& parts,
+            const std::string& source);
+  void Add(uint64_t key, TimePoint until, const std::string& source,
+           const Quarantine::Parts& parts = {});
+  // Returns whether a server has answered a part of the group lately.
+  bool HasAnsweredPart(const Quarantine::Parts& group) const;
+  // Reports to the owner if this host has an answer to the suspect.
+  void HandleSuspect(uint64_t key);
+  void HandleHeld(uint64_t key, const Json& row);
   void ExpireQuarantines(bool is_owner);
   void ReadRecordIfDue(bool is_owner, bool is_owner_reachable);
   void AppendIfDue();
@@ -116,10 +162,12 @@
   NodeContext& context_;
   LogWriter& writer_;
   CrashLedger ledger_;
+  PromptPartJudge part_judge_;
   Quarantine quarantine_;
   std::vector<uint64_t> added_;
-  // Owner: contents whose state changed and has no update number yet.
+  // Owner: keys whose state changed and has no update number yet.
   std::set<uint64_t> changed_;
+  uint64_t urgent_update_ = 0;
   struct Announcement {
     uint64_t update = 0;
     TimePoint at;
@@ -127,16 +175,15 @@
     // apply.
     bool was_quarantined = false;
   };
-  // Owner: the last update of each content.
+  // Owner: the last update of each key.
   std::map<uint64_t, Announcement> announced_;
   // Suspects that the owner announced, with the time of the announcement.
   std::map<uint64_t, TimePoint> suspects_;
   ServerEndReports reports_;
-  ServerEndInbox inbox_;  // Owner.
-  // Time of the last complete answer by content, and the contents in the order
-  // of their first answer.
-  std::map<uint64_t, TimePoint> completed_;
-  std::deque<uint64_t> completed_order_;
+  ServerEndInbox inbox_;                                // Owner.
+  RecentKeys completed_{kMaxCompleted, kCompletedTtl};  // Contents.
+  // Keys whose quarantine expired, and which no server has answered since.
+  RecentKeys on_probation_{kMaxOnProbation, kProbationTtl};
 
   std::set<uint64_t> from_log_;  // Quarantined by the control stream.
 
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -24,6 +24,11 @@
 constexpr Duration kIsolatedRetry = std::chrono::milliseconds(100);
 // Maximum load of an engine that gets background work.
 constexpr double kBackgroundShare = 0.5;
+// Time in which a server that cut a request is probed, and links beside it.
+constexpr Duration kProbeDelay = std::chrono::milliseconds(100);
+// Time in which other hosts can clear a suspect part of a prompt, or the owner
+// can quarantine it.
+constexpr Duration kSuspectDelay = std::chrono::milliseconds(600);
 constexpr double kServiceTimeSmoothing = 0.2;
 constexpr double kFasterSmoothing = 0.5;
 constexpr double kSlowerSmoothing = 0.05;
@@ -161,7 +166,7 @@
   auto refusal = decider_.Decide(request);
   const std::string& caller = request.arrival.facts.caller;
   if (!refusal) refusal = CheckCaller(caller);
-  if (!refusal) refusal = CheckQuarantine(request.arrival.fingerprint);
+  if (!refusal) refusal = CheckQuarantine(request);
   // Last, so that requests refused for other reasons do not count.
   // The host that forwarded it has charged the team already.
   const bool is_charged = IsFleet() && event.is_forwarded;
@@ -542,6 +547,9 @@
   if (!request->has_started) {
     request->started_at = context_.now;
     RecordStreamBegun(*request, event);
+    if (!request->arrival.prompt_parts.empty()) {
+      begun_answers_.push_back({context_.now, event.handle, request->attempt});
+    }
   }
   if (request->phase == Phase::kSent &&
       request->backend_kind != BackendKind::kEntryHost) {
@@ -577,7 +585,7 @@
   if (event.result == AttemptResult::kCompleted) {
     TargetState& state = targets_[request->target];
     RecordServiceTime(context_.now - request->sent_at, state);
-    quarantine_.RecordCompleted(request->arrival.fingerprint);
+    if (was_local) RecordWholeAnswer(*request, event);
     if (!IsFleet()) backend_retries_[backend].RecordFirstAttempt();
     gaps_.RecordServed(*request);
     if (!was_local) reach_.RecordHelperSuccess(backend, request->service);
@@ -587,6 +595,8 @@
     if (event.result == AttemptResult::kBroken) request->may_have_run = true;
     log_.LogFailedAttempt(*request, event);
     if (event.is_cut && was_local) RecordCut(*request, event);
+    request->was_cut_unanswered =
+        event.is_cut && was_local && !request->has_started;
     // An engine that refused without failing may accept it a moment later.
     const bool is_harmful = event.result == AttemptResult::kBroken ||
                             event.result == AttemptResult::kNotSent;
@@ -606,26 +616,80 @@
   if (was_local) PumpEngine(backend);
 }
 
+// A server that crashes ends its answers without length as if they were whole.
+// Whether it still listens tells both apart.
+void RequestFlow::RecordWholeAnswer(const Request& request,
+                                    const AttemptEnded& event) {
+  const uint64_t fingerprint = request.arrival.fingerprint;
+  if (!event.ended_with_connection) {
+    quarantine_.RecordCompleted(fingerprint);
+    quarantine_.RecordAnswer(request.part_keys());
+  } else if (quarantine_.NeedsProof(fingerprint, request.part_keys())) {
+    RecordCut(request, event);
+  }
+}
+
 void RequestFlow::RecordCut(const Request& request, const AttemptEnded& event) {
   const EngineDigest* server = context_.view.Find(request.backend);
-  if (server == nullptr || request.arrival.fingerprint == 0) return;
-  const CutRequest cut{request.arrival.fingerprint, event.answered_for,
-                       request.arrival.prompt_parts, request.has_started};
+  // A server that leaves is ended by the platform, whatever it runs.
+  const bool is_evidence = server != nullptr && !server->is_leaving;
+  if (!is_evidence || request.arrival.fingerprint == 0) return;
+  const CutRequest cut{
+      .fingerprint = request.arrival.fingerprint,
+      .answered_for = event.answered_for,
+      .prompt_parts = request.arrival.prompt_parts,
+      .prompt_hash = request.arrival.prompt_hash,
+      .parts = request.part_keys(),
+      .has_started = request.has_started,
+      .may_be_whole = event.result == AttemptResult::kCompleted};
   if (!ends_.RecordCut(request.backend, cut, context_.now)) return;
   context_.Emit(ProbeServer{request.backend, std::string(server->address)});
 }
 
 std::optional<Refusal> RequestFlow::CheckQuarantine(
-    uint64_t fingerprint) const {
-  if (!quarantine_.Holds(fingerprint)) return std::nullopt;
+    const Request& request) const {
+  const uint64_t fingerprint = request.arrival.fingerprint;
+  const uint64_t held = quarantine_.FindHeld(fingerprint, request.part_keys());
+  if (held == 0) return std::nullopt;
+  const std::string what = held == fingerprint
+                               ? "of this content, fingerprint "
+                               : "with parts of this prompt, fingerprint ";
   return NotRun(RefusalReason::kQuarantined,
-                absl::StrCat("backend servers ended under requests of this "
-                             "content, fingerprint ",
-                             FingerprintText(fingerprint)),
-                quarantine_.Remaining(fingerprint));
+                absl::StrCat("backend servers ended under requests ", what,
+                             FingerprintText(held)),
+                quarantine_.Remaining(held));
+}
+
+void RequestFlow::RecordProvenAnswers() {
+  while (!begun_answers_.empty()) {
+    const BegunAnswer& begun = begun_answers_.front();
+    if (context_.now - begun.at < QuarantineManager::kAnswerProvenAge) return;
+    const Request* request = Find(begun.handle);
+    const bool goes_on = request != nullptr && request->phase == Phase::kSent &&
+                         request->attempt == begun.attempt;
+    if (goes_on) quarantine_.RecordAnswer(request->part_keys());
+    begun_answers_.pop_front();
+  }
+}
+
+bool RequestFlow::DelayIfSuspect(Request& request) {
+  if (!request.was_cut_unanswered) return false;
+  const std::vector<PartKeys> parts = request.part_keys();
+  Duration delay{0};
+  if (request.suspect_delays == 0 && quarantine_.NeedsProof(0, parts)) {
+    delay = kProbeDelay;
+  } else if (request.suspect_delays == 1 && quarantine_.HasSuspect(parts)) {
+    delay = kSuspectDelay;
+  }
+  if (delay == Duration{0}) return false;
+  ++request.suspect_delays;
+  request.resume_at = context_.now + delay;
+  backoffs_.insert({request.resume_at, request.arrival.handle});
+  context_.metrics.Count("suspect_retries_delayed_total");
+  return true;
 }
 
-// Refuses open requests whose content has just been quarantined. Requests
+// Refuses open requests of what has just been quarantined. Requests
 // waiting at a server are cancelled before they run there.
 void RequestFlow::RefuseQuarantined() {
   const std::vector<uint64_t> added = quarantine_.TakeAdded();
@@ -634,16 +698,13 @@
   for (const auto& [handle, request] : requests_) {
     const bool is_under_way =
         request->phase == Phase::kSent && request->has_started;
-    if (!is_under_way && quarantine_.Holds(request->arrival.fingerprint)) {
-      held.push_back(handle);
-    }
+    if (!is_under_way && CheckQuarantine(*request)) held.push_back(handle);
   }
   std::sort(held.begin(), held.end());
   for (const RequestHandle handle : held) {
     Request* request = Find(handle);
     if (request == nullptr) continue;
-    const std::optional<Refusal> refusal =
-        CheckQuarantine(request->arrival.fingerprint);
+    const std::optional<Refusal> refusal = CheckQuarantine(*request);
     if (request->phase == Phase::kSent) {
       CancelAndRefuse(*request, *refusal);
     } else {
@@ -688,7 +749,7 @@
     return;
   }
   // An answer that began before the quarantine was not cancelled.
-  if (const auto held = CheckQuarantine(request.arrival.fingerprint)) {
+  if (const auto held = CheckQuarantine(request)) {
     Refuse(handle, *held);
     return;
   }
@@ -909,6 +970,7 @@
     backoffs_.erase(backoffs_.begin());
     Request* request = Find(handle);
     if (request == nullptr || request->phase != Phase::kBackoff) continue;
+    if (DelayIfSuspect(*request)) continue;
     if (!request->may_resume || request->rule().then.resumable) {
       Enqueue(*request);
       continue;
@@ -1076,6 +1138,7 @@
 
 void RequestFlow::RunTick() {
   RunEarlyRequests();
+  RecordProvenAnswers();
   RefuseQuarantined();
   CountConfirmedEnds();
   RunResumptions();
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -3,6 +3,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -141,14 +142,23 @@
                    const std::string& backend, const std::string& address);
 
   // Ends.
+  void RecordWholeAnswer(const Request& request, const AttemptEnded& event);
+  // Probes the server of a request whose connection it closed.
   void RecordCut(const Request& request, const AttemptEnded& event);
   // Counts the ends of servers that were seen with working links.
   void CountConfirmedEnds();
   // Decides what follows an attempt at a host that did not serve it.
   void HandleHelperEnd(Request& request, const AttemptEnded& event);
-  // Refuses content that ends the servers that run it.
-  std::optional<Refusal> CheckQuarantine(uint64_t fingerprint) const;
+  // Refuses a request whose content, or a part of whose prompt, ends the
+  // servers that run it.
+  std::optional<Refusal> CheckQuarantine(const Request& request) const;
   void RefuseQuarantined();
+  // Clears the prompts of answers that have been under way for long enough.
+  void RecordProvenAnswers();
+  // Delays the next attempt of a request whose server closed the connection,
+  // first until it is known whether that server ended, then while a part of the
+  // prompt is suspected of the end. Returns whether it did.
+  bool DelayIfSuspect(Request& request);
   static void RecordServiceTime(Duration took, TargetState& state);
   void Retry(Request& request, AttemptResult result);
   void Backoff(Request& request);
@@ -197,6 +207,13 @@
   ClaimGuard claims_;
   ServerEnds ends_;
   UnconfirmedEnds unconfirmed_ends_;
+  // Requests whose answers began, in the order of that, with their attempt.
+  struct BegunAnswer {
+    TimePoint at;
+    RequestHandle handle = 0;
+    int attempt = 0;
+  };
+  std::deque<BegunAnswer> begun_answers_;
   OpenRequests requests_;
   WaitPolicy waits_;                            // Reads `requests_`.
   std::map<std::string, TargetState> targets_;  // By name of the queue.
--- a/node/request_flow_reach.cc
+++ b/node/request_flow_reach.cc
@@ -180,6 +180,10 @@
     CountConfirmedEnds();
     return;
   }
+  for (const CutRequest& whole : ends_.FindWhole(probed)) {
+    quarantine_.RecordCompleted(whole.fingerprint);
+    quarantine_.RecordAnswer(whole.parts);
+  }
   std::vector<CutRequest> cuts = ends_.HandleProbe(probed);
   if (cuts.empty()) return;
   const bool is_in_doubt =
--- a/node/server_end_inbox.cc
+++ b/node/server_end_inbox.cc
@@ -24,6 +24,10 @@
     if (!row) return std::nullopt;
     parsed.push_back(*std::move(row));
   }
+  const bool has_prompts = report.contains("prompts");
+  if (has_prompts && !AddPrompts(report["prompts"], parsed)) {
+    return std::nullopt;
+  }
   std::erase_if(received_, [now](const auto& item) {
     return now - item.second.at > kQuarantineTtl;
   });
--- a/node/server_end_reports.cc
+++ b/node/server_end_reports.cc
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr size_t kMaxRows = 256;
-// A row takes some 60 bytes. Further rows follow after the acknowledgement.
+// A row takes some 60 bytes, and 18 more for each part of a prompt. Further
+// rows follow after the acknowledgement.
 constexpr size_t kMaxRowsPerReport = 16;
 constexpr Duration kResendInterval = std::chrono::milliseconds(500);
 
@@ -38,10 +39,17 @@
   return is_owed ? 1 : 0;
 }
 
-void ServerEndReports::Remove(uint64_t fingerprint) {
-  std::erase_if(rows_, [fingerprint](const ServerEndRow& row) {
-    return row.fingerprint == fingerprint;
-  });
+void ServerEndReports::Remove(uint64_t key) {
+  std::erase_if(
+      rows_, [key](const ServerEndRow& row) { return row.fingerprint == key; });
+  for (ServerEndRow& row : rows_) {
+    for (PartKeys& part : row.parts) {
+      if (part.target == key) part = {};
+      if (part.service == key) part.service = 0;
+    }
+    std::erase_if(row.parts,
+                  [](const PartKeys& part) { return part.widest() == 0; });
+  }
 }
 
 bool ServerEndReports::HasNew() const {
@@ -63,15 +71,20 @@
   }
   if (!HasNew() && now - sent_at_ < kResendInterval) return nullptr;
   Json rows = Json::array();
+  std::vector<const ServerEndRow*> sent;
   for (const ServerEndRow& row : rows_) {
     if (row.number <= acked_) continue;
     if (rows.size() == kMaxRowsPerReport) break;
     rows.push_back(ServerEndRowToJson(row, now));
+    sent.push_back(&row);
     sent_ = std::max(sent_, row.number);
   }
   if (rows.empty()) return nullptr;
   sent_at_ = now;
-  return Json{{"life", self_.number}, {"rows", std::move(rows)}};
+  Json report{{"life", self_.number}, {"rows", std::move(rows)}};
+  Json prompts = PromptsToJson(sent);
+  if (!prompts.empty()) report["prompts"] = std::move(prompts);
+  return report;
 }
 
 void ServerEndReports::HandleAck(FencingToken token, const Json& ack) {
--- a/node/server_end_reports.h
+++ b/node/server_end_reports.h
@@ -20,8 +20,9 @@
   // Assigns the next number to `row` and stores it. Returns the number of
   // unacknowledged rows that were dropped for it. Not thread-safe.
   size_t Add(ServerEndRow row);
-  // Removes the rows of a content that was cleared. Not thread-safe.
-  void Remove(uint64_t fingerprint);
+  // Removes the rows of a content or prompt part that was cleared. Not
+  // thread-safe.
+  void Remove(uint64_t key);
   // True if the next report contains a row that was never sent to the owner.
   // Not thread-safe.
   bool HasNew() const;
--- a/node/server_ends.cc
+++ b/node/server_ends.cc
@@ -21,6 +21,19 @@
   return is_due;
 }
 
+std::vector<CutRequest> ServerEnds::FindWhole(
+    const ServerProbed& probed) const {
+  std::vector<CutRequest> whole;
+  const auto it = probes_.find(probed.server);
+  if (it == probes_.end() || probed.state != ServerState::kListening) {
+    return whole;
+  }
+  for (const CutRequest& cut : it->second.cuts) {
+    if (cut.may_be_whole) whole.push_back(cut);
+  }
+  return whole;
+}
+
 std::vector<CutRequest> ServerEnds::HandleProbe(const ServerProbed& probed) {
   const auto it = probes_.find(probed.server);
   if (it == probes_.end()) return {};
--- a/node/server_ends.h
+++ b/node/server_ends.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "node/messages.h"
+#include "routing/prompt_part_ledger.h"
 
 namespace applehall {
 
@@ -16,8 +17,13 @@
   Duration answered_for{0};
   // As in RequestArrived.
   std::vector<std::string> prompt_parts{};
+  uint64_t prompt_hash = 0;
+  std::vector<PartKeys> parts{};  // Of `prompt_parts`, in the same order.
   // An earlier attempt or this one has answered in part.
   bool has_started = false;
+  // The end of the connection also ended the answer. The request was cut only
+  // if its server has ended.
+  bool may_be_whole = false;
 };
 
 // Distinguishes servers that ended from servers that only closed a connection.
@@ -35,6 +41,9 @@
   // Returns the requests that were under way when `probed.server` ended; none
   // if it still listens or its state is unknown. Not thread-safe.
   std::vector<CutRequest> HandleProbe(const ServerProbed& probed);
+  // Returns the requests with a whole answer, if the server still listens.
+  // Requires: called before HandleProbe(). Not thread-safe.
+  std::vector<CutRequest> FindWhole(const ServerProbed& probed) const;
 
  private:
   struct Probe {
--- a/tests/node/fleet_fixture.h
+++ b/tests/node/fleet_fixture.h
@@ -140,14 +140,14 @@
       ++quarantine_reads_;
       if (host.is_cut_from_store) return;
       QuarantineRead read{true, {}};
-      for (const auto& [key, until] : quarantined_) {
-        read.records.push_back({key, until});
+      for (const auto& [key, record] : quarantined_) {
+        read.records.push_back(record);
       }
       pending_.push_back({name, read});
     } else if (const auto* held = std::get_if<AppendQuarantine>(&action)) {
       ++quarantine_appends_;
       if (host.is_cut_from_store) return;
-      quarantined_[held->record.fingerprint] = held->record.until;
+      quarantined_[held->record.fingerprint] = held->record;
       if (held->record.until == TimePoint{}) {
         quarantined_.erase(held->record.fingerprint);
       }
@@ -272,7 +272,7 @@
   std::optional<LeaseRecord> lease_;
   FencingToken token_ = 0;
   LogOffset end_ = 0;
-  std::map<uint64_t, TimePoint> quarantined_;  // The store's records.
+  std::map<uint64_t, QuarantineRecord> quarantined_;  // The store's records.
   int quarantine_reads_ = 0;
   int quarantine_appends_ = 0;
   int plans_made_ = 0;  // Encoded plans, whatever their number of receivers.
--- a/tests/node/prompt_part_fixture.h
+++ b/tests/node/prompt_part_fixture.h
@@ -59,6 +59,7 @@
   void StartFleet(const std::vector<std::string>& names) {
     for (int i = 1; i <= kEngines; ++i) {
       engines_.push_back("llm-" + std::to_string(i));
+      models_at_[engines_.back()] = {"llm/m0", "llm/m1"};
     }
     for (const std::string& name : names) AddHost(name);
     RunFleet(seconds(3));
@@ -197,6 +198,38 @@
     return all == 0 ? 1 : begun / all;
   }
 
+  // When servers ended under a bad part and when it arrived, for messages.
+  std::string DescribePart(const std::string& part) const {
+    Json json;
+    const auto it = ends_.find(part);
+    if (it == ends_.end()) return "no end";
+    const TimePoint first = it->second.front();
+    for (const TimePoint at : it->second) {
+      json["ends_ms"].push_back(ToMillis(at - first));
+    }
+    for (const Arrival& arrival : arrivals_) {
+      if (arrival.part != part) continue;
+      json["arrivals_ms"].push_back(ToMillis(arrival.at - first));
+    }
+    return part + " " + json.dump();
+  }
+
+  // The outcomes of the sound requests of a time span, for messages.
+  std::string Describe(TimePoint from, TimePoint to) const {
+    std::map<std::string, int> counts;
+    for (const auto& [handle, sound] : sound_) {
+      if (sound.sent_at < from || sound.sent_at >= to) continue;
+      std::string outcome = sound.has_begun ? "begun" : "pending";
+      if (sound.has_failed) outcome = "cut";
+      if (sound.refusal) {
+        outcome = RefusalReasonName(sound.refusal->reason) +
+                  (": " + sound.refusal->detail);
+      }
+      ++counts[outcome];
+    }
+    return Json(counts).dump(1);
+  }
+
   Json HeldAt(const std::string& host) const {
     return hosts_.at(host).node->StateDump()["quarantine"]["held"];
   }
@@ -230,6 +263,7 @@
   double bad_rate_ = 0.1;
   double chance_rate_ = 0;
   std::set<std::string> bad_parts_;
+  std::string bad_model_;  // The parts are bad for this one only; empty: all.
   std::vector<std::string> beside_bad_;  // Sound parts of all bad prompts.
   std::vector<std::string> other_parts_{"b1", "b2", "b3", "b4"};
   std::map<std::string, std::vector<TimePoint>> ends_;  // By bad part.
@@ -251,7 +285,9 @@
   }
 
   std::string BadPartOf(RequestHandle handle) const {
-    for (const std::string& part : prompts_.at(handle).parts) {
+    const Prompt& prompt = prompts_.at(handle);
+    if (!bad_model_.empty() && prompt.model != bad_model_) return "";
+    for (const std::string& part : prompt.parts) {
       if (bad_parts_.contains(part)) return part;
     }
     return "";
--- a/tests/node/prompt_part_test.cc
+++ b/tests/node/prompt_part_test.cc
@@ -21,6 +21,16 @@
     RunFleet(duration);
     return from;
   }
+
+  // Expects that a bad part is held everywhere and sound requests go on.
+  void ExpectHeld(const std::string& part) {
+    EXPECT_LE(CountLateArrivals(part), kMaxArrivals) << DescribePart(part);
+    EXPECT_GE(CountEnds(part), 1u);
+    EXPECT_LE(CountEnds(part), kEndsAllowed) << DescribePart(part);
+  }
+
+  std::string Owner() const { return Holders().at(0); }
+  std::string NotOwner() const { return Owner() == "a" ? "b" : "a"; }
 };
 
 // Guards against a part of prompts that ends engine after engine because each
@@ -37,9 +47,227 @@
 TEST_F(PromptPartTest, SoundRequestsGoOnBesideABadPart) {
   const TimePoint from = RunBadParts({"p"}, seconds(30));
   EXPECT_GE(BegunShare(from, from + seconds(4)), kSoundShare);
-  EXPECT_GE(BegunShare(from + seconds(4), now_ - seconds(1)), kSoundShare);
+  EXPECT_GE(BegunShare(from + seconds(4), now_ - seconds(1)), kSoundShare)
+      << Describe(from + seconds(4), now_ - seconds(1));
+  EXPECT_EQ(CountQuarantined(from, now_), 0u);
+}
+
+// Guards against a refusal that arrives late or does not promise that the
+// request has not run.
+TEST_F(PromptPartTest, RequestsWithAHeldPartAreRefusedAtOnce) {
+  RunBadParts({"p"}, seconds(20));
+  for (const auto& [name, host] : hosts_) {
+    SendSound(name, {{"a", "p"}});
+    const auto sent = std::prev(sound_.end());
+    RunFleet(kStep);
+    ASSERT_TRUE(sent->second.refusal) << name;
+    EXPECT_EQ(sent->second.refusal->reason, RefusalReason::kQuarantined);
+    EXPECT_EQ(sent->second.refusal->verdict, Verdict::kNotRun);
+    EXPECT_GT(sent->second.refusal->retry_after, std::chrono::minutes(50));
+  }
+}
+
+// Guards against a sound part that is held because engines end for other
+// reasons while requests with it run there.
+TEST_F(PromptPartTest, EndsByChanceHoldNoPart) {
+  chance_rate_ = 0.007;  // Some 16 ends in a minute.
+  const TimePoint from = now_;
+  RunFleet(std::chrono::minutes(3));
+  EXPECT_EQ(CountQuarantined(from, now_), 0u);
+  for (const auto& [name, host] : hosts_) {
+    EXPECT_TRUE(HeldAt(name).empty()) << HeldAt(name).dump();
+  }
+}
+
+// Guards against ends by chance that hide a bad part.
+TEST_F(PromptPartTest, BadPartIsFoundBesideEndsByChance) {
+  chance_rate_ = 0.007;
+  const TimePoint from = RunBadParts({"p"}, seconds(40));
+  ExpectHeld("p");
+  EXPECT_EQ(CountQuarantined(from, now_), 0u);
+}
+
+// Guards against two bad parts that hide each other, or of which one is taken
+// for what both ends have in common.
+TEST_F(PromptPartTest, TwoBadPartsAreBothFound) {
+  const TimePoint from = RunBadParts({"p", "q"}, seconds(40));
+  ExpectHeld("p");
+  ExpectHeld("q");
+  EXPECT_EQ(CountQuarantined(from, now_), 0u);
+}
+
+// Guards against a second bad part that goes unseen after the first.
+TEST_F(PromptPartTest, BadPartThatComesLaterIsFound) {
+  RunBadParts({"p"}, seconds(20));
+  bad_parts_.clear();
+  RunBadParts({"q"}, seconds(20));
+  ExpectHeld("q");
+}
+
+// Guards against sound requests that are refused because one of their parts was
+// in each bad request.
+TEST_F(PromptPartTest, SoundPartAlwaysBesideABadOneIsServed) {
+  beside_bad_ = {"s"};
+  RunBadParts({"p"}, seconds(20));
+  ExpectHeld("p");
+  bad_parts_.clear();
+  const TimePoint from = now_;
+  other_parts_ = {"s"};
+  RunFleet(seconds(10));
+  EXPECT_GE(BegunShare(from, now_ - seconds(1)), kSoundShare)
+      << Describe(from, now_ - seconds(1));
+  EXPECT_EQ(CountQuarantined(from, now_), 0u);
+}
+
+// Guards against a part that is cleared by answers of other models and goes on
+// ending the engines of one model.
+TEST_F(PromptPartTest, PartThatIsBadForOneModelIsHeldForThatModel) {
+  bad_model_ = "m0";
+  RunBadParts({"p"}, seconds(30));
+  ExpectHeld("p");
+  bad_parts_.clear();
+  bad_model_.clear();
+  const TimePoint from = now_;
+  for (int i = 0; i < 20; ++i) {
+    SendSound("a", {{"a", "p"}, "m1"});
+    RunFleet(milliseconds(100));
+  }
   EXPECT_EQ(CountQuarantined(from, now_), 0u);
 }
 
+// Guards against a part whose ends are forgotten with the hosts that saw them.
+TEST_F(PromptPartTest, HostsThatRestartKnowAHeldPart) {
+  RunBadParts({"p"}, seconds(20));
+  const size_t ends = CountEnds("p");
+  for (const std::string& name : {NotOwner(), Owner()}) {
+    RestartHost(name);
+    RunFleet(seconds(8));
+  }
+  for (const char* name : {"a", "b", "c", "d"}) RestartHost(name);
+  RunFleet(seconds(15));
+  EXPECT_EQ(CountEnds("p"), ends);
+}
+
+// Guards against an owner that takes its evidence with it: the next one would
+// begin to count anew.
+TEST_F(PromptPartTest, EvidenceOutlivesTheOwner) {
+  bad_rate_ = 0.02;
+  bad_parts_ = {"p"};
+  while (CountEnds("p") < 2) RunFleet(kStep);
+  RestartHost(Owner());
+  bad_rate_ = 0.1;
+  RunFleet(seconds(30));
+  EXPECT_LE(CountLateArrivals("p"), kMaxArrivals);
+}
+
+// Guards against hosts that see ends without the owner and hold nothing, and
+// against a verdict of theirs that the others never get.
+TEST_F(PromptPartTest, HostWithoutAnOwnerFindsTheBadPart) {
+  const std::string isolated = NotOwner();
+  hosts_.at(isolated).is_cut_from_hosts = true;
+  hosts_.at(isolated).is_cut_from_store = true;
+  RunFleet(seconds(5));
+  bad_parts_ = {"p"};
+  for (int i = 0; i < 40; ++i) {
+    Send(isolated, {{"a", "b1", "p"}});
+    RunFleet(milliseconds(200));
+  }
+  bad_rate_ = 0;
+  EXPECT_LE(CountEnds("p"), 2 * kEndsAllowed);
+  const size_t ends = CountEnds("p");
+  hosts_.at(isolated).is_cut_from_hosts = false;
+  hosts_.at(isolated).is_cut_from_store = false;
+  RunFleet(seconds(5));
+  bad_rate_ = 0.1;
+  RunFleet(seconds(10));
+  EXPECT_EQ(CountEnds("p"), ends);
+}
+
+// Guards against a quarantine that expires while its part is still bad, and
+// costs as many servers again.
+TEST_F(PromptPartTest, PartThatIsBadAfterItsQuarantineIsHeldAtItsFirstEnd) {
+  RunBadParts({"p"}, seconds(20));
+  is_traffic_on_ = false;
+  RunFleet(std::chrono::minutes(61));
+  is_traffic_on_ = true;
+  const size_t ends = CountEnds("p");
+  RunFleet(seconds(20));
+  EXPECT_LE(CountEnds("p"), ends + 2);
+}
+
+class PromptPartChaosTest : public PromptPartFixture,
+                            public testing::WithParamInterface<uint64_t> {
+ protected:
+  void InjectFault(const std::string& host) {
+    switch (random_.Below(6)) {
+      case 0:
+        RestartHost(host);
+        break;
+      case 1:
+        RestartHost(Holders().empty() ? host : Holders()[0]);
+        break;
+      case 2:
+        hosts_.at(host).is_cut_from_hosts = true;
+        break;
+      case 3:
+        hosts_.at(host).is_cut_from_store = true;
+        break;
+      case 4:
+        for (auto& [name, other] : hosts_) other.is_cut_from_store = true;
+        break;
+      default:
+        break;
+    }
+    for (const auto& [name, other] : hosts_) {
+      const bool is_cut = other.is_cut_from_hosts || other.is_cut_from_store;
+      if (is_cut || name == host) disturbed_until_[name] = now_;
+    }
+    disturbed_until_[host] = now_;
+  }
+
+  void Heal() {
+    for (auto& [name, host] : hosts_) {
+      if (host.is_cut_from_hosts || host.is_cut_from_store) {
+        disturbed_until_[name] = now_;
+      }
+      host.is_cut_from_hosts = false;
+      host.is_cut_from_store = false;
+    }
+  }
+};
+
+// Guards against orders of ends, faults and answers in which a bad part goes
+// on or a sound one is held.
+TEST_P(PromptPartChaosTest, BadPartsAreHeldAndSoundOnesServed) {
+  random_ = Random(GetParam());
+  StartFleet({"a", "b", "c", "d", "e"});
+  is_traffic_on_ = true;
+  bad_rate_ = 0.02 + 0.2 * random_.Unit();
+  chance_rate_ = 0.007 * random_.Unit();
+  if (random_.Below(3) == 0) beside_bad_ = {"s"};
+  RunFleet(seconds(4));
+  const TimePoint from = now_;
+  bad_parts_ = {"p"};
+  if (random_.Below(3) == 0) bad_parts_.insert("q");
+  const uint64_t faults = random_.Below(4);
+  for (uint64_t i = 0; i < faults; ++i) {
+    RunFleet(milliseconds(random_.Below(2000)));
+    InjectFault(RandomHost());
+    RunFleet(milliseconds(random_.Below(5000)));
+    Heal();
+  }
+  RunFleet(seconds(20));
+  for (const std::string& part : bad_parts_) {
+    EXPECT_LE(CountLateArrivals(part), kMaxArrivals)
+        << part << ", seed " << GetParam();
+  }
+  EXPECT_GE(BegunShare(from, now_ - seconds(1)), kSoundShare)
+      << "seed " << GetParam() << Describe(from, now_ - seconds(1));
+  EXPECT_EQ(CountQuarantined(from, now_), 0u) << "seed " << GetParam();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, PromptPartChaosTest,
+                         testing::Range<uint64_t>(1, 101));
+
 }  // namespace
 }  // namespace applehall
--- a/tests/node/team_test.cc
+++ b/tests/node/team_test.cc
@@ -139,8 +139,8 @@
 TEST_F(TeamTest, QuarantineAppliesToTheTeamWhateverItsKey) {
   EXPECT_NE(FingerprintForCaller(77, "studs"),
             FingerprintForCaller(77, "agents"));
-  quarantined_[FingerprintForCaller(77, "studs")] =
-      now_ + std::chrono::hours(1);
+  const uint64_t content = FingerprintForCaller(77, "studs");
+  quarantined_[content] = {content, now_ + std::chrono::hours(1)};
   Add("b");
   InstallTeams(3, {{"studs", "key-3"}, {"agents", "key-2"}});
   Run(seconds(1));
