A host takes only as many callers as it can serve

What callers see: for some seconds most new connections of a data centre go to one host. By reading: it took up to 4,096 connections, whatever its limits, so that with 4,100 descriptors the requests that it had read could open no connection to a server; and it went on reading new requests while its event loop was behind, so that all of them were late.

Change: callers take at most half of the descriptors that files, the store and other hosts leave, also after the configuration sets the other limits. Readiness stays as it is: an unready host would pass the pile on to the next one.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -193,6 +193,7 @@
   uint64_t refused() const { return refused_; }
   void SetLimits(const HttpServerLimits& limits) { limits_ = limits; }
   void CloseAfterAnswers() { is_closing_ = true; }
+  void SetOverloaded(bool is_overloaded) { is_overloaded_ = is_overloaded; }
   void StopAccepting() {
     error_code ignored;
     acceptor_.close(ignored);
@@ -209,7 +210,8 @@
         co_await pause.async_wait(kToken);
         continue;
       }
-      if (self->open_connections_ >= self->limits_.connections) {
+      if (self->is_overloaded_ ||
+          self->open_connections_ >= self->limits_.connections) {
         ++self->refused_;
         continue;  // The socket's destructor closes it.
       }
@@ -292,6 +294,7 @@
   HttpHandler handler_;
   HttpServerLimits limits_;
   bool is_closing_ = false;
+  bool is_overloaded_ = false;
   uint16_t port_;
   size_t open_connections_ = 0;
   std::atomic<uint64_t> refused_{0};
@@ -309,6 +312,9 @@
   impl_->SetLimits(limits);
 }
 void HttpServer::CloseAfterAnswers() { impl_->CloseAfterAnswers(); }
+void HttpServer::SetOverloaded(bool is_overloaded) {
+  impl_->SetOverloaded(is_overloaded);
+}
 void HttpServer::StopAccepting() { impl_->StopAccepting(); }
 uint64_t HttpServer::refused_connections() const { return impl_->refused(); }
 
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -67,10 +67,14 @@
   void SetLimits(const HttpServerLimits& limits);
   // Sends "Connection: close" with all further responses. Thread: the server's.
   void CloseAfterAnswers();
+  // While set, new connections are closed unread, so that their callers go
+  // elsewhere; open ones continue. Thread: the server's.
+  void SetOverloaded(bool is_overloaded);
   // Accepts no new connections; open ones continue. Requires: called on the
   // server's thread.
   void StopAccepting();
-  // Number of connections refused because of the limit. Thread-safe.
+  // Number of connections refused because of the limit or of overload.
+  // Thread-safe.
   uint64_t refused_connections() const;
 
  private:
--- a/tests/drivers/http_test.cc
+++ b/tests/drivers/http_test.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio.hpp>
 #include <condition_variable>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -165,6 +166,43 @@
   EXPECT_EQ(answer, "HTTP/1.1 200");
 }
 
+// Guards against a host that takes more callers than it can serve, so that
+// those whose requests it has read wait; and against one that cuts these off.
+TEST_F(HttpTest, OverloadedServerClosesNewConnectionsUnread) {
+  StartServer({});
+  asio::io_context io;
+  asio::ip::tcp::socket open(io);
+  open.connect({asio::ip::make_address("127.0.0.1"), server_->port()});
+  std::string answer(12, ' ');
+  const std::string request = "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nok";
+  asio::write(open, asio::buffer(request));
+  asio::read(open, asio::buffer(answer));
+  std::promise<void> is_set;
+  asio::post(io_, [&] {
+    server_->SetOverloaded(true);
+    is_set.set_value();
+  });
+  is_set.get_future().wait();
+  EXPECT_NE(FetchBlocking(Call("/x", "a")).state, SendState::kAnswered);
+  EXPECT_EQ(server_->refused_connections(), 1u);
+  asio::write(open, asio::buffer(request));
+  std::string rest;
+  boost::system::error_code ignored;
+  while (rest.find("ok") == std::string::npos ||
+         rest.find("HTTP/1.1 200") == std::string::npos) {
+    char piece[256];
+    const size_t size = open.read_some(asio::buffer(piece), ignored);
+    ASSERT_FALSE(ignored) << rest;
+    rest.append(piece, size);
+  }
+  asio::post(io_, [&] { server_->SetOverloaded(false); });
+  HttpResult later = FetchBlocking(Call("/x", "a"));
+  for (int i = 0; i < 100 && !later.is_ok(); ++i) {
+    later = FetchBlocking(Call("/x", "a"));
+  }
+  EXPECT_TRUE(later.is_ok());
+}
+
 // Guards against a truncated response that the client reports as complete.
 TEST_F(HttpTest, TruncatedResponseIsReported) {
   StartServer({});
--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -108,6 +108,19 @@
   return ParseEdgeSettings("node.json", FillTemplate(*file, fields));
 }
 
+// Guards against callers that take all descriptors of a host while most new
+// connections go to it: requests that it has read could not reach a server.
+TEST(EdgeSettings, CallersLeaveDescriptorsForServers) {
+  Json fields = PlatformFields();
+  EXPECT_EQ(ParseFilledTemplate(fields)->max_caller_connections, 1748u);
+  fields["limits"]["max_fds"] = 4100;
+  EXPECT_EQ(ParseFilledTemplate(fields)->max_caller_connections, 1750u);
+  fields["limits"]["max_fds"] = 700;
+  EXPECT_EQ(ParseFilledTemplate(fields)->max_caller_connections, 64u);
+  fields["limits"]["max_fds"] = "many";
+  EXPECT_EQ(ParseFilledTemplate(fields)->max_caller_connections, 1748u);
+}
+
 // Guards against hosts that exit at every start because the platform sets a
 // fraction where the reader expects an integer, and against a fraction whose
 // digits are read as milliseconds.
--- a/tests/platform/forwarded_request_test.cc
+++ b/tests/platform/forwarded_request_test.cc
@@ -26,7 +26,8 @@
            const std::string& key)
       : forward_address(kLoopback + (":" + std::to_string(forwards))),
         ingress(io, Address{kLoopback, callers}, Address{kLoopback, forwards},
-                key, [this](Event event) { events.push_back(event); }),
+                key, /*max_connections=*/1000,
+                [this](Event event) { events.push_back(event); }),
         engines(
             io, "host", key, [this](Event event) { events.push_back(event); },
             [](Duration) {}) {}
