A part that other models have answered needs five ends to be held for one

Cause: by its keys, the part b2 at one model. The host had answers to it at the other model only; the part had come with both bad ones and was at three ends, more than either of them.

Change: a key of one model needs five ends. Messages of the random cases name the parts of refused requests.

--- a/routing/prompt_part_ledger.cc
+++ b/routing/prompt_part_ledger.cc
@@ -15,6 +15,9 @@
 // without more evidence against its parts than against itself.
 constexpr size_t kEndsOfRepeatedPrompts = 4;
 constexpr size_t kMinRepeatedPrompts = 2;
+// A part that other models have answered is seldom bad for one. With two bad
+// parts, a sound one that came with both is at more ends than either.
+constexpr size_t kEndsAtOneModel = 5;
 // Hosts report the same end at different times; see CrashLedger.
 constexpr Duration kSameEnd = std::chrono::seconds(2);
 // Of an engine's 64 requests a few have no answer yet; each takes some 150
@@ -31,8 +34,12 @@
 struct PromptPartLedger::Evidence {
   size_t ends = 0;
   size_t prompts = 0;
+  bool is_of_one_model = false;
 
   bool is_proof() const {
+    if (is_of_one_model) {
+      return ends >= kEndsAtOneModel && prompts >= kPromptsToProve;
+    }
     return (ends >= kEndsToProve && prompts >= kPromptsToProve) ||
            (ends >= kEndsOfRepeatedPrompts && prompts >= kMinRepeatedPrompts);
   }
@@ -122,7 +129,8 @@
 }
 
 PromptPartLedger::Evidence PromptPartLedger::Weigh(
-    const std::vector<size_t>& cuts, const std::vector<size_t>& ends,
+    const std::vector<size_t>& cuts, const Group& group,
+    const std::vector<size_t>& ends,
     const std::vector<bool>& is_explained) const {
   std::set<size_t> open_ends;
   std::set<uint64_t> prompts;
@@ -131,7 +139,13 @@
     open_ends.insert(ends[i]);
     prompts.insert(cuts_[i].prompt);
   }
-  return {open_ends.size(), prompts.size()};
+  const std::vector<PartKeys>& parts = cuts_[cuts.front()].parts;
+  const bool has_wide =
+      std::any_of(parts.begin(), parts.end(), [&group](const PartKeys& part) {
+        return part.service != 0 &&
+               std::binary_search(group.begin(), group.end(), part.service);
+      });
+  return {open_ends.size(), prompts.size(), !has_wide};
 }
 
 // Takes the group that was present at most ends first, and of several the one
@@ -147,7 +161,7 @@
     const std::vector<size_t>* best = nullptr;
     size_t most_ends = 0;
     for (const auto& [cuts, group] : groups) {
-      const Evidence evidence = Weigh(cuts, ends, is_explained);
+      const Evidence evidence = Weigh(cuts, group, ends, is_explained);
       if (!evidence.is_proof()) continue;
       const bool is_better =
           best == nullptr || evidence.ends > most_ends ||
@@ -163,7 +177,7 @@
   }
   const std::vector<bool> none(cuts_.size(), false);
   for (const auto& [cuts, group] : groups) {
-    if (chosen.contains(&group) || !Weigh(cuts, ends, none).is_proof())
+    if (chosen.contains(&group) || !Weigh(cuts, group, ends, none).is_proof())
       continue;
     findings.explained.push_back(group);
   }
--- a/routing/prompt_part_ledger.h
+++ b/routing/prompt_part_ledger.h
@@ -73,7 +73,8 @@
   std::vector<size_t> NumberEnds() const;
   // The recorded requests of each group.
   std::map<std::vector<size_t>, Group> BuildGroups() const;
-  Evidence Weigh(const std::vector<size_t>& cuts,
+  // The ends and prompts of a group's requests that nothing explains yet.
+  Evidence Weigh(const std::vector<size_t>& cuts, const Group& group,
                  const std::vector<size_t>& ends,
                  const std::vector<bool>& is_explained) const;
   void Count(uint64_t key, std::vector<uint64_t>& added);
--- a/tests/node/prompt_part_fixture.h
+++ b/tests/node/prompt_part_fixture.h
@@ -231,12 +231,27 @@
       if (sound.refusal) {
         outcome = RefusalReasonName(sound.refusal->reason) +
                   (": " + sound.refusal->detail);
+        if (sound.refusal->reason == RefusalReason::kQuarantined) {
+          outcome += ", after " +
+                     std::to_string(ToMillis(sound.sent_at - from)) +
+                     " ms at " + sound.host + ", keys " + KeysOf(handle);
+        }
       }
       ++counts[outcome];
     }
     return Json(counts).dump(1);
   }
 
+  std::string KeysOf(RequestHandle handle) const {
+    std::string text;
+    const Prompt& prompt = prompts_.at(handle);
+    for (const std::string& part : prompt.parts) {
+      text += part + "=" + FingerprintText(PromptPartKey(part, "llm")) + "/" +
+              FingerprintText(PromptPartKey(part, "llm/" + prompt.model)) + " ";
+    }
+    return text;
+  }
+
   Json HeldAt(const std::string& host) const {
     return hosts_.at(host).node->StateDump()["quarantine"]["held"];
   }
