--- a/tests/node/prompt_part_fixture.h
+++ b/tests/node/prompt_part_fixture.h
@@ -38,6 +38,7 @@
     std::string host;
     bool has_begun = false;
     bool has_failed = false;  // Its first attempt at a server.
+    bool has_server = true;   // An engine was alive when it was sent.
     std::optional<Refusal> refusal;
   };
 
@@ -100,7 +101,10 @@
   void SendSound(const std::string& host, const Prompt& prompt) {
     const TimePoint sent_at = now_;
     // Registered first: the host may refuse it at once.
-    sound_[last_handle_ + 1] = {sent_at, host};
+    Sound& sound = sound_[last_handle_ + 1];
+    sound.sent_at = sent_at;
+    sound.host = host;
+    sound.has_server = HasLiveServer();
     Send(host, prompt);
   }
 
@@ -190,13 +194,14 @@
   }
 
   // Share of the sound requests of a time span, at hosts in touch, that began
-  // at their first attempt, of those whose server did not end meanwhile.
+  // at their first attempt, of those whose server did not end meanwhile and
+  // which an engine could have run.
   double BegunShare(TimePoint from, TimePoint to) const {
     double begun = 0;
     double all = 0;
     for (const auto& [handle, sound] : sound_) {
       if (sound.sent_at < from || sound.sent_at >= to || sound.has_failed ||
-          !IsInTouch(sound.host, sound.sent_at)) {
+          !sound.has_server || !IsInTouch(sound.host, sound.sent_at)) {
         continue;
       }
       ++all;
@@ -228,6 +233,7 @@
       if (sound.sent_at < from || sound.sent_at >= to) continue;
       std::string outcome = sound.has_begun ? "begun" : "pending";
       if (sound.has_failed) outcome = "cut";
+      if (!sound.has_server) outcome = "no engine alive";
       if (sound.refusal) {
         outcome = RefusalReasonName(sound.refusal->reason) +
                   (": " + sound.refusal->detail);
@@ -256,6 +262,12 @@
     return hosts_.at(host).node->StateDump()["quarantine"]["held"];
   }
 
+  bool HasLiveServer() const {
+    return std::any_of(
+        engines_.begin(), engines_.end(),
+        [this](const std::string& engine) { return !ended_.contains(engine); });
+  }
+
   // The server that runs a request; empty if none does.
   std::string ServerOf(RequestHandle handle) const {
     for (const auto& [server, jobs] : running_) {
--- a/tests/node/prompt_part_test.cc
+++ b/tests/node/prompt_part_test.cc
@@ -306,7 +306,8 @@
         << part << ", seed " << GetParam();
   }
   EXPECT_GE(BegunShare(from, now_ - seconds(1)), kSoundShare)
-      << "seed " << GetParam() << Describe(from, now_ - seconds(1));
+      << "seed " << GetParam() << Describe(from, now_ - seconds(1))
+      << DescribePart("p") << DescribePart("q");
   EXPECT_EQ(CountQuarantined(from, now_), 0u)
       << "seed " << GetParam() << Describe(from, now_);
 }
