One host records what is left of a group; expiry of cuts is cheap at each tick

Suspects were scanned at each tick although none had expired. A quarantine that the owner lifts for another reason is no longer logged as answered.

--- a/node/quarantine_manager.cc
+++ b/node/quarantine_manager.cc
@@ -154,7 +154,7 @@
   if (before == ContentState::kClear) return lifted;
   changed_.insert(key);
   if (!quarantine_.Holds(key, context_.now)) return lifted;
-  RemoveHeld(key, "a server answered it");
+  RemoveHeld(key, "a server answered it, or the owner lifted it");
   lifted.push_back(key);
   return lifted;
 }
@@ -169,7 +169,8 @@
     lifted.push_back(key);
     std::erase(rest, part);
     if (rest.empty()) continue;
-    unrecorded_.insert(Quarantine::KeyOf(rest));
+    // The other hosts receive it with a plan.
+    if (is_owner_) unrecorded_.insert(Quarantine::KeyOf(rest));
     Add(Quarantine::KeyOf(rest), until, "what is left of a group", rest);
   }
 }
--- a/routing/prompt_part_judge.cc
+++ b/routing/prompt_part_judge.cc
@@ -37,8 +37,7 @@
 }
 
 void PromptPartJudge::DropExpired(TimePoint now) {
-  if (ledger_.size() == 0) return;
-  ledger_.DropExpired(now);
+  if (!ledger_.DropExpired(now)) return;
   std::erase_if(suspected_at_, [this](const auto& item) {
     return !ledger_.IsSuspect(item.first);
   });
--- a/routing/prompt_part_ledger.cc
+++ b/routing/prompt_part_ledger.cc
@@ -93,12 +93,13 @@
   return added;
 }
 
-void PromptPartLedger::DropExpired(TimePoint now) {
-  std::erase_if(cuts_, [&](const CutPrompt& cut) {
+bool PromptPartLedger::DropExpired(TimePoint now) {
+  const size_t dropped = std::erase_if(cuts_, [&](const CutPrompt& cut) {
     if (now - cut.at <= kSuspicionTtl) return false;
     for (const PartKeys& part : cut.parts) Discount(part.widest());
     return true;
   });
+  return dropped > 0;
 }
 
 std::vector<size_t> PromptPartLedger::NumberEnds() const {
--- a/routing/prompt_part_ledger.h
+++ b/routing/prompt_part_ledger.h
@@ -58,8 +58,9 @@
   // of the same part in a narrower scope that became suspect instead. Not
   // thread-safe.
   std::vector<uint64_t> Clear(uint64_t key);
-  // Drops requests that were cut too long ago. Not thread-safe.
-  void DropExpired(TimePoint now);
+  // Drops requests that were cut too long ago. Returns whether there were any.
+  // Not thread-safe.
+  bool DropExpired(TimePoint now);
   // Returns whether a recorded request has the part. Not thread-safe.
   bool IsSuspect(uint64_t key) const { return counts_.contains(key); }
   // Requires: nothing. Not thread-safe.
