A part of one model explains no end that a cause explains

Cause: by its lines, the part had no answer at m0 and was at the ends of both bad parts, five, where the stronger of these had four. The verdict went by the number of ends alone, let the bad part go and held the first part in its place.

Change: a key of one model comes after all others, for what these leave unexplained. Tests: PromptPartLedgerTest.PartOfOneModelExplainsNoEndsOfACause.

--- a/routing/prompt_part_ledger.cc
+++ b/routing/prompt_part_ledger.cc
@@ -149,9 +149,21 @@
   return {open_ends.size(), prompts.size(), !has_wide};
 }
 
-// Takes the group that was present at most ends first, and of several the one
-// with the fewest requests: each request with the cause ends a server. Other
-// groups count only ends that no cause explains yet.
+// A part of one model comes last: the first part of a route is at the ends of
+// all causes, and at a model with few answers none may have cleared it. Then
+// the group at most ends comes first, and of several the one with the fewest
+// requests: each request with the cause ends a server.
+bool PromptPartLedger::IsStronger(const Evidence& a,
+                                  const std::vector<size_t>& cuts_of_a,
+                                  const Evidence& b,
+                                  const std::vector<size_t>& cuts_of_b) {
+  if (a.is_of_one_model != b.is_of_one_model) return b.is_of_one_model;
+  if (a.ends != b.ends) return a.ends > b.ends;
+  return cuts_of_a.size() < cuts_of_b.size();
+}
+
+// Takes the strongest group first. Others count only ends that no cause
+// explains yet.
 PromptPartLedger::Findings PromptPartLedger::FindCauses() const {
   const std::vector<size_t> ends = NumberEnds();
   const std::map<std::vector<size_t>, Group> groups = BuildGroups();
@@ -160,16 +172,13 @@
   Findings findings;
   while (true) {
     const std::vector<size_t>* best = nullptr;
-    size_t most_ends = 0;
+    Evidence most;
     for (const auto& [cuts, group] : groups) {
       const Evidence evidence = Weigh(cuts, group, ends, is_explained);
       if (!evidence.is_proof()) continue;
-      const bool is_better =
-          best == nullptr || evidence.ends > most_ends ||
-          (evidence.ends == most_ends && cuts.size() < best->size());
-      if (!is_better) continue;
+      if (best != nullptr && !IsStronger(evidence, cuts, most, *best)) continue;
       best = &cuts;
-      most_ends = evidence.ends;
+      most = evidence;
     }
     if (best == nullptr) break;
     for (const size_t i : *best) is_explained[ends[i]] = true;
--- a/routing/prompt_part_ledger.h
+++ b/routing/prompt_part_ledger.h
@@ -78,6 +78,11 @@
   Evidence Weigh(const std::vector<size_t>& cuts, const Group& group,
                  const std::vector<size_t>& ends,
                  const std::vector<bool>& is_explained) const;
+  // Whether the evidence against group a is stronger than that against b.
+  static bool IsStronger(const Evidence& a,
+                         const std::vector<size_t>& cuts_of_a,
+                         const Evidence& b,
+                         const std::vector<size_t>& cuts_of_b);
   void Count(uint64_t key, std::vector<uint64_t>& added);
   void Discount(uint64_t key);
 
--- a/tests/routing/prompt_part_ledger_test.cc
+++ b/tests/routing/prompt_part_ledger_test.cc
@@ -110,6 +110,15 @@
   EXPECT_EQ(Causes(), Groups{{7}});
 }
 
+// Guards against the first part of a route that is held at a model without
+// answers, as it was at the ends of two causes.
+TEST_F(PromptPartLedgerTest, PartOfOneModelExplainsNoEndsOfACause) {
+  for (int end = 1; end <= 4; ++end) Add(Cut(end, end, {7, 20}));
+  for (int end = 5; end <= 6; ++end) Add(Cut(end, end, {8, 20}));
+  ledger_.Clear(20);
+  EXPECT_EQ(Causes(), Groups{{7}});
+}
+
 TEST_F(PromptPartLedgerTest, OldEndsExpire) {
   for (int end = 1; end <= 3; ++end) Add(Cut(end, end, {7}));
   ledger_.DropExpired(kNow + minutes(11));
