A part that another one explains is let go once, and held again at its first end

Cause: a part is let go when another explains its ends. For a second cause at the same ends that is wrong, and three further ends were needed each time.

A sound part beside a bad one is let go as before.

--- a/node/quarantine_manager.cc
+++ b/node/quarantine_manager.cc
@@ -238,6 +238,10 @@
   for (const Quarantine::Parts& parts : findings.explained) {
     const uint64_t key = Quarantine::KeyOf(parts);
     if (!quarantine_.Holds(key, context_.now)) continue;
+    // Tried once: a second cause at the same ends would end three servers more
+    // each time.
+    if (on_probation_.Holds(key, context_.now)) continue;
+    on_probation_.Record(key, context_.now);
     RemoveHeld(key, "another part explains the ends");
     changed_.insert(key);
     unreleased_.insert(key);
--- a/tests/node/prompt_part_test.cc
+++ b/tests/node/prompt_part_test.cc
@@ -96,6 +96,19 @@
   EXPECT_EQ(CountQuarantined(from, now_), 0u);
 }
 
+// Guards against two bad parts at the same ends of which each is let go again
+// and again because the other explains the ends.
+TEST_F(PromptPartTest, TwoBadPartsAtTheSameEndsAreBothHeld) {
+  while (engines_.size() > 2) engines_.pop_back();
+  for (const auto& [name, host] : hosts_) Handle(name, Listing());
+  bad_rate_ = 0.3;
+  RunBadParts({"p", "q"}, seconds(40));
+  for (const char* part : {"p", "q"}) {
+    EXPECT_LE(CountLateArrivals(part), kMaxArrivals) << DescribePart(part);
+    EXPECT_LE(CountEnds(part), kEndsAllowed) << DescribePart(part);
+  }
+}
+
 // Guards against a second bad part that goes unseen after the first.
 TEST_F(PromptPartTest, BadPartThatComesLaterIsFound) {
   RunBadParts({"p"}, seconds(20));
