--- a/node/open_request.h
+++ b/node/open_request.h
@@ -66,7 +66,7 @@
   std::string failed_backend;  // Backend of the last failed attempt.
   // The server closed the connection of the last attempt before an answer.
   bool was_cut_unanswered = false;
-  int suspect_delays = 0;  // See RequestFlow::DelayIfSuspect().
+  int suspect_delays = 0;               // See RequestFlow::DelayIfSuspect().
   bool was_forwarded = false;           // Already sent to another host.
   std::set<std::string> helpers_tried;  // Hosts it was forwarded to.
   std::string permit_server;            // In kPermit.
