Nothing is sent on for a caller whose close has reached the host

Callers saw nothing; servers ran requests whose callers had left (GONE).

Cause: a decision to send uses what the host last saw of its caller, which is an event. A host that stood, or whose event loop is behind, finds a request and its close together in the socket; it reads, decides and writes the request to an idle connection before the event loop comes back to the socket. A byte behind the request ended the watch for the close for good. An attempt that may not be repeated was never cancelled, not even while connecting or as a stream of a model. A cancel was one reset, which a lossy link loses.

Change: HttpCall::is_wanted is asked right before the request is written, on whatever connection; it looks at the caller's socket (one recv, and a poll if bytes lie there). Both daemons set it for each attempt, also to other hosts. Attempts that were not written are cancelled whatever their kind; model streams too. The time of a close is the one at which it arrived.

Ruled out: a kernel interface that the platform lacks (POLLRDHUP, TCP_INFO and SIOCOUTQ answer there).

--- a/drivers/backend_client.cc
+++ b/drivers/backend_client.cc
@@ -78,8 +78,9 @@
                              std::shared_ptr<CallerSession> session) {
   const bool is_posted = thread_.TryPost([this, action, session] {
     // Registered before its coroutine starts: Cancel() may run first.
-    const std::shared_ptr<HttpStream> stream =
-        client_.Prepare(MakeCall(action, *session));
+    HttpCall call = MakeCall(action, *session);
+    call.is_wanted = [session] { return !session->HasCallerLeft(); };
+    const std::shared_ptr<HttpStream> stream = client_.Prepare(call);
     attempts_[{action.handle, action.attempt}] = {stream, action.backend};
     asio::co_spawn(thread_.io(), RunAttempt(action, stream, session),
                    asio::detached);
@@ -89,10 +90,12 @@
                                           "this host's queue is full"));
 }
 
-void BackendClient::Cancel(RequestHandle handle, int attempt) {
-  (void)thread_.TryPost([this, handle, attempt] {
-    const auto it = attempts_.find({handle, attempt});
-    if (it != attempts_.end()) it->second.stream->Cancel();
+void BackendClient::Cancel(const CancelAttempt& action) {
+  (void)thread_.TryPost([this, action] {
+    const auto it = attempts_.find({action.handle, action.attempt});
+    if (it == attempts_.end()) return;
+    HttpStream& stream = *it->second.stream;
+    if (!action.only_unsent || !stream.sent_at()) stream.Cancel();
   });
 }
 
@@ -164,11 +167,16 @@
 
 asio::awaitable<AttemptEnded> BackendClient::ExecuteAttempt(
     const DispatchRequest& action, HttpStream& stream, CallerSession& session) {
-  if (session.is_closed()) {
-    co_return MakeAttemptEnd(action, AttemptResult::kNotSent,
-                             "the caller has disconnected");
-  }
   co_await stream.Start();
+  if (stream.is_withheld()) {
+    LogEvent(LogLevel::kInfo, "send_withheld")
+        .With("request", session.request().Header("x-request-id"))
+        .With("server", action.backend)
+        .With("attempt", action.attempt)
+        .With("reason", "the caller closed");
+    const Event left = CallerDisconnected{action.handle, action.attempt};
+    co_await Deliver(left);
+  }
   if (stream.state() == SendState::kNotSent) {
     co_return MakeAttemptEnd(action, AttemptResult::kNotSent, stream.error());
   }
--- a/drivers/backend_client.h
+++ b/drivers/backend_client.h
@@ -27,7 +27,7 @@
   // Thread-safe. Results are reported to `decisions` as events.
   void Dispatch(const DispatchRequest& action,
                 std::shared_ptr<CallerSession> session);
-  void Cancel(RequestHandle handle, int attempt);
+  void Cancel(const CancelAttempt& action);
   void Recall(const RecallUnsent& action);
   void SendEngineOrder(const SendOrder& action);
   void Probe(const ProbeServer& action);
--- a/drivers/caller_session.cc
+++ b/drivers/caller_session.cc
@@ -74,8 +74,8 @@
   return at;
 }
 
-void CallerSession::HandleDisconnect(TimePoint now) {
-  disconnected_at_ = now;
+void CallerSession::HandleDisconnect(TimePoint at) {
+  disconnected_at_ = at;
   Close();
   // Ends a pending Next(), whose caller treats a refusal as the end.
   ReplyPart end;
--- a/drivers/caller_session.h
+++ b/drivers/caller_session.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,9 +60,23 @@
   // Closes the session: the caller disconnected or has its response. Thread:
   // the callers'.
   void Close() { is_closed_ = true; }
-  // Closes the session after a disconnect of the caller and ends a pending
-  // Next(). Thread: the callers'.
-  void HandleDisconnect(TimePoint now);
+  // Closes the session after a disconnect of the caller, which reached this
+  // host at `at`, and ends a pending Next(). Thread: the callers'.
+  void HandleDisconnect(TimePoint at);
+  // Sets what tells whether the caller's close has arrived. Requires: called
+  // before the session is shared. Thread: the callers'.
+  void SetCloseProbe(std::function<std::optional<Duration>()> probe) {
+    close_probe_ = std::move(probe);
+  }
+  // Returns whether the session is closed or the caller's close has reached
+  // this host, also if its event is still to come. Costs a system call.
+  // Thread-safe.
+  bool HasCallerLeft() const { return is_closed_ || CloseAge().has_value(); }
+  // Returns how long ago the caller's close reached this host; nothing before.
+  // Costs a system call. Thread-safe.
+  std::optional<Duration> CloseAge() const {
+    return close_probe_ ? close_probe_() : std::nullopt;
+  }
   // Time at which the caller disconnected; nothing before. Thread-safe.
   std::optional<TimePoint> disconnected_at() const;
 
@@ -83,6 +98,7 @@
   boost::asio::steady_timer part_added_;
   uint64_t handle_;
   HttpRequest request_;
+  std::function<std::optional<Duration>()> close_probe_;
   std::deque<ReplyPart> parts_;
   std::atomic<size_t> buffered_bytes_{0};
   std::atomic<bool> is_closed_{false};
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -9,6 +9,7 @@
 #include <map>
 
 #include "core/clock.h"
+#include "drivers/connection_closer.h"
 #include "drivers/socket_options.h"
 
 namespace applehall {
@@ -95,9 +96,10 @@
 class BeastStream : public HttpStream {
  public:
   BeastStream(asio::io_context& io, std::shared_ptr<IdleConnections> idle,
-              HttpCall call)
+              std::shared_ptr<ConnectionCloser> closer, HttpCall call)
       : io_(io),
         idle_(std::move(idle)),
+        closer_(std::move(closer)),
         call_(std::move(call)),
         address_(call_.address.ToString()),
         created_at_(clock_.Now()) {
@@ -117,6 +119,7 @@
 
   SendState state() const override { return state_; }
   std::optional<TimePoint> sent_at() const override { return sent_at_; }
+  bool is_withheld() const override { return is_withheld_; }
   const HttpResponse& head() const override { return head_; }
   bool is_complete() const override { return is_complete_; }
   std::string error() const override { return error_; }
@@ -127,7 +130,9 @@
   void Cancel() override {
     is_complete_ = false;
     is_cancelled_ = true;
-    if (stream_) stream_->close();
+    if (!stream_) return;
+    if (state_ != SendState::kNotSent) closer_->Close(stream_->socket());
+    stream_->close();
   }
 
   asio::awaitable<std::string> ReadSome(Duration timeout) override {
@@ -156,6 +161,8 @@
       error_ = "cancelled before it was sent";
       co_return;
     }
+    // Saves the connection; Send() decides.
+    if (!IsWanted()) co_return;
     if (!call.fresh_connection) stream_ = idle_->Acquire(address_);
     if (!stream_) {
       const bool is_connected = co_await Connect(io_, call);
@@ -204,7 +211,15 @@
     co_return true;
   }
 
+  bool IsWanted() {
+    if (!call_.is_wanted || call_.is_wanted()) return true;
+    is_withheld_ = true;
+    error_ = "not wanted any more";
+    return false;
+  }
+
   asio::awaitable<bool> Send(const HttpCall& call) {
+    if (!IsWanted()) co_return false;
     http::request<http::string_body> message;
     message.method_string(call.request.method);
     message.target(call.request.target);
@@ -255,6 +270,7 @@
 
   asio::io_context& io_;
   std::shared_ptr<IdleConnections> idle_;
+  std::shared_ptr<ConnectionCloser> closer_;
   const HttpCall call_;
   std::string address_;
   const SystemClock clock_;
@@ -267,6 +283,7 @@
   HttpResponse head_;
   bool is_complete_ = false;
   bool is_cancelled_ = false;
+  bool is_withheld_ = false;
   bool is_closed_by_peer_ = false;
   std::string error_;
 };
@@ -276,10 +293,13 @@
 class HttpClient::Impl {
  public:
   explicit Impl(asio::io_context& io_context)
-      : io(io_context), idle(std::make_shared<IdleConnections>()) {}
+      : io(io_context),
+        idle(std::make_shared<IdleConnections>()),
+        closer(std::make_shared<ConnectionCloser>(io_context)) {}
 
   asio::io_context& io;
   std::shared_ptr<IdleConnections> idle;
+  std::shared_ptr<ConnectionCloser> closer;
 };
 
 HttpClient::HttpClient(asio::io_context& io)
@@ -287,7 +307,8 @@
 HttpClient::~HttpClient() = default;
 
 std::shared_ptr<HttpStream> HttpClient::Prepare(const HttpCall& call) {
-  return std::make_shared<BeastStream>(impl_->io, impl_->idle, call);
+  return std::make_shared<BeastStream>(impl_->io, impl_->idle, impl_->closer,
+                                       call);
 }
 
 asio::awaitable<HttpResult> HttpClient::Fetch(const HttpCall& call) {
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -28,6 +28,8 @@
   virtual SendState state() const = 0;
   // When the request began to be written to the connection; nothing before.
   virtual std::optional<TimePoint> sent_at() const = 0;
+  // True if the request was not sent because it was not wanted any more.
+  virtual bool is_withheld() const = 0;
   // Requires: state() is kAnswered.
   virtual const HttpResponse& head() const = 0;
   // Returns the next chunk of the body; empty at its end or after an error.
@@ -35,7 +37,8 @@
   virtual boost::asio::awaitable<std::string> ReadSome(Duration timeout) = 0;
   // True if the body was read to its end as HTTP defines it.
   virtual bool is_complete() const = 0;
-  // Cancels the call and closes the connection. Thread: the client's.
+  // Cancels the call and closes the connection, see ConnectionCloser. Thread:
+  // the client's.
   virtual void Cancel() = 0;
   virtual std::string error() const = 0;
   // True if the peer closed or reset the connection before the response was
@@ -82,6 +85,9 @@
   // Called once a new connection was made, or failed or timed out; not for a
   // reused connection or a cancelled call.
   std::function<void(bool is_connected, Duration took)> on_connect = nullptr;
+  // Called right before the request is written, on whatever connection; if it
+  // returns false, nothing is sent. Null: the request is always sent.
+  std::function<bool()> is_wanted = nullptr;
 };
 
 struct HttpResult {
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -1,12 +1,12 @@
 #include "drivers/http_server.h"
 
 #include <absl/strings/ascii.h>
-#include <sys/socket.h>
 
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
+#include "drivers/peer_close_watcher.h"
 #include "drivers/socket_options.h"
 
 namespace applehall {
@@ -44,39 +44,6 @@
   return request;
 }
 
-// Detects that the peer closes its connection while no read is pending. Kept
-// alive by its wait, which ends one iteration of the event loop after the
-// exchange.
-struct PeerCloseWatcher : std::enable_shared_from_this<PeerCloseWatcher> {
-  asio::cancellation_signal cancel;
-  std::function<void()> on_disconnect;
-  bool is_disconnected = false;
-  bool is_done = false;
-
-  void Start(asio::ip::tcp::socket& socket) {
-    socket.async_wait(
-        asio::ip::tcp::socket::wait_read,
-        asio::bind_cancellation_slot(
-            cancel.slot(),
-            [self = shared_from_this(), &socket](error_code error) {
-              if (error || self->is_done) return;
-              char byte = 0;
-              const auto size = ::recv(socket.native_handle(), &byte, 1,
-                                       MSG_PEEK | MSG_DONTWAIT);
-              // These bytes belong to the next request, which is read later.
-              if (size > 0) return;
-              self->is_disconnected = true;
-              if (self->on_disconnect) self->on_disconnect();
-            }));
-  }
-
-  void Stop() {
-    is_done = true;
-    on_disconnect = nullptr;
-    cancel.emit(asio::cancellation_type::all);
-  }
-};
-
 class BeastExchange : public HttpExchange {
  public:
   BeastExchange(beast::tcp_stream& stream, HttpRequest request, bool keep_alive,
@@ -92,9 +59,14 @@
   ~BeastExchange() override { watch_->Stop(); }
 
   const HttpRequest& request() const override { return request_; }
-  bool is_peer_disconnected() const override { return watch_->is_disconnected; }
+  bool is_peer_disconnected() const override {
+    return watch_->is_disconnected();
+  }
   void SetOnPeerDisconnected(std::function<void()> callback) override {
-    watch_->on_disconnect = std::move(callback);
+    watch_->SetOnDisconnect(std::move(callback));
+  }
+  std::function<std::optional<Duration>()> PeerCloseProbe() const override {
+    return [watch = watch_] { return watch->PeerCloseAge(); };
   }
 
   asio::awaitable<bool> Respond(HttpResponse&& response) override {
@@ -152,7 +124,9 @@
   void Abort() override { is_ok_ = false; }
 
   // True if the connection can serve another request.
-  bool can_serve_next() const { return is_complete_ && keep_alive_; }
+  bool can_serve_next() const {
+    return is_complete_ && keep_alive_ && !is_peer_disconnected();
+  }
 
  private:
   beast::tcp_stream& stream_;
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/clock.h"
@@ -35,6 +36,11 @@
   // response is complete. Requires: set before the first await. Thread: the
   // server's.
   virtual void SetOnPeerDisconnected(std::function<void()> callback) = 0;
+  // Returns a function that looks at the connection and returns how long ago
+  // the peer's close, or that of its sending half, arrived, noticed or not;
+  // nothing while it is open. The function is thread-safe and may outlive the
+  // exchange. Thread: the server's.
+  virtual std::function<std::optional<Duration>()> PeerCloseProbe() const = 0;
 
   // Each returns false if the peer disconnected or timed out. Requires: either
   // one Respond(), or BeginStream(), any number of Write() and EndStream().
--- a/drivers/socket_options.h
+++ b/drivers/socket_options.h
@@ -1,6 +1,8 @@
 #ifndef APPLEHALL_DRIVERS_SOCKET_OPTIONS_H_
 #define APPLEHALL_DRIVERS_SOCKET_OPTIONS_H_
 
+#include "core/clock.h"
+
 namespace applehall {
 
 // Makes the kernel close a connection whose peer lost power or became
@@ -15,6 +17,18 @@
 // Thread-safe.
 void SetDiscardOnClose(int socket, bool discard);
 
+// Sets the time after which the kernel gives up a connection whose peer does
+// not acknowledge what was sent. Thread-safe.
+void SetUnacknowledgedTimeout(int socket, Duration timeout);
+
+// Returns the time since the peer last acknowledged something, which it does
+// with its close; zero if the kernel cannot tell. Thread-safe.
+Duration TimeSinceAcknowledgement(int socket);
+
+// Returns the number of bytes sent that the peer has not acknowledged; zero if
+// the kernel cannot tell. Thread-safe.
+int UnacknowledgedBytes(int socket);
+
 }  // namespace applehall
 
 #endif  // APPLEHALL_DRIVERS_SOCKET_OPTIONS_H_
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -281,9 +281,7 @@
   backends_.Dispatch(action, std::move(session));
 }
 
-void Daemon::Execute(const CancelAttempt& action) {
-  backends_.Cancel(action.handle, action.attempt);
-}
+void Daemon::Execute(const CancelAttempt& action) { backends_.Cancel(action); }
 
 void Daemon::Execute(const RecallUnsent& action) { backends_.Recall(action); }
 
@@ -371,12 +369,14 @@
   const std::string request_id = event.request_id;
   const auto session = std::make_shared<CallerSession>(
       callers_.io(), handle, std::move(session_request));
+  session->SetCloseProbe(exchange.PeerCloseProbe());
   {
     const std::lock_guard<std::mutex> lock(sessions_mutex_);
     sessions_[handle] = session;
   }
   exchange.SetOnPeerDisconnected([this, session, handle] {
-    session->HandleDisconnect(SystemClock().Now());
+    session->HandleDisconnect(SystemClock().Now() -
+                              session->CloseAge().value_or(Duration{0}));
     (void)decisions_.TryPush(CallerDisconnected{handle});
   });
   if (decisions_.TryPush(std::move(event))) {
--- a/node/messages.h
+++ b/node/messages.h
@@ -59,6 +59,8 @@
 // The caller closed its connection.
 struct CallerDisconnected {
   RequestHandle handle = 0;
+  // Number of the attempt that was not sent for that reason; 0: none.
+  int withheld_attempt = 0;
 };
 
 // The first byte of an answer was sent to the caller.
@@ -339,6 +341,8 @@
 struct CancelAttempt {
   RequestHandle handle = 0;
   int attempt = 0;
+  // Lets an attempt go on that has been written to a connection.
+  bool only_unsent = false;
 };
 
 // Cancels the attempts at a server that leaves as far as they have not been
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -905,21 +905,25 @@
   if (request == nullptr) return;
   const bool was_sent = request->phase == Phase::kSent;
   const std::string backend = request->backend;
+  const bool is_withheld =
+      was_sent && event.withheld_attempt == request->attempt;
+  if (is_withheld) context_.metrics.Count("sends_withheld_total");
   if (was_sent) {
-    // A service may complete the call all the same; an engine stops.
-    if (request->rule().then.repeatable) {
-      context_.Emit(CancelAttempt{event.handle, request->attempt});
-    }
+    // A service completes a call that it may not be sent again; what another
+    // host has sent is cancelled or not by that host.
+    const bool may_run_on = !request->rule().then.repeatable &&
+                            request->backend_kind == BackendKind::kService;
+    context_.Emit(CancelAttempt{event.handle, request->attempt, may_run_on});
     if (request->backend_kind != BackendKind::kEntryHost) {
       context_.view.EndRequest(backend, request->target,
                                EngineView::RequestEnd::kOther, context_.now);
     }
   }
   gaps_.RecordAbandoned(*request);
-  const Verdict verdict = was_sent || request->may_have_run
-                              ? Verdict::kMayHaveRun
-                              : Verdict::kNotRun;
-  Settle(event.handle, "caller_left", verdict, "the caller closed");
+  const bool may_have_run = (was_sent && !is_withheld) || request->may_have_run;
+  Settle(event.handle, "caller_left",
+         may_have_run ? Verdict::kMayHaveRun : Verdict::kNotRun,
+         "the caller closed");
   if (was_sent) PumpEngine(backend);
 }
 
