--- a/soak/applehall_soak.cc
+++ b/soak/applehall_soak.cc
@@ -39,6 +39,8 @@
   app.add_flag("--uneven", options.has_uneven,
                "Servers have different speeds, are slowed down now and then "
                "and report their load");
+  app.add_flag("--leaving", options.has_leaving,
+               "Callers leave at any moment, and hosts stand still in series");
   CLI11_PARSE(app, argc, argv);
   options.length = std::chrono::seconds(seconds);
   std::signal(SIGPIPE, SIG_IGN);
--- a/soak/platform_standin.cc
+++ b/soak/platform_standin.cc
@@ -521,6 +521,12 @@
     }
     runs_[attempt].push_back({id, clock_.Now()});
     ++server->running;
+    const bool is_wanted = co_await WorkOnDemand(exchange);
+    if (!is_wanted) {
+      --server->running;
+      exchange.Abort();
+      co_return;
+    }
     if (server->engine) {
       co_await ServeStream(id, exchange);
       --server->running;
--- a/soak/platform_standin.h
+++ b/soak/platform_standin.h
@@ -21,11 +21,15 @@
 struct ServedRun {
   std::string server;
   TimePoint at;
+  std::optional<TimePoint> ended_at = std::nullopt;  // With kWorkHeader only.
 };
 
 // Requests whose body starts with this crash the server that executes them. The
 // complete body identifies the poison message.
 inline constexpr char kPoisonBody[] = "poison";
+// Header of a request with the time in milliseconds that a server works on it
+// before its answer begins; a server stops when its connection closes.
+inline constexpr char kWorkHeader[] = "x-soak-work-ms";
 // Begins the ids of prompt parts that crash the engines that answer them.
 inline constexpr char kBadPart[] = "bad-";
 
@@ -186,6 +190,9 @@
   // Stops the server; later starts another one at another address.
   Awaitable<void> CrashOnPoison(std::string id, std::string attempt,
                                 std::string poison);
+  // Works as long as the request asks for; returns false if its connection
+  // closed before.
+  Awaitable<bool> WorkOnDemand(HttpExchange& exchange);
   Awaitable<void> ServeStream(std::string id, HttpExchange& exchange);
   void HandleOrder(Server& server, const HttpRequest& request,
                    HttpResponse& response);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -26,11 +26,6 @@
 // the soak proves nothing.
 constexpr double kMinServedShare = 0.5;
 
-// The hosts have 3 s to quarantine a poison message at all hosts; the remainder
-// allows for a loaded machine.
-constexpr Duration kQuarantineBound = milliseconds(4500);
-constexpr int kMaxRepeats = 3;
-constexpr Duration kPoisonPause = milliseconds(300);
 // Time without other faults, so that the quarantine bound applies to all hosts:
 // two servers of a kind crash within 3 s, as a crashed one is replaced after
 // 1.5 s, and the hosts quarantine the message within 4.5 s.
@@ -51,7 +46,6 @@
 constexpr int kFewSlots = 4;
 constexpr const char* kPoisonKinds[] = {"once", "again", "stream", "rare"};
 constexpr const char* kBadParts[] = {"bad-1", "bad-2"};
-constexpr uint64_t kSharedParts = 4;
 
 bool MeansNotExecuted(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -132,6 +126,14 @@
                    asio::detached);
   }
   if (options_.has_versions) asio::co_spawn(io_, RunVersions(), asio::detached);
+  if (options_.has_leaving) asio::co_spawn(io_, RunStands(), asio::detached);
+  const int leaving = options_.has_leaving ? hosts_.count() * 4 : 0;
+  for (int i = 0; i < leaving; ++i) {
+    ++callers_running_;
+    asio::co_spawn(
+        io_, RunLeavingCaller(i % hosts_.count(), options_.seed * 100 + i),
+        asio::detached);
+  }
   if (options_.has_limits) asio::co_spawn(io_, RunLimits(), asio::detached);
   if (options_.has_cuts) {
     asio::co_spawn(io_, RunCuts(), asio::detached);
@@ -157,6 +159,7 @@
   CheckBrittle(broken);
   CheckStreams(broken);
   CheckUneven(broken);
+  CheckLeaving(broken);
   return broken;
 }
 
@@ -219,66 +222,6 @@
   --callers_running_;
 }
 
-asio::awaitable<void> Soak::RunPoisonCaller(std::string kind) {
-  // A separate generator keeps the faults of a seed the same without poison.
-  Random random(options_.seed + 1);
-  co_await Sleep(io_, kWarmUp);
-  for (int i = 0; clock_.Now() < ends_at_; ++i) {
-    const std::string id = absl::StrCat("poison-", kind, "-", i);
-    is_calm_[id] = clock_.Now() > disturbed_until_;
-    HttpCall call;
-    call.address = hosts_.caller_address(
-        static_cast<int>(random.Below(static_cast<uint64_t>(hosts_.count()))));
-    call.request.method = "POST";
-    call.request.target = absl::StrCat("/", kind, "/x");
-    call.request.headers["host"] = "soak.example";
-    call.request.headers["x-attempt-id"] = id;
-    call.request.headers["x-deadline-ms"] = "4000";
-    const bool is_stream = kind == "stream" || kind == "rare";
-    if (is_stream) call.request.headers["x-model"] = "m0";
-    call.request.body = absl::StrCat(kPoisonBody, " ", kind);
-    call.connect_timeout = milliseconds(500);
-    call.header_timeout = kCallTimeout;
-    call.fresh_connection = true;
-    const HttpResult result = co_await client_.Fetch(call);
-    ++poison_answers_[result.state == SendState::kAnswered
-                          ? result.response.status
-                          : 0];
-    co_await Sleep(io_, kPoisonPause);
-  }
-  --callers_running_;
-}
-
-asio::awaitable<void> Soak::RunPartCaller(std::string part) {
-  Random random(options_.seed * 31 + part.back());
-  co_await Sleep(io_, kWarmUp);
-  for (int i = 0; clock_.Now() < ends_at_; ++i) {
-    const std::string id = absl::StrCat(part, "-", i);
-    is_calm_[id] = clock_.Now() > disturbed_until_;
-    HttpCall call;
-    call.address = hosts_.caller_address(
-        static_cast<int>(random.Below(static_cast<uint64_t>(hosts_.count()))));
-    call.request.method = "POST";
-    call.request.target = "/stream/x";
-    call.request.headers["host"] = "soak.example";
-    call.request.headers["x-attempt-id"] = id;
-    call.request.headers["x-deadline-ms"] = "4000";
-    call.request.headers["x-model"] = "m0";
-    call.request.headers["x-prompt-prefix"] = absl::StrCat(
-        "a:350,b", random.Below(kSharedParts), ":90,", part, ":40,", id, ":20");
-    call.request.body = absl::StrCat("body ", id);
-    call.connect_timeout = milliseconds(500);
-    call.header_timeout = kCallTimeout;
-    call.fresh_connection = true;
-    const HttpResult result = co_await client_.Fetch(call);
-    ++poison_answers_[result.state == SendState::kAnswered
-                          ? result.response.status
-                          : 0];
-    co_await Sleep(io_, kPoisonPause);
-  }
-  --callers_running_;
-}
-
 asio::awaitable<void> Soak::RunLimits() {
   // A separate generator keeps the faults of a seed the same without limits.
   Random random(options_.seed + 2);
@@ -376,22 +319,6 @@
   }
 }
 
-void Soak::CheckPoison(std::vector<std::string>& broken) const {
-  for (const auto& [body, runs] : platform_.poison_runs()) {
-    if (runs.size() < 3) continue;
-    const TimePoint quarantined_at = runs[2].at + kQuarantineBound;
-    const auto repeats =
-        std::count_if(runs.begin(), runs.end(), [&](const AttemptArrival& run) {
-          return run.at > quarantined_at && is_calm_.at(run.attempt);
-        });
-    if (repeats > kMaxRepeats) {
-      broken.push_back(absl::StrCat("REPEATED ", body, " ended ", runs.size(),
-                                    " servers, ", repeats,
-                                    " of them after the quarantine was due"));
-    }
-  }
-}
-
 void Soak::RecordFault(const std::string& fault) {
   faults_.push_back(fault);
   MarkDisturbed();
@@ -439,9 +366,7 @@
     case 2:
       RecordFault(absl::StrCat("freeze ", host));
       Excuse(host, span);
-      hosts_.Signal(host, SIGSTOP);
-      co_await Sleep(io_, span);
-      hosts_.Signal(host, SIGCONT);
+      co_await StandStill(host, span);
       break;
     case 3: {
       const auto mode = static_cast<FaultProxy::Mode>(1 + random_.Below(3));
@@ -591,7 +516,8 @@
                     " calm_resumed=", resumptions_.served, "/",
                     resumptions_.asked);
   }
-  absl::StrAppend(&text, UnevenSummary(), " faults=", faults_.size());
+  absl::StrAppend(&text, UnevenSummary(), LeavingSummary(),
+                  " faults=", faults_.size());
   for (const std::string& fault : faults_) absl::StrAppend(&text, "; ", fault);
   return text;
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -23,6 +23,8 @@
 inline constexpr int kRareModels = 8;
 // Events of a whole stream.
 inline constexpr int kEvents = 12;
+// Distinct shared parts of prompts.
+inline constexpr uint64_t kSharedParts = 4;
 inline constexpr Duration kWarmUp = std::chrono::seconds(4);
 inline constexpr Duration kCallTimeout = std::chrono::seconds(7);
 
@@ -47,6 +49,9 @@
   bool has_parts = false;
   // Servers have different speeds, are slowed down now and then and report it.
   bool has_uneven = false;
+  // Callers close or reset their connections at any moment, also at hosts that
+  // stand.
+  bool has_leaving = false;
 };
 
 // A caller of a model that nobody else asks for, on one connection.
@@ -116,6 +121,13 @@
                                 StreamRecord& stream);
   // Replaces engines by those of other versions, and ends some.
   Awaitable<void> RunVersions();
+  // Sends requests that take long, and leaves.
+  Awaitable<void> RunLeavingCaller(int host, uint64_t seed);
+  RequestRecord& RecordLeaving(const std::string& id, const std::string& kind,
+                               int host);
+  // Makes hosts stand still in series.
+  Awaitable<void> RunStands();
+  Awaitable<void> StandStill(int host, Duration lasts);
   // Makes servers announce, change and withdraw limits.
   Awaitable<void> RunLimits();
   // Cuts hosts from all servers, in series and overlapping.
@@ -145,6 +157,13 @@
   std::pair<int, int> CountInTime() const;
   std::string UnevenSummary() const;
   void CheckUneven(std::vector<std::string>& broken) const;
+  // Whether `host` stood when, or shortly after, a caller left.
+  bool StoodAfter(int host, TimePoint left) const;
+  // Runs for callers that left, at hosts that did not stand, and those of them
+  // that ended in time.
+  std::pair<int, int> CountStopped() const;
+  std::string LeavingSummary() const;
+  void CheckLeaving(std::vector<std::string>& broken) const;
   // Arrivals at `server` from hosts that had received its limit and had no
   // fault.
   std::vector<TimePoint> ArrivalsWithKnownLimit(
@@ -185,6 +204,9 @@
   std::map<int, std::vector<std::pair<TimePoint, TimePoint>>> excused_;
   // When hosts were cut from all servers, by host.
   std::map<int, std::vector<std::pair<TimePoint, TimePoint>>> cuts_;
+  std::map<std::string, TimePoint> left_at_;  // Of callers, by request id.
+  // When hosts stood still, by host.
+  std::map<int, std::vector<std::pair<TimePoint, TimePoint>>> stands_;
   int cuts_running_ = 0;
   int callers_running_ = 0;
 };
