--- a/tests/platform/caller_close_test.cc
+++ b/tests/platform/caller_close_test.cc
@@ -160,6 +160,34 @@
   EXPECT_EQ(server.requests, 0);
 }
 
+// Guards against a request whose caller leaves while the connection to its
+// server is being made.
+TEST_F(CallerCloseTest, RequestIsNotSentIfItsCallerLeavesDuringConnect) {
+  KeptServer server(io_, 1);
+  HttpClient client(io_);
+  HttpCall call;
+  const absl::StatusOr<Address> address = ParseAddress(server.address());
+  ASSERT_TRUE(address.ok());
+  call.address = *address;
+  call.request.body = "hi";
+  int looks = 0;
+  call.is_wanted = [&looks] { return ++looks < 2; };
+  const std::shared_ptr<HttpStream> stream = client.Prepare(call);
+  bool is_done = false;
+  asio::co_spawn(
+      io_,
+      [&]() -> asio::awaitable<void> {
+        co_await stream->Start();
+        is_done = true;
+      },
+      asio::detached);
+  ASSERT_TRUE(RunUntil([&] { return is_done; }));
+  EXPECT_TRUE(stream->is_withheld());
+  EXPECT_EQ(stream->state(), SendState::kNotSent);
+  EXPECT_FALSE(stream->sent_at());
+  EXPECT_EQ(looks, 2);
+}
+
 // Guards against an attempt that may not be repeated and is still connecting
 // when its caller leaves: it would be sent.
 TEST_F(CallerCloseTest, UnsentAttemptIsCancelledWhateverMayBeRepeated) {
