--- a/drivers/connection_closer.h
+++ b/drivers/connection_closer.h
@@ -16,8 +16,8 @@
 // A reset is sent once; on a link that loses it the peer works on. So the
 // connection is half-closed first, which the kernel repeats until the peer
 // acknowledges it, and reset after that, for peers that ignore a half-close. A
-// request that the peer has
-// not acknowledged is reset at once: the kernel would deliver it later.
+// request that the peer has not acknowledged is reset at once: the kernel would
+// deliver it later.
 class ConnectionCloser : public std::enable_shared_from_this<ConnectionCloser> {
  public:
   explicit ConnectionCloser(boost::asio::io_context& io) : timer_(io) {}
@@ -26,8 +26,6 @@
   // Takes the connection from `socket` and cancels what is pending on it.
   // Requires: a request was written to it. Thread: the one that runs `io`.
   void Close(boost::asio::ip::tcp::socket& socket);
-  // Number of connections that wait for an acknowledgement. Thread: as above.
-  size_t size() const { return closing_.size(); }
 
  private:
   struct Closing {
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -85,8 +85,9 @@
   // Called once a new connection was made, or failed or timed out; not for a
   // reused connection or a cancelled call.
   std::function<void(bool is_connected, Duration took)> on_connect = nullptr;
-  // Called right before the request is written, on whatever connection; if it
-  // returns false, nothing is sent. Null: the request is always sent.
+  // Called before a connection is made and again right before the request is
+  // written, on a new or reused one; if it returns false, nothing is sent.
+  // Null: the request is always sent.
   std::function<bool()> is_wanted = nullptr;
 };
 
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -909,8 +909,8 @@
       was_sent && event.withheld_attempt == request->attempt;
   if (is_withheld) context_.metrics.Count("sends_withheld_total");
   if (was_sent) {
-    // A service completes a call that it may not be sent again; what another
-    // host has sent is cancelled or not by that host.
+    // A call that must not be sent again is left to its service. A host that
+    // the request was forwarded to decides in the same way.
     const bool may_run_on = !request->rule().then.repeatable &&
                             request->backend_kind == BackendKind::kService;
     context_.Emit(CancelAttempt{event.handle, request->attempt, may_run_on});
