--- a/review/standin/deployment.hpp
+++ b/review/standin/deployment.hpp
@@ -877,6 +877,10 @@
     const std::lock_guard lock(mutex_);
     return hosts_[index].own_ends;
   }
+  pid_t process(int index) {
+    const std::lock_guard lock(mutex_);
+    return hosts_[index].process;
+  }
   bool is_running(int index) {
     const std::lock_guard lock(mutex_);
     return hosts_[index].process > 0;
