--- a/review/standin/slow_reader.cpp
+++ b/review/standin/slow_reader.cpp
@@ -12,9 +12,9 @@
 constexpr int kHosts = 2;
 constexpr int kCallers = 6;
 // More than the kernel's buffers of a loopback connection hold at the host.
-constexpr size_t kAnswerBytes = 3200 * 1000;
-// The answer is read within about 10 s.
-constexpr size_t kReadBytes = 16 * 1000;
+constexpr size_t kAnswerBytes = 3900 * 1000;
+// The answer is read within about 8.5 s.
+constexpr size_t kReadBytes = 24 * 1000;
 constexpr int64_t kReadPauseMs = 50;
 constexpr int64_t kDeadlineMs = 20000;
 constexpr int64_t kTermAtMs = 500;
