Links between hosts that go silent are closed and replaced

Cause: a link was used for as long as TCP showed no error. Nothing in websocket_link.cc looked at what arrives; callers', servers' and the store's connections have at least the kernel's probes. A link that went silent between its upgrade and its proof held all later messages to its host as well.

Ruled out as a sufficient mend: the kernel's keep-alive and TCP_USER_TIMEOUT. They do not see a silence whose bytes are acknowledged (a middlebox, a peer's process that stands), and need 3 to 4 s, longer than the owner's time-out.

Change: LinkLiveness judges each link by what the peer itself sends. Something sent and nothing received for 0.6 s: a ping. Nothing for 1 s: the link is closed, counted (peer_links_silent), logged (peer_link_silent) and dialled anew. In one direction: the side that receives nothing closes it. Links on which nothing is sent are pinged every 10 s only. A link without a finished handshake ends after the dial time-out. Bytes of a large message that move count as life, and after a pause of this process what arrived is read before it judges.

--- a/drivers/websocket_link.cc
+++ b/drivers/websocket_link.cc
@@ -15,6 +15,9 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include "drivers/link_liveness.h"
+#include "drivers/socket_activity.h"
+
 namespace applehall {
 namespace {
 
@@ -27,6 +30,8 @@
 constexpr char kProofPrefix[] = "proof ";
 constexpr std::size_t kChallengeBytes = 16;
 constexpr std::size_t kMaxHandshakeBytes = 512;
+// More unacknowledged bytes than this belong to a message that takes long.
+constexpr std::size_t kTransferBacklogBytes = 16 * 1024;
 
 std::string ToHex(const unsigned char* bytes, std::size_t size) {
   static constexpr char kDigits[] = "0123456789abcdef";
@@ -81,6 +86,7 @@
   }
 
   void Start() {
+    ScheduleChecks();
     thread_ = std::thread([this] { io_.run(); });
   }
 
@@ -116,7 +122,7 @@
         {"messages_sent", sent_},         {"bytes_sent", bytes_sent_},
         {"messages_received", received_}, {"bytes_received", bytes_received_},
         {"messages_dropped", dropped_},   {"links_rejected", rejected_},
-        {"malformed", malformed_}};
+        {"links_silent", silent_},        {"malformed", malformed_}};
   }
 
  private:
@@ -127,7 +133,10 @@
     bool is_authenticated = false;
     bool is_full = false;  // The last message exceeded the buffer.
     std::string host;      // Set from the start on outgoing links.
+    std::string address;   // Of outgoing links.
     std::string challenge;
+    LinkLiveness::Clock::time_point created_at = LinkLiveness::Clock::now();
+    LinkLiveness liveness{created_at};
     std::deque<std::vector<uint8_t>> pending;
   };
   using LinkPtr = std::shared_ptr<Link>;
@@ -143,10 +152,110 @@
     endpoint.set_message_handler([this](Handle h, auto message) {
       HandleFrame(h, message->get_opcode(), message->get_payload());
     });
+    endpoint.set_ping_handler([this](Handle h, const std::string&) {
+      RecordReceived(h);
+      return true;  // Answer it.
+    });
+    endpoint.set_pong_handler(
+        [this](Handle h, const std::string&) { RecordReceived(h); });
     endpoint.set_close_handler([this](Handle h) { HandleClose(h); });
     endpoint.set_fail_handler([this](Handle h) { HandleClose(h); });
   }
 
+  void ScheduleChecks() {
+    check_timer_.expires_after(LinkLiveness::kCheckInterval);
+    check_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error) return;
+      CheckLinks();
+      ScheduleChecks();
+    });
+  }
+
+  void CheckLinks() {
+    const auto now = LinkLiveness::Clock::now();
+    std::vector<LinkPtr> links;
+    links.reserve(links_.size());
+    for (const auto& [handle, link] : links_) links.push_back(link);
+    for (const LinkPtr& link : links) CheckLink(link, now);
+  }
+
+  void CheckLink(const LinkPtr& link, LinkLiveness::Clock::time_point now) {
+    if (!link->is_authenticated) {
+      if (now - link->created_at < dial_timeout_) return;
+      Abandon(link, "no handshake", now - link->created_at);
+      return;
+    }
+    switch (link->liveness.Check(now)) {
+      case LinkLiveness::Verdict::kAlive:
+        return;
+      case LinkLiveness::Verdict::kPing:
+        Ping(*link);
+        return;
+      case LinkLiveness::Verdict::kSilent:
+        break;
+    }
+    if (IsTransferring(*link)) {
+      link->liveness.RecordReceived(now);
+      return;
+    }
+    Abandon(link, "no answer", link->liveness.Silence(now));
+    // The peer may be waiting for this host's next message.
+    if (!link->is_outgoing || links_by_host_.count(link->host) != 0) return;
+    LinkPtr& dialling = dialling_[link->host];
+    if (!dialling) dialling = Dial(link->host, link->address);
+    if (!dialling) dialling_.erase(link->host);
+  }
+
+  // A new link is made in place of an abandoned one.
+  void Abandon(const LinkPtr& link, const std::string& reason,
+               LinkLiveness::Clock::duration silence) {
+    ++silent_;
+    const auto silent_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(silence).count();
+    on_event_("peer_link_silent", link->host,
+              reason + " for " + std::to_string(silent_ms) + " ms, " +
+                  (link->is_outgoing ? "outgoing" : "incoming"));
+    const Handle handle = link->handle;
+    HandleClose(handle);
+    CloseHandle(handle, link->is_outgoing,
+                websocketpp::close::status::going_away);
+  }
+
+  // An answer can be queued behind a large message in either direction.
+  bool IsTransferring(const Link& link) {
+    websocketpp::lib::error_code error;
+    const int socket = link.is_outgoing ? SocketOf(client_, link.handle, error)
+                                        : SocketOf(server_, link.handle, error);
+    if (error) return false;
+    return HasMovedBytes(socket,
+                         std::chrono::duration_cast<std::chrono::milliseconds>(
+                             LinkLiveness::kMinPingWait),
+                         kTransferBacklogBytes);
+  }
+
+  template <typename Endpoint>
+  static int SocketOf(Endpoint& endpoint, Handle handle,
+                      websocketpp::lib::error_code& error) {
+    const auto connection = endpoint.get_con_from_hdl(handle, error);
+    return error ? -1 : connection->get_raw_socket().native_handle();
+  }
+
+  void Ping(const Link& link) {
+    // A ping that cannot be sent shows as silence.
+    websocketpp::lib::error_code ignored;
+    if (link.is_outgoing) {
+      client_.ping(link.handle, "", ignored);
+    } else {
+      server_.ping(link.handle, "", ignored);
+    }
+  }
+
+  void RecordReceived(Handle handle) {
+    const auto it = links_.find(handle);
+    if (it == links_.end()) return;
+    it->second->liveness.RecordReceived(LinkLiveness::Clock::now());
+  }
+
   void SendOnThread(const std::string& host, const std::string& address,
                     std::vector<uint8_t> bytes) {
     const auto authenticated = links_by_host_.find(host);
@@ -178,6 +287,7 @@
     link->handle = connection->get_handle();
     link->is_outgoing = true;
     link->host = host;
+    link->address = address;
     links_[link->handle] = link;
     connection->set_open_handler(
         [this, host](Handle h) { HandleOpen(h, host, true); });
@@ -186,12 +296,18 @@
   }
 
   void HandleOpen(Handle handle, const std::string& host, bool is_outgoing) {
+    if (is_outgoing && links_.find(handle) == links_.end()) {
+      // It was abandoned while it was being opened.
+      CloseHandle(handle, is_outgoing, websocketpp::close::status::going_away);
+      return;
+    }
     LinkPtr& link = links_[handle];
     if (!link) {
       if (links_.size() > settings_.max_links) {
         links_.erase(handle);
         ++rejected_;
-        CloseHandle(handle, is_outgoing);
+        CloseHandle(handle, is_outgoing,
+                    websocketpp::close::status::policy_violation);
         return;
       }
       link = std::make_shared<Link>();
@@ -207,6 +323,7 @@
     const auto it = links_.find(handle);
     if (it == links_.end()) return;
     const LinkPtr link = it->second;
+    link->liveness.RecordReceived(LinkLiveness::Clock::now());
     if (opcode == websocketpp::frame::opcode::text) {
       HandleHandshake(link, payload);
       return;
@@ -273,12 +390,13 @@
     const Handle handle = link->handle;
     const bool is_outgoing = link->is_outgoing;
     HandleClose(handle);
-    CloseHandle(handle, is_outgoing);
+    CloseHandle(handle, is_outgoing,
+                websocketpp::close::status::policy_violation);
   }
 
-  void CloseHandle(Handle handle, bool is_outgoing) {
+  void CloseHandle(Handle handle, bool is_outgoing,
+                   websocketpp::close::status::value status) {
     websocketpp::lib::error_code ignored;
-    const auto status = websocketpp::close::status::policy_violation;
     if (is_outgoing) {
       client_.close(handle, status, "", ignored);
     } else {
@@ -338,6 +456,7 @@
       ++dropped_;
       return;
     }
+    link.liveness.RecordSent();
     ++sent_;
     bytes_sent_ += bytes.size();
   }
@@ -355,7 +474,9 @@
   WebsocketLinkSettings settings_;
   OnMessage on_message_;
   OnEvent on_event_;
+  const std::chrono::milliseconds dial_timeout_{settings_.dial_timeout_ms};
   boost::asio::io_context io_;
+  boost::asio::steady_timer check_timer_{io_};
   Server server_;
   Client client_;
   std::thread thread_;
@@ -370,6 +491,7 @@
   std::atomic<uint64_t> bytes_received_{0};
   std::atomic<uint64_t> dropped_{0};
   std::atomic<uint64_t> rejected_{0};
+  std::atomic<uint64_t> silent_{0};
   std::atomic<uint64_t> malformed_{0};
 };
 
--- a/drivers/websocket_link.h
+++ b/drivers/websocket_link.h
@@ -29,7 +29,8 @@
 // Both sides authenticate with the shared key before the first message: each
 // sends a random challenge and answers the other's with an HMAC over it and its
 // own name. A link that fails authentication or sends a malformed message is
-// closed.
+// closed. A link on which nothing arrives any more is closed and replaced
+// (LinkLiveness), also if its TCP connection shows no error.
 class WebsocketLink {
  public:
   // Returns true if the message is well-formed; otherwise the link is closed.
@@ -55,7 +56,7 @@
   // The bound port. Thread-safe.
   uint16_t port() const;
   // Counts of bytes and messages sent and received, dropped messages, malformed
-  // messages and rejected links. Thread-safe.
+  // messages, rejected links and silent links. Thread-safe.
   std::map<std::string, uint64_t> Counters() const;
 
  private:
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -23,6 +23,8 @@
   explicit RelayedConnection(asio::io_context& io) : near(io), far(io) {}
   tcp::socket near;
   tcp::socket far;
+  bool is_silent_forward = false;
+  bool is_silent_back = false;
 };
 
 }  // namespace
@@ -71,6 +73,9 @@
       const auto [error, size] =
           co_await from.async_read_some(asio::buffer(bytes), kToken);
       if (error) break;
+      const bool is_silent = is_forward ? connection->is_silent_forward
+                                        : connection->is_silent_back;
+      if (is_silent) continue;
       asio::steady_timer timer(self->io);
       if (self->mode == Mode::kDelay) {
         timer.expires_after(kPieceDelay);
@@ -165,4 +170,11 @@
   }
 }
 
+void FaultProxy::SilenceAll(bool is_one_way) {
+  for (const auto& connection : state_->connections) {
+    connection->is_silent_forward = !is_one_way;
+    connection->is_silent_back = true;
+  }
+}
+
 }  // namespace applehall
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -36,6 +36,9 @@
   void AcceptConnections();
   // Resets every open connection.
   void ResetAll();
+  // Drops what arrives on the open connections, without a reset; new ones work.
+  // `is_one_way`: only what arrives from the target.
+  void SilenceAll(bool is_one_way);
 
  private:
   struct State;
