A superseded owner waits before it claims the placement lease again

Hosts that do not hear each other and both reach the store took turns as owner for as long as that lasted; each turn stops the loads of models.

Cause: only a host that had given the lease up itself waited before it claimed again. One that read that another had superseded it claimed as soon as it had heard nothing of the successor for 1.3 s.

Change: a superseded host claims again only after the longer of order_lease and contact_time, which doubles with each supersession within a minute, up to eight times. The log names the reason of a claim, how often the host was superseded, and when it may claim next.

Ruled out: renewals of the lease in the store as a sign of life; they would be a write per second for a rare case.

Tests: LeaseTurnsTest, hosts that reach the store and not each other. Two of its four tests failed before: 2 hosts took turns within the lease's 3 s, and 5 hosts did not take fewer with time. The other two show that one owner remains after the links work again, and that the superseded host does claim if its successor is gone.

--- a/node/placement_lease.cc
+++ b/node/placement_lease.cc
@@ -40,6 +40,10 @@
 // Ticks come every kTickInterval. A longer gap than this means that the process
 // or its machine was paused, and another host may have taken over meanwhile.
 constexpr Duration kMaxTickGap = milliseconds(700);
+// A host that is superseded again within this time waits longer before it
+// claims: it and its successor do not hear each other.
+constexpr Duration kDepositionMemory = seconds(60);
+constexpr int kMaxPauseDoublings = 3;
 
 }  // namespace
 
@@ -165,8 +169,7 @@
       .With("token", token_)
       .With("released", record_ && record_->is_released ? "yes" : "no");
   const bool was_held = std::exchange(is_held_, false);
-  if (was_held)
-    LogEvent(LogLevel::kWarning, "lease_lost").With("token", token_);
+  if (was_held) RecordDeposition();
   if (!IsMine() || context_.is_draining) {
     return was_held ? Change::kLost : Change::kNone;
   }
@@ -182,6 +185,31 @@
   return Change::kGained;
 }
 
+void PlacementLease::RecordDeposition() {
+  const bool is_repeated = deposed_at_ != TimePoint{} &&
+                           context_.now - deposed_at_ <= kDepositionMemory;
+  depositions_ = is_repeated ? depositions_ + 1 : 1;
+  deposed_at_ = context_.now;
+  LogEvent(LogLevel::kWarning, "lease_lost")
+      .With("token", token_)
+      .With("claims_in_ms", ToMillis(ClaimableAt() - context_.now));
+}
+
+// Reclaiming early would let orders of two holders reach engines in turns. The
+// successor may be alive and only not be heard here: each further turn waits
+// longer.
+TimePoint PlacementLease::ClaimableAt() const {
+  const Duration pause =
+      std::max(context_.settings.order_lease, context_.settings.contact_time);
+  const int doublings = std::clamp(depositions_ - 1, 0, kMaxPauseDoublings);
+  TimePoint claimable_at = resigned_at_ + pause;
+  if (deposed_at_ != TimePoint{}) {
+    claimable_at =
+        std::max(claimable_at, deposed_at_ + pause * (1 << doublings));
+  }
+  return claimable_at;
+}
+
 void PlacementLease::HandleAppendEnded() {
   is_appending_ = false;
   // The next read of the record shows whether the append succeeded.
@@ -220,10 +248,7 @@
 }
 
 void PlacementLease::TryClaim(bool can_place) {
-  // Reclaiming early would let orders of two holders reach engines in turns.
-  const Duration pause =
-      std::max(context_.settings.order_lease, context_.settings.contact_time);
-  if (context_.now - resigned_at_ < pause) return;
+  if (context_.now < ClaimableAt()) return;
   const bool is_previous_incarnation =
       record_ && record_->holder.host == context_.settings.self.host &&
       record_->holder != context_.settings.self;
@@ -250,7 +275,9 @@
   LogEvent(LogLevel::kInfo, "lease_claim")
       .With("previous_token", token_)
       .With("resigned", is_resigned ? "yes" : "no")
-      .With("no_contact_ms", ToMillis(context_.now - last_contact));
+      .With("reason", is_free ? "free" : "no contact")
+      .With("no_contact_ms", ToMillis(context_.now - last_contact))
+      .With("depositions", depositions_);
   Append(/*is_released=*/false);
 }
 
--- a/node/placement_lease.h
+++ b/node/placement_lease.h
@@ -87,6 +87,9 @@
   bool IsMine() const;
   void TryClaim(bool can_place);
   Duration ClaimStagger() const;
+  void RecordDeposition();
+  // From when on this host may claim after it lost or gave up the lease.
+  TimePoint ClaimableAt() const;
   void Append(bool is_released);
 
   NodeContext& context_;
@@ -106,6 +109,8 @@
   FencingToken reported_token_ = 0;
   FencingToken resigned_token_ = 0;  // Its holder sends no more orders.
   TimePoint resigned_at_;            // When this host resigned.
+  TimePoint deposed_at_;             // When another host superseded this one.
+  int depositions_ = 0;              // Each soon after the one before.
   TimePoint append_sent_at_;
   bool is_appending_ = false;
   bool is_held_ = false;
