One entry that cannot be read no longer ends the reading of the server list

Cause: ParseJson caught the parser's errors of syntax only; for a number that no double holds the library throws another type. The exception left the reader of the topic, a coroutine started with asio::detached, and vanished. The reader was gone for as long as the process ran, without a line in the log. The same for each other coroutine that was started so: 22 in platform/, drivers/ and main/.

Change: - All coroutines are started by StartTask() or StartDuty(). A record whose reading throws is skipped as one that is malformed, for server entries and configurations. - A whole number beyond its field's type is taken as absent, in place of another number; a start time beyond the year 9999 makes an entry unusable. - A handler of HTTP requests that throws is answered 500, and its connection no longer counts as open; an event whose handling throws does not stop all later ones. - store_topic_age_ms tells how long ago each topic was read.

Tests, with ParseJson as it was: JsonTest.NumberThatNoFieldCanHold.., ServerEntry.ForeignEntryLeavesTheOthersListed, and both of StoreClientTest failed. BackgroundTaskTest and HttpTest.HandlerThatThrows.. test what is new.

--- a/core/json.cc
+++ b/core/json.cc
@@ -11,7 +11,8 @@
   try {
     return Json::parse(text, nullptr, /*allow_exceptions=*/true,
                        /*ignore_comments=*/true);
-  } catch (const Json::parse_error& error) {
+  } catch (const Json::exception& error) {
+    // Malformed text, or a number that is out of range.
     return absl::InvalidArgumentError(error.what());
   }
 }
--- a/core/json.h
+++ b/core/json.h
@@ -3,23 +3,58 @@
 
 #include <absl/status/statusor.h>
 
+#include <exception>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <type_traits>
+#include <utility>
 
 namespace applehall {
 
 using Json = nlohmann::json;
 
-// Parses JSON with comments. Errors contain line and column.
-// Requires: nothing. Thread-safe.
+// Parses JSON with comments. Errors contain line and column. A number that no
+// field can hold is an error. Requires: nothing. Thread-safe.
 absl::StatusOr<Json> ParseJson(std::string_view text);
 
+// Returns what `read` returns, or an error if it throws: data of others can
+// break an assumption of a reader. Thread-safe if `read` is.
+template <typename Read>
+auto ReadOrError(Read read) -> absl::StatusOr<std::decay_t<decltype(*read())>> {
+  try {
+    return read();
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+}
+
 // Reads a whole file. Requires: nothing. Thread-safe.
 absl::StatusOr<std::string> ReadFile(const std::string& path);
 
-// Returns a field of an object, or `fallback` if it is absent or of another
-// type: peers of other versions may omit or change fields. Thread-safe.
+// Returns whether a number is within the range of an integer type. Requires:
+// `number` is a number. Thread-safe.
+template <typename T>
+bool IsInRange(const Json& number) {
+  if (number.is_number_unsigned()) {
+    return std::in_range<T>(number.get<uint64_t>());
+  }
+  if (number.is_number_integer()) {
+    return std::in_range<T>(number.get<int64_t>());
+  }
+  // The smallest value is a power of two, so both bounds are exact.
+  const double value = number.get<double>();
+  const double end =
+      2.0 *
+      static_cast<double>(uint64_t{1} << (std::numeric_limits<T>::digits - 1));
+  return value >= static_cast<double>(std::numeric_limits<T>::min()) &&
+         value < end;
+}
+
+// Returns a field of an object, or `fallback` if it is absent, of another type
+// or out of its range: peers of other versions may omit or change fields.
+// Thread-safe.
 template <typename T>
 T FieldOr(const Json& object, const char* key, T fallback) {
   if (!object.is_object()) return fallback;
@@ -27,6 +62,9 @@
   if (it == object.end()) return fallback;
   if constexpr (std::is_same_v<T, bool>) {
     return it->is_boolean() ? it->template get<T>() : fallback;
+  } else if constexpr (std::is_integral_v<T>) {
+    const bool is_usable = it->is_number() && IsInRange<T>(*it);
+    return is_usable ? it->template get<T>() : fallback;
   } else if constexpr (std::is_arithmetic_v<T>) {
     return it->is_number() ? it->template get<T>() : fallback;
   } else {
--- a/drivers/backend_client.cc
+++ b/drivers/backend_client.cc
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 
 #include "core/event_log.h"
+#include "drivers/background_task.h"
 #include "drivers/event_stream.h"
 #include "drivers/forward_proof.h"
 #include "drivers/server_probe.h"
@@ -82,8 +83,13 @@
     call.is_wanted = [session] { return !session->HasCallerLeft(); };
     const std::shared_ptr<HttpStream> stream = client_.Prepare(call);
     attempts_[{action.handle, action.attempt}] = {stream, action.backend};
-    asio::co_spawn(thread_.io(), RunAttempt(action, stream, session),
-                   asio::detached);
+    StartTask(thread_.io(), "attempt", RunAttempt(action, stream, session),
+              [this, action, stream] {
+                attempts_.erase({action.handle, action.attempt});
+                const bool is_sent = stream->sent_at().has_value();
+                stream->Cancel();
+                (void)decisions_.TryPush(MakeFailedAttemptEnd(action, is_sent));
+              });
   });
   if (is_posted) return;
   (void)decisions_.TryPush(MakeAttemptEnd(action, AttemptResult::kNotSent,
@@ -274,7 +280,10 @@
 void BackendClient::Probe(const ProbeServer& action) {
   // If the queue is full, the server's state is reported as unknown.
   const bool is_posted = thread_.TryPost([this, action] {
-    asio::co_spawn(thread_.io(), ProbeAndReport(action), asio::detached);
+    StartTask(thread_.io(), "probe_server", ProbeAndReport(action),
+              [this, action] {
+                (void)decisions_.TryPush(ServerProbed{action.server});
+              });
   });
   if (is_posted) return;
   (void)decisions_.TryPush(ServerProbed{action.server});
@@ -289,7 +298,7 @@
   // If the queue is full, the order is dropped, as if lost in transit; the
   // ledger keeps its reservation until the loss is proven.
   (void)thread_.TryPost([this, action] {
-    asio::co_spawn(thread_.io(), RunOrder(action), asio::detached);
+    StartTask(thread_.io(), "send_order", RunOrder(action));
   });
 }
 
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -9,6 +9,7 @@
 #include <map>
 
 #include "core/clock.h"
+#include "drivers/background_task.h"
 #include "drivers/connection_closer.h"
 #include "drivers/socket_options.h"
 
@@ -367,10 +368,10 @@
   asio::io_context io;
   HttpClient client(io);
   HttpResult result;
-  asio::co_spawn(
-      io,
-      [&]() -> asio::awaitable<void> { result = co_await client.Fetch(call); },
-      asio::detached);
+  const auto fetch = [&]() -> asio::awaitable<void> {
+    result = co_await client.Fetch(call);
+  };
+  StartTask(io, "fetch", fetch());
   io.run();
   return result;
 }
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -6,6 +6,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
+#include "drivers/background_task.h"
 #include "drivers/peer_close_watcher.h"
 #include "drivers/socket_options.h"
 
@@ -77,6 +78,7 @@
     message.keep_alive(keep_alive_);
     message.body() = std::move(response.body);
     message.prepare_payload();
+    has_begun_ = true;
     stream_.expires_after(limits_.write_timeout);
     const auto [error, size] =
         co_await http::async_write(stream_, message, kToken);
@@ -94,6 +96,7 @@
     keep_alive_ = wants_keep_alive_ && !is_closing_;
     message.keep_alive(keep_alive_);
     http::response_serializer<http::empty_body> serializer{message};
+    has_begun_ = true;
     stream_.expires_after(limits_.write_timeout);
     const auto [error, size] =
         co_await http::async_write_header(stream_, serializer, kToken);
@@ -123,6 +126,9 @@
 
   void Abort() override { is_ok_ = false; }
 
+  // True if a part of the response may have been sent.
+  bool has_begun() const { return has_begun_; }
+
   // True if the connection can serve another request.
   bool can_serve_next() const {
     return is_complete_ && keep_alive_ && !is_peer_disconnected();
@@ -137,6 +143,7 @@
   const HttpServerLimits& limits_;
   std::shared_ptr<PeerCloseWatcher> watch_;
   bool is_ok_ = true;
+  bool has_begun_ = false;
   bool is_complete_ = false;
 };
 
@@ -146,6 +153,13 @@
       "{\"error\":{\"verdict\":\"not_run\",\"reason\":\"" + reason + "\"}}");
 }
 
+// It is unknown how far the request got.
+HttpResponse InternalError() {
+  return HttpResponse::JsonText(500,
+                                "{\"error\":{\"verdict\":\"may_have_run\","
+                                "\"reason\":\"internal_error\"}}");
+}
+
 }  // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
@@ -160,7 +174,8 @@
         port_(acceptor_.local_endpoint().port()) {}
 
   void Start() {
-    asio::co_spawn(io_, Accept(shared_from_this()), asio::detached);
+    StartDuty(io_, "accept",
+              [self = shared_from_this()] { return Accept(self); });
   }
 
   uint16_t port() const { return port_; }
@@ -193,7 +208,8 @@
       socket.set_option(asio::ip::tcp::no_delay(true), ignored);
       EnableDeadPeerDetection(socket.native_handle());
       ++self->open_connections_;
-      asio::co_spawn(self->io_, Serve(self, std::move(socket)), asio::detached);
+      StartTask(self->io_, "serve_connection", Serve(self, std::move(socket)),
+                [self] { --self->open_connections_; });
     }
   }
 
@@ -238,7 +254,17 @@
     BeastExchange exchange(stream, FromBeast(parser.release()), keep_alive,
                            limits, self->is_closing_);
     stream.expires_never();
-    co_await self->handler_(exchange);
+    std::exception_ptr failure;
+    try {
+      co_await self->handler_(exchange);
+    } catch (...) {
+      failure = std::current_exception();
+    }
+    if (failure) {
+      RecordBackgroundFailure("serve_request", failure);
+      if (!exchange.has_begun()) co_await exchange.Respond(InternalError());
+      co_return false;
+    }
     co_return exchange.can_serve_next();
   }
 
--- a/drivers/platform_client.cc
+++ b/drivers/platform_client.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 
+#include "drivers/background_task.h"
 #include "drivers/sleep.h"
 
 namespace applehall {
@@ -76,10 +77,12 @@
       client_(thread_.io()) {}
 
 void PlatformClient::Start() {
-  asio::co_spawn(thread_.io(), PollStream(kControlStream), asio::detached);
-  asio::co_spawn(thread_.io(), PollStream(kClaimsStream), asio::detached);
-  asio::co_spawn(thread_.io(), PollHosts(), asio::detached);
-  asio::co_spawn(thread_.io(), PollCatalogue(), asio::detached);
+  for (const char* stream : {kControlStream, kClaimsStream}) {
+    StartDuty(thread_.io(), absl::StrCat("poll_stream ", stream),
+              [this, stream] { return PollStream(stream); });
+  }
+  StartDuty(thread_.io(), "poll_hosts", [this] { return PollHosts(); });
+  StartDuty(thread_.io(), "poll_catalogue", [this] { return PollCatalogue(); });
   thread_.Start();
 }
 
@@ -180,7 +183,9 @@
 
 void PlatformClient::Append(const AppendRecord& action) {
   const bool is_posted = thread_.TryPost([this, action] {
-    asio::co_spawn(thread_.io(), RunAppend(action), asio::detached);
+    StartTask(thread_.io(), "append", RunAppend(action), [this, action] {
+      (void)decisions_.TryPush(AppendEnded{action.record_id, false});
+    });
   });
   // If the channel is full too, the writer's timeout ends the append.
   if (!is_posted)
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -9,6 +9,7 @@
 #include "core/hash.h"
 #include "core/request_fingerprint.h"
 #include "core/uuid.h"
+#include "drivers/background_task.h"
 #include "drivers/forward_proof.h"
 #include "drivers/sleep.h"
 
@@ -252,14 +253,11 @@
 }
 
 void Daemon::Drain() {
-  asio::co_spawn(
-      main_io_,
-      [this]() -> Task {
-        while (!decisions_.TryPush(DrainRequested{})) {
-          co_await Sleep(main_io_, kFullChannelWait);
-        }
-      },
-      asio::detached);
+  StartDuty(main_io_, "drain", [this]() -> Task {
+    while (!decisions_.TryPush(DrainRequested{})) {
+      co_await Sleep(main_io_, kFullChannelWait);
+    }
+  });
 }
 
 std::shared_ptr<CallerSession> Daemon::FindSession(RequestHandle handle) {
--- a/node/messages.h
+++ b/node/messages.h
@@ -338,6 +338,14 @@
   return ended;
 }
 
+// Returns the end of an attempt that a fault of this process ended.
+inline AttemptEnded MakeFailedAttemptEnd(const DispatchRequest& sent,
+                                         bool is_sent) {
+  return MakeAttemptEnd(
+      sent, is_sent ? AttemptResult::kBroken : AttemptResult::kNotSent,
+      "internal error");
+}
+
 struct CancelAttempt {
   RequestHandle handle = 0;
   int attempt = 0;
--- a/tests/drivers/http_test.cc
+++ b/tests/drivers/http_test.cc
@@ -40,6 +40,9 @@
       exchange.Abort();
       co_return;
     }
+    if (exchange.request().Path() == "/throw") {
+      throw std::runtime_error("a fault of the handler");
+    }
     HttpResponse response;
     response.body = exchange.request().body;
     co_await exchange.Respond(std::move(response));
@@ -143,6 +146,20 @@
   EXPECT_EQ(SendRaw("GET / HTTP/1.1\r\nHost: "), "");
 }
 
+// Guards against connections that count as open for ever after a fault, until
+// the server takes no more.
+TEST_F(HttpTest, HandlerThatThrowsIsAnsweredAndFreesItsConnection) {
+  HttpServerLimits limits;
+  limits.connections = 1;
+  StartServer(limits);
+  for (int i = 0; i < 3; ++i) {
+    const HttpResult result = FetchBlocking(Call("/throw", ""));
+    EXPECT_EQ(result.response.status, 500);
+    EXPECT_NE(result.response.body.find("internal_error"), std::string::npos);
+  }
+  EXPECT_TRUE(FetchBlocking(Call("/x", "hello")).is_ok());
+}
+
 // Connections past the limit are closed at once; open ones continue.
 TEST_F(HttpTest, ConnectionsAreLimited) {
   HttpServerLimits limits;
--- a/tests/platform/server_entry_test.cc
+++ b/tests/platform/server_entry_test.cc
@@ -156,5 +156,64 @@
   EXPECT_GT(accepted, 100);
 }
 
+// Returns kEntry with the value of one key replaced by `text`, which need not
+// be JSON.
+std::string EntryWithText(const std::string& changed, const std::string& text) {
+  const Json original = *ParseJson(kEntry);
+  std::string entry = "{";
+  for (const auto& [key, value] : original.items()) {
+    if (entry.size() > 1) entry += ",";
+    entry += Json(key).dump() + ":" + (key == changed ? text : value.dump());
+  }
+  return entry + "}";
+}
+
+// Guards against an entry of another writer that hides those of the others.
+TEST(ServerEntry, ForeignEntryLeavesTheOthersListed) {
+  const std::vector<std::string> texts = {"1e999",
+                                          "-1e999",
+                                          "[1e999]",
+                                          "{\"a\":-1e400}",
+                                          "1e300",
+                                          "-1",
+                                          "18446744073709551615",
+                                          "9223372036854775808",
+                                          "99999999999999999999",
+                                          "4294967297",
+                                          "0.1e-400",
+                                          "\"\xff\xfe\"",
+                                          "\"\\ud800\"",
+                                          "nul",
+                                          "",
+                                          std::string(2000, '[')};
+  const Json original = *ParseJson(kEntry);
+  for (const auto& [key, value] : original.items()) {
+    for (const std::string& text : texts) {
+      SCOPED_TRACE(testing::Message() << key << ": " << text.substr(0, 40));
+      const std::vector<KeyedRecord> records = {
+          {"i-1", kEntry, 0},
+          {"foreign", EntryWithText(key, text), 1},
+          {"i-2", kEntry, 2}};
+      ServerListRead read;
+      ASSERT_NO_THROW(read = ReadServerRecords(records, /*is_whole=*/true));
+      std::vector<std::string> ids;
+      for (const ListedServer& server : read.listed) {
+        if (server.id != "foreign") ids.push_back(server.id);
+      }
+      EXPECT_EQ(ids, (std::vector<std::string>{"i-1", "i-2"}));
+    }
+  }
+}
+
+// Guards against a start time beyond what a time can hold.
+TEST(ServerEntry, StartTimeOutOfRangeIsRejected) {
+  for (const char* born :
+       {"253402300800000", "9223372036854775807", "18446744073709551615"}) {
+    EXPECT_FALSE(
+        ReadServer("i-1", *ParseJson(EntryWithText("born", born))).ok())
+        << born;
+  }
+}
+
 }  // namespace
 }  // namespace applehall
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -1,4 +1,4 @@
-// Store client with a store whose reads hang.
+// Store client with a store whose reads hang, and with foreign records.
 
 #include "platform/store_client.h"
 
@@ -18,9 +18,10 @@
 using std::chrono::seconds;
 
 constexpr char kConfig[] = "keyed.op";
+constexpr char kServers[] = "keyed.servers";
 constexpr FreshnessBudget kBudget = FreshnessBudget::Within(seconds(1));
 
-// Serves a log of configurations and an empty server list.
+// Serves a log of configurations and one of server entries.
 class ScriptedStore {
  public:
   explicit ScriptedStore(asio::io_context& io)
@@ -32,14 +33,18 @@
 
   Address address() const { return {"127.0.0.1", server_.port()}; }
 
-  void Append(const std::string& value) { configs_.push_back(value); }
+  void Append(const std::string& value) {
+    topics_[kConfig].emplace_back("config", value);
+  }
+  void AppendServer(const std::string& id, const std::string& value) {
+    topics_[kServers].emplace_back(id, value);
+  }
 
   int unanswered_config_reads = 0;  // The next reads never answered.
   int config_reads = 0;
 
  private:
-  static std::string Record(const std::string& value) {
-    const std::string key = "config";
+  static std::string Record(const std::string& key, const std::string& value) {
     const size_t size = 1 + key.size() + value.size();
     std::string bytes;
     for (int shift = 24; shift >= 0; shift -= 8) {
@@ -49,13 +54,16 @@
   }
 
   HttpResponse NewestResponse(const std::string& topic) const {
-    Json items = Json::array();
-    if (topic == kConfig && !configs_.empty()) {
-      items.push_back({{"key", "config"},
-                       {"value", absl::Base64Escape(configs_.back())},
-                       {"offset", configs_.size() - 1}});
+    const auto log = topics_.find(topic);
+    std::map<std::string, Json> newest;
+    for (size_t i = 0; log != topics_.end() && i < log->second.size(); ++i) {
+      const auto& [key, value] = log->second[i];
+      newest[key] = {
+          {"key", key}, {"value", absl::Base64Escape(value)}, {"offset", i}};
     }
-    const size_t end = topic == kConfig ? configs_.size() : 0;
+    Json items = Json::array();
+    for (const auto& [key, item] : newest) items.push_back(item);
+    const size_t end = log == topics_.end() ? 0 : log->second.size();
     return HttpResponse::JsonText(
         200, Json{{"items", items}, {"has_more", false}, {"end", end}}.dump());
   }
@@ -64,9 +72,9 @@
     HttpResponse response;
     response.status = 200;
     response.body = std::string(16, '\0');
-    if (topic != kConfig) return response;
-    for (size_t i = from; i < configs_.size(); ++i) {
-      response.body += Record(configs_[i]);
+    const auto log = topics_.find(topic);
+    for (size_t i = from; log != topics_.end() && i < log->second.size(); ++i) {
+      response.body += Record(log->second[i].first, log->second[i].second);
     }
     return response;
   }
@@ -91,7 +99,8 @@
         co_return;
       }
     }
-    const bool has_updates = topic == kConfig && from < configs_.size();
+    const auto log = topics_.find(topic);
+    const bool has_updates = log != topics_.end() && from < log->second.size();
     if (!has_updates) co_await Sleep(io_, milliseconds(wait_ms));
     HttpResponse response = UpdatesResponse(topic, from);
     co_await exchange.Respond(std::move(response));
@@ -99,9 +108,17 @@
 
   asio::io_context& io_;
   HttpServer server_;
-  std::vector<std::string> configs_;
+  // Keys and values.
+  std::map<std::string, std::vector<std::pair<std::string, std::string>>>
+      topics_;
 };
 
+std::string Entry(const std::string& state, const std::string& capacity) {
+  return R"({"service": "llm", "address": "10.0.0.9:80", "zone": "hall",
+             "version": "v1", "capacity": )" +
+         capacity + R"(, "state": ")" + state + R"("})";
+}
+
 std::string Config(int version) {
   return Json{{"version", version}, {"routes", Json::array()}}.dump();
 }
@@ -113,6 +130,10 @@
       version_ = rules->version;
     } else if (const auto* updates = std::get_if<StoreUpdatesRead>(&event)) {
       ++update_events_[updates->topic];
+    } else if (const auto* list = std::get_if<ServerListRead>(&event)) {
+      for (const ListedServer& server : list->listed) {
+        leaving_[server.id] = server.is_leaving;
+      }
     }
   }
   template <typename Fn>
@@ -123,6 +144,7 @@
   asio::io_context io_;
   ScriptedStore store_{io_};
   std::map<std::string, int> update_events_;
+  std::map<std::string, bool> leaving_;  // By server, as last listed.
   LogOffset version_ = 0;
   StoreClient client_{io_,
                       store_.address(),
@@ -164,5 +186,40 @@
   EXPECT_GT(store_.unanswered_config_reads, 0);
 }
 
+// Guards against one entry that ends the reading of the server list, so that a
+// host goes on sending requests to servers that have left.
+TEST_F(StoreClientTest, EntryOutOfRangeDoesNotEndTheServerList) {
+  store_.Append(Config(1));
+  store_.AppendServer("i-1", Entry("ready", "64"));
+  client_.Start();
+  RunUntil([&] { return leaving_.contains("i-1"); });
+  store_.AppendServer("foreign", Entry("ready", "1e999"));
+  const int before = update_events_[kServers];
+  RunUntil([&] {
+    return update_events_[kServers] > before || update_events_[kConfig] > 9;
+  });
+  store_.AppendServer("i-1", Entry("draining", "64"));
+  store_.AppendServer("i-2", Entry("ready", "64"));
+  RunUntil(
+      [&] { return leaving_.contains("i-2") || update_events_[kConfig] > 19; });
+  EXPECT_TRUE(leaving_["i-1"]);
+  EXPECT_TRUE(leaving_.contains("i-2"));
+  EXPECT_FALSE(leaving_.contains("foreign"));
+  EXPECT_LE(client_.ReadAges().at(kServers), seconds(60));
+}
+
+// Guards against a host that never becomes ready while such an entry lies in
+// the list.
+TEST_F(StoreClientTest, EntryOutOfRangeFromTheBeginningNamesNoServer) {
+  store_.Append(Config(1));
+  store_.AppendServer("foreign", Entry("ready", "-1e999"));
+  store_.AppendServer("i-1", Entry("ready", "64"));
+  client_.Start();
+  RunUntil(
+      [&] { return leaving_.contains("i-1") || update_events_[kConfig] > 9; });
+  EXPECT_TRUE(leaving_.contains("i-1"));
+  EXPECT_FALSE(leaving_.contains("foreign"));
+}
+
 }  // namespace
 }  // namespace applehall
