An order without an answer is settled by what its engine holds

Cause: the planner read an engine's count of orders as the acceptance of the open one. An order given up as lost had stated the same count and can be executed seconds later in place of the open one. A late load was taken for the unload that was open, and the next load was ordered into memory that was in use.

The engine accepts at most one of the orders that state one count; the report tells that it did, not which. Ruled out: a list of the orders that were given up, as a new owner does not know those of its predecessor.

Change: only the engine's answer is an acceptance. An order without one is settled by a report that was written while no order was under way: beyond its count, a load was executed if its model is there, an unload if it is not; otherwise it can no longer be. While an engine is busy with an order that is not known to be accepted, nothing else is ordered there. An order that is answered, the usual case, is followed as fast as before.

--- a/placement/fleet_planner.cc
+++ b/placement/fleet_planner.cc
@@ -524,19 +524,9 @@
     engine.next_report_at = now + kEndPollInterval;
     return;
   }
-  const bool has_advanced = inventory.accepted_orders > engine.accepted_orders;
   engine.accepted_orders = inventory.accepted_orders;
   if (engine.model_order && engine.model_order->is_unanswered) {
-    OpenOrder& order = *engine.model_order;
-    if (has_advanced || inventory.is_busy) {
-      order.is_unanswered = false;
-      order.is_accepted = true;
-    } else if (requested_at - order.sent_at >= kReportLag) {
-      // Not accepted so far. The next order states the same count, so at most
-      // one of the two is executed.
-      Record("order_lost", inventory.engine, order.name, "not accepted");
-      RevertOrder(engine, OpenOrder(order), now);
-    }
+    SettleUnanswered(engine, inventory, requested_at, now);
   }
   AdoptReplicas(engine, inventory, requested_at, now);
   RemoveAbsent(engine, inventory, requested_at);
@@ -553,13 +543,41 @@
     // An order of an earlier owner; reports show its effect when it ends.
     engine.next_report_at = now + kEndPollInterval;
   }
-  // A load in progress for an earlier owner is not in the report until it ends.
-  // If its memory counted as free, another load would be ordered into it and
-  // the engine would crash.
-  engine.is_known = !inventory.is_busy || engine.model_order.has_value();
+  // A load in progress that is not known here, of an earlier owner or carried
+  // out late, is not in the report until it ends. If its memory counted as
+  // free, another load would be ordered into it and the engine would crash.
+  engine.is_known = !inventory.is_busy ||
+                    (engine.model_order && engine.model_order->is_accepted);
   RecordChange(engine);
 }
 
+// Settles an order without an answer by what the engine holds. Its count does
+// not tell which order it accepted: an order that was given up as lost, here or
+// by an earlier owner, stated the same count and may be carried out instead.
+void FleetPlanner::SettleUnanswered(Engine& engine, const Inventory& inventory,
+                                    TimePoint requested_at, TimePoint now) {
+  if (inventory.is_busy) return;
+  OpenOrder& order = *engine.model_order;
+  const bool may_be_executed = inventory.accepted_orders <= order.after_orders;
+  if (may_be_executed && requested_at - order.sent_at < kReportLag) return;
+  const bool is_held =
+      std::any_of(inventory.replicas.begin(), inventory.replicas.end(),
+                  [&](const Replica& replica) {
+                    return replica.name == order.name &&
+                           replica.state == ReplicaState::kReady;
+                  });
+  if (!may_be_executed && is_held == (order.kind == OrderKind::kLoad)) {
+    order.is_unanswered = false;
+    order.is_accepted = true;
+    return;
+  }
+  // Until the count advances it may still be executed. The next order states
+  // the same count, so at most one of the two is.
+  Record("order_lost", inventory.engine, order.name,
+         may_be_executed ? "not accepted" : "another order was executed");
+  RevertOrder(engine, OpenOrder(order), now);
+}
+
 void FleetPlanner::AdoptReplicas(Engine& engine, const Inventory& inventory,
                                  TimePoint requested_at, TimePoint now) {
   for (const Replica& replica : inventory.replicas) {
@@ -674,6 +692,7 @@
   open.kind = kind;
   open.name = entry.name;
   open.tier = tier;
+  open.after_orders = engine.accepted_orders;
   open.sent_at = now;
   Holding& holding = engine.holdings[entry.name];
   if (kind == OrderKind::kLoad) {
@@ -1184,6 +1203,7 @@
 // of it. That report lags by 0.3 s, a fifth of a load from disk. The load
 // states the count that includes the unload, and the engine refuses it while
 // the unload is in progress, so its acceptance proves that the memory is free.
+// This holds only for an unload whose acceptance the engine has answered.
 bool FleetPlanner::MayFollowUnload(const Engine& engine,
                                    const CatalogueEntry& entry,
                                    TimePoint now) const {
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -112,6 +112,7 @@
     OrderKind kind = OrderKind::kLoad;
     std::string name;
     CheckpointTier tier = CheckpointTier::kMemory;
+    uint64_t after_orders = 0;  // The count of orders that it stated.
     TimePoint sent_at;
     TimePoint expected_end;
     bool is_accepted = false;
@@ -331,6 +332,8 @@
   void RequestReports(TimePoint now, std::vector<OrderToSend>& orders);
   void ApplyAccepted(Engine& engine, const OpenOrder& call);
   void RevertOrder(Engine& engine, const OpenOrder& call, TimePoint now);
+  void SettleUnanswered(Engine& engine, const Inventory& inventory,
+                        TimePoint requested_at, TimePoint now);
   void FinishModelOrder(Engine& engine, TimePoint now);
   void AdoptReplicas(Engine& engine, const Inventory& inventory,
                      TimePoint requested_at, TimePoint now);
