--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -7,6 +7,7 @@
 #include <boost/beast.hpp>
 #include <deque>
 #include <map>
+#include <optional>
 
 #include "core/clock.h"
 #include "drivers/background_task.h"
@@ -29,6 +30,10 @@
 // bodies, the line before each chunk.
 constexpr size_t kMaxBufferBytes = 2 * kMaxHeaderBytes;
 
+// Heads such as "103 Early Hints" before a response.
+constexpr int kMaxInterimHeads = 10;
+constexpr unsigned kSwitchingProtocols = 101;
+
 using StreamPtr = std::unique_ptr<beast::tcp_stream>;
 
 // For servers that do not send a keep-alive timeout.
@@ -104,11 +109,10 @@
         call_(std::move(call)),
         address_(call_.address.ToString()),
         created_at_(clock_.Now()) {
-    parser_.header_limit(kMaxHeaderBytes);
-    parser_.body_limit(boost::none);
+    BeginParsing();
   }
   ~BeastStream() override {
-    if (is_complete_ && parser_.keep_alive() && buffer_.size() == 0 &&
+    if (is_complete_ && parser_->keep_alive() && buffer_.size() == 0 &&
         stream_) {
       const auto keep_alive = head_.headers.find("keep-alive");
       idle_->Release(
@@ -126,7 +130,7 @@
   std::string error() const override { return error_; }
   bool is_closed_by_peer() const override { return is_closed_by_peer_; }
   bool ends_with_connection() const override {
-    return parser_.is_header_done() && parser_.need_eof();
+    return parser_->is_header_done() && parser_->need_eof();
   }
   void Cancel() override {
     is_complete_ = false;
@@ -137,19 +141,19 @@
   }
 
   asio::awaitable<std::string> ReadSome(Duration timeout) override {
-    std::string chunk = std::exchange(parser_.get().body(), {});
-    while (chunk.empty() && !parser_.is_done()) {
+    std::string chunk = std::exchange(parser_->get().body(), {});
+    while (chunk.empty() && !parser_->is_done()) {
       stream_->expires_after(timeout);
       const auto [error, size] =
-          co_await http::async_read_some(*stream_, buffer_, parser_, kToken);
-      chunk = std::exchange(parser_.get().body(), {});
+          co_await http::async_read_some(*stream_, buffer_, *parser_, kToken);
+      chunk = std::exchange(parser_->get().body(), {});
       if (!error || error == http::error::need_buffer) continue;
-      if (parser_.is_done()) break;
+      if (parser_->is_done()) break;
       error_ = error.message();
       is_closed_by_peer_ = IsPeerClose(error);
       co_return chunk;
     }
-    if (parser_.is_done()) {
+    if (parser_->is_done()) {
       is_complete_ = true;
       if (stream_) stream_->expires_never();
     }
@@ -250,19 +254,35 @@
     co_return false;
   }
 
+  void BeginParsing() {
+    parser_.emplace();
+    parser_->header_limit(kMaxHeaderBytes);
+    parser_->body_limit(boost::none);
+  }
+
+  // Interim heads (1xx) may precede the response; none is one.
   asio::awaitable<void> ReadHead(const HttpCall& call) {
     stream_->expires_after(ClampToTotalTimeout(call.header_timeout));
-    const auto [error, size] =
-        co_await http::async_read_header(*stream_, buffer_, parser_, kToken);
-    if (error) {
-      error_ = "no response: " + error.message();
-      is_closed_by_peer_ = IsPeerClose(error);
-      co_return;
+    for (int interim_heads = 0;; ++interim_heads) {
+      const auto [error, size] =
+          co_await http::async_read_header(*stream_, buffer_, *parser_, kToken);
+      if (error) {
+        error_ = "no response: " + error.message();
+        is_closed_by_peer_ = IsPeerClose(error);
+        co_return;
+      }
+      const unsigned status = parser_->get().result_int();
+      if (status / 100 != 1) break;
+      if (status == kSwitchingProtocols || interim_heads == kMaxInterimHeads) {
+        error_ = "no response: unexpected interim head";
+        co_return;
+      }
+      BeginParsing();
     }
     state_ = SendState::kAnswered;
     SetDiscardOnClose(stream_->socket().native_handle(), false);
-    head_.status = static_cast<int>(parser_.get().result_int());
-    for (const auto& field : parser_.get()) {
+    head_.status = static_cast<int>(parser_->get().result_int());
+    for (const auto& field : parser_->get()) {
       const std::string name = absl::AsciiStrToLower(absl::string_view(
           field.name_string().data(), field.name_string().size()));
       AddHeader(name, std::string(field.value()), head_.headers);
@@ -278,7 +298,7 @@
   const TimePoint created_at_;
   StreamPtr stream_;
   beast::flat_buffer buffer_{kMaxBufferBytes};
-  http::response_parser<http::string_body> parser_;
+  std::optional<http::response_parser<http::string_body>> parser_;
   SendState state_ = SendState::kNotSent;
   std::optional<TimePoint> sent_at_;
   HttpResponse head_;
