A refusal that quotes bytes that are not UTF-8 is written

Cause: writing JSON throws for such bytes, and the exception ended the caller's coroutine.

Change: DumpJson() replaces such bytes; everything that quotes callers, peers or servers is written by it: refusals, the state dump, decisions, orders, records.

Tests: EdgeTest.RefusalThatQuotesOtherBytesIsWritten, JsonTest.BytesThatAreNotUtf8AreReplaced.

--- a/core/json.cc
+++ b/core/json.cc
@@ -17,6 +17,11 @@
   }
 }
 
+std::string DumpJson(const Json& json, int indent) {
+  return json.dump(indent, ' ', /*ensure_ascii=*/false,
+                   Json::error_handler_t::replace);
+}
+
 absl::StatusOr<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) return absl::NotFoundError(absl::StrCat("cannot open ", path));
--- a/core/json.h
+++ b/core/json.h
@@ -19,6 +19,11 @@
 // field can hold is an error. Requires: nothing. Thread-safe.
 absl::StatusOr<Json> ParseJson(std::string_view text);
 
+// Writes JSON, on one line if `indent` is negative. Bytes that are not UTF-8
+// are replaced: they come from callers and peers. Requires: nothing.
+// Thread-safe.
+std::string DumpJson(const Json& json, int indent = -1);
+
 // Returns what `read` returns, or an error if it throws: data of others can
 // break an assumption of a reader. Thread-safe if `read` is.
 template <typename Read>
--- a/drivers/backend_client.cc
+++ b/drivers/backend_client.cc
@@ -314,7 +314,7 @@
   call.request.method = "POST";
   call.request.target = "/orders";
   call.request.headers["applehall-data-centre"] = data_centre_;
-  call.request.body = OrderBody(action.order).dump();
+  call.request.body = DumpJson(OrderBody(action.order));
   call.connect_timeout = kConnectTimeout;
   call.header_timeout = kOrderTimeout;
   const HttpResult result = co_await client_.Fetch(call);
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -40,7 +40,7 @@
 
 HttpResponse RefusalResponse(const std::string& rule, const Refusal& refusal) {
   HttpResponse response = HttpResponse::JsonText(
-      HttpStatus(refusal), ErrorJson(rule, refusal).dump());
+      HttpStatus(refusal), DumpJson(ErrorJson(rule, refusal)));
   if (refusal.retry_after > Duration::zero()) {
     const int64_t millis = ToMillis(refusal.retry_after);
     response.headers["retry-after"] = std::to_string((millis + 999) / 1000);
@@ -62,7 +62,7 @@
 // cached prefix are recognised; 0 without a prompt.
 uint64_t PrefixHash(const Json& body) {
   std::string prompt = FieldOr<std::string>(body, "prompt", "");
-  if (body.contains("messages")) prompt = body["messages"].dump();
+  if (body.contains("messages")) prompt = DumpJson(body["messages"]);
   if (prompt.empty()) return 0;
   return StableHash(prompt.substr(0, kPrefixBytes));
 }
@@ -117,11 +117,11 @@
          {"object", "model"},
          {"ready_replicas", node.context().view.ReadyReplicas(name)}});
   }
-  return list.dump();
+  return DumpJson(list);
 }
 
 std::string ErrorEvent(const std::string& rule, const Refusal& refusal) {
-  return absl::StrCat("data: ", ErrorJson(rule, refusal).dump(), "\n\n");
+  return absl::StrCat("data: ", DumpJson(ErrorJson(rule, refusal)), "\n\n");
 }
 
 HttpHeaders AnswerHeaders(const std::string& request_id,
@@ -492,11 +492,11 @@
     is_json = false;
     query = [this](const Node& node) { return MetricsText(node); };
   } else if (path == "/state") {
-    query = [](const Node& node) { return node.StateDump().dump(2); };
+    query = [](const Node& node) { return DumpJson(node.StateDump(), 2); };
   } else if (path == "/decisions") {
     const std::string request = exchange.request().QueryParameter("request");
     query = [request](const Node& node) {
-      return node.Decisions(request).dump(2);
+      return DumpJson(node.Decisions(request), 2);
     };
   } else {
     co_await exchange.Respond(PlainText(404, "unknown path\n"));
--- a/node/log_writer.cc
+++ b/node/log_writer.cc
@@ -24,7 +24,7 @@
   body["id"] = id;
   pending_[key] = {id, context_.now};
   context_.metrics.Count("log_appends_total");
-  context_.Emit(AppendRecord{kControlStream, id, body.dump()});
+  context_.Emit(AppendRecord{kControlStream, id, DumpJson(body)});
 }
 
 void LogWriter::HandleAppendEnd(const std::string& record_id) {
--- a/tests/core/json_test.cc
+++ b/tests/core/json_test.cc
@@ -36,5 +36,11 @@
   EXPECT_FALSE(read.ok());
 }
 
+// Guards against a response that cannot be written since it quotes a caller.
+TEST(JsonTest, BytesThatAreNotUtf8AreReplaced) {
+  const std::string text = DumpJson(Json{{"model", "a\xff\xc3"}});
+  EXPECT_TRUE(ParseJson(text).ok()) << text;
+}
+
 }  // namespace
 }  // namespace applehall
--- a/tests/platform/edge_test.cc
+++ b/tests/platform/edge_test.cc
@@ -128,6 +128,19 @@
   EXPECT_EQ(Find<ServerProbed>()->state, ServerState::kGone);
 }
 
+// Guards against a refusal that cannot be written since it quotes bytes that
+// are not UTF-8, and leaves its caller without an answer.
+TEST_F(EdgeTest, RefusalThatQuotesOtherBytesIsWritten) {
+  const RequestArrived& request = SendRequest("X-Model: \xff\xc3(\r\n");
+  Refusal refusal;
+  refusal.reason = RefusalReason::kStreamUnknown;
+  refusal.detail = "no model " + request.facts.model;
+  ingress_.Refuse({request.handle, "rule", refusal});
+  ASSERT_TRUE(RunUntil([this] { return !ReceivedByCaller().empty(); }));
+  EXPECT_TRUE(received_.starts_with("HTTP/1.1 ")) << received_;
+  EXPECT_NE(received_.find("no model"), std::string::npos) << received_;
+}
+
 // Guards against callers that set headers reserved for this system: these would
 // reserve memory, or take over that of another request.
 TEST_F(EdgeTest, ReservedHeadersOfCallerAreRemoved) {
