--- a/node/node.cc
+++ b/node/node.cc
@@ -360,13 +360,16 @@
 }
 
 void Node::FinishDrain() {
-  if (!context_.is_draining || is_drained_) return;
+  if (!context_.is_draining) return;
   const Duration took = context_.now - context_.drain_began;
   const bool is_expired = took >= context_.settings.max_drain;
   if (IsFleet()) {
     const Duration bound = context_.settings.max_drain;
+    // Also after the drain, for requests on connections that stay open until
+    // the process exits.
     if (took >= bound * 2 / 3) flow_.RefuseOpen(/*with_sent=*/is_expired);
   }
+  if (is_drained_) return;
   const bool is_released =
       IsFleet() ? fleet_.IsReleased() : !groups_.OwnsAnyGroup();
   const bool is_done = flow_.open_requests() == 0 && is_released &&
--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -29,6 +29,8 @@
   EXPECT_EQ(settings->node.peer_address, "10.0.0.1:7000");
   EXPECT_EQ(settings->node.placement, PlacementStyle::kFleet);
   EXPECT_LT(settings->node.max_drain, std::chrono::seconds(8));
+  EXPECT_GT(settings->max_stop_time, settings->node.max_drain);
+  EXPECT_LT(settings->max_stop_time, std::chrono::seconds(8));
 }
 
 // Each policy can be disabled on its own, to evaluate its benefit.
