All clocks of a process have one origin

Cause: each SystemClock took its own wall time at its construction. A deadline of the process's clock was compared with a clock made later, after the correction.

Change: the origin is taken once for the process; instances hold none, so two cannot disagree, here or elsewhere (a stream's time of sending, a caller's close).

Test: a static assertion that SystemClock is empty, which its members contradicted.

--- a/core/clock.h
+++ b/core/clock.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <type_traits>
 
 namespace applehall {
 
@@ -19,32 +20,33 @@
   { clock.Now() } -> std::same_as<TimePoint>;
 };
 
-// Wall time at start plus time since boot, so that it never goes backwards when
-// the machine's wall clock is corrected. CLOCK_BOOTTIME counts the time that
+// Wall time at the start of the process plus time since then, so that it never
+// goes backwards when the machine's wall clock is corrected, and all instances
+// agree. CLOCK_BOOTTIME counts the time that
 // the machine is suspended. The steady clock does not: after a resume the
 // process would treat expired leases and deadlines as valid.
 class SystemClock {
  public:
-  SystemClock()
-      : wall_start_(std::chrono::system_clock::now()),
-        boot_start_(SinceBoot()) {}
-
   // Requires: nothing. Thread-safe.
   TimePoint Now() const {
-    return std::chrono::time_point_cast<Duration>(wall_start_) +
-           std::chrono::duration_cast<Duration>(SinceBoot() - boot_start_);
+    static const Origin origin;
+    return std::chrono::time_point_cast<Duration>(origin.wall) +
+           std::chrono::duration_cast<Duration>(SinceBoot() - origin.boot);
   }
 
  private:
+  struct Origin {
+    std::chrono::system_clock::time_point wall =
+        std::chrono::system_clock::now();
+    std::chrono::nanoseconds boot = SinceBoot();
+  };
+
   static std::chrono::nanoseconds SinceBoot() {
     timespec time{};
     clock_gettime(CLOCK_BOOTTIME, &time);
     return std::chrono::seconds(time.tv_sec) +
            std::chrono::nanoseconds(time.tv_nsec);
   }
-
-  std::chrono::system_clock::time_point wall_start_;
-  std::chrono::nanoseconds boot_start_;
 };
 
 // A clock that moves only by Advance(), for tests and measurements.
@@ -62,6 +64,9 @@
   TimePoint now_;
 };
 
+// An instance with an origin of its own would disagree with others after the
+// wall clock was corrected.
+static_assert(std::is_empty_v<SystemClock>);
 static_assert(ClockSource<SystemClock>);
 static_assert(ClockSource<ManualClock>);
 
--- a/drivers/background_task.cc
+++ b/drivers/background_task.cc
@@ -23,7 +23,7 @@
 asio::awaitable<void> RunDuty(
     asio::io_context& io, std::string name,
     std::function<asio::awaitable<void>()> make_task) {
-  const SystemClock clock;
+  const SystemClock clock{};
   Duration pause = kMinRestartPause;
   while (true) {
     const TimePoint started_at = clock.Now();
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -294,7 +294,7 @@
   std::shared_ptr<ConnectionCloser> closer_;
   const HttpCall call_;
   std::string address_;
-  const SystemClock clock_;
+  const SystemClock clock_{};
   const TimePoint created_at_;
   StreamPtr stream_;
   beast::flat_buffer buffer_{kMaxBufferBytes};
@@ -350,7 +350,7 @@
 
 asio::awaitable<std::string> ReadBody(HttpStream& stream, BodyLimits limits,
                                       std::string& body) {
-  const SystemClock clock;
+  const SystemClock clock{};
   std::string error;
   size_t read_bytes = 0;
   size_t unshared = 0;
--- a/trial/trial_latency.cc
+++ b/trial/trial_latency.cc
@@ -42,7 +42,7 @@
 asio::awaitable<void> TimeCalls(HttpClient& client, const HttpCall& direct,
                                 const HttpCall& through, int calls,
                                 Times& times) {
-  const SystemClock clock;
+  const SystemClock clock{};
   for (int i = 0; i < calls; ++i) {
     TimePoint start = clock.Now();
     (void)co_await client.Fetch(direct);
@@ -64,7 +64,7 @@
 double TimeStreams(const HttpCall& call, uint64_t& bytes) {
   asio::io_context io;
   HttpClient client(io);
-  const SystemClock clock;
+  const SystemClock clock{};
   const TimePoint start = clock.Now();
   for (int i = 0; i < kStreams; ++i) {
     asio::co_spawn(io, ReadStream(client, call, bytes), asio::detached);
