A host that starts again has no retries for the length of the window

Cause: each process began with a full budget, and hosts that were killed spent it again within one window.

Change: unless the whole system starts for the first time, budgets begin empty and grow with first attempts; after 10 s, when what an earlier process spent is out of the window, they are filled. A new host pays the same price, a few retries in its first seconds.

Test: FleetTest.RestartedHostDoesNotSpendItsRetriesAgain. Without the guard all five requests in the first seconds were sent again.

--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -68,6 +68,8 @@
   // Retries, for each service, that all hosts together may send at once in
   // addition to the retry budget's share of the requests.
   double retry_slack = 50;
+  // An earlier process of this host may have spent retries just before.
+  bool follows_earlier_process = false;
   QuotaTolerance quota_tolerance;
   // Time from the store's acknowledgement of a change until it is in force
   // here.
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(20);
+// Retries are bounded over any time of this length.
+constexpr Duration kRetryWindow = std::chrono::seconds(10);
 constexpr Duration kMaxBackoff = std::chrono::seconds(2);
 // Bounds attempts refused as "not run", which cost an engine little.
 constexpr int kMaxAttempts = 50;
@@ -483,7 +485,7 @@
     request.first_sent_at = context_.now;
     // The budget of a forwarded request is that of the host that received it.
     if (IsFleet() && !request.arrival.is_forwarded) {
-      backend_retries_[request.service].RecordFirstAttempt();
+      RetriesOf(request.service).RecordFirstAttempt();
     }
   }
   ++request.attempt;
@@ -623,7 +625,7 @@
     if (was_local) state.returns.RecordServed(context_.now);
     if (was_local) RecordWholeAnswer(*request, event);
     if (was_local && IsFleet()) RecordPerformance(*request, event);
-    if (!IsFleet()) backend_retries_[backend].RecordFirstAttempt();
+    if (!IsFleet()) RetriesOf(backend).RecordFirstAttempt();
     gaps_.RecordServed(*request);
     if (!was_local) reach_.RecordHelperSuccess(backend, request->service);
     if (request->origin) streams_.RecordComplete(request->stream_key());
@@ -829,15 +831,34 @@
   Backoff(request);
 }
 
+RetryBudget& RequestFlow::RetriesOf(const std::string& name) {
+  const auto [it, is_new] = backend_retries_.try_emplace(name);
+  const bool may_be_spent = context_.settings.follows_earlier_process &&
+                            context_.now - context_.started_at < kRetryWindow;
+  if (is_new && may_be_spent) {
+    it->second.Withhold();
+    are_retries_withheld_ = true;
+  }
+  return it->second;
+}
+
+// What an earlier process spent is out of the window by now.
+void RequestFlow::FillWithheldRetries() {
+  if (!are_retries_withheld_) return;
+  if (context_.now - context_.started_at < kRetryWindow) return;
+  are_retries_withheld_ = false;
+  for (auto& [name, budget] : backend_retries_) budget.Fill();
+}
+
 bool RequestFlow::TrySpendRetry(Request& request) {
   if (IsFleet()) {
-    RetryBudget& per_service = backend_retries_[request.service];
+    RetryBudget& per_service = RetriesOf(request.service);
     per_service.SetMaxSaved(context_.settings.retry_slack /
                             context_.entry_host_count);
     return per_service.TrySpend();
   }
   RetryBudget& per_caller = callers_[request.arrival.facts.caller].retries;
-  return per_caller.TrySpend() && backend_retries_[request.backend].TrySpend();
+  return per_caller.TrySpend() && RetriesOf(request.backend).TrySpend();
 }
 
 void RequestFlow::Backoff(Request& request) {
@@ -1182,6 +1203,7 @@
   RecordProvenAnswers();
   RefuseQuarantined();
   CountConfirmedEnds();
+  FillWithheldRetries();
   RunResumptions();
   RefuseAllStranded();
   RouteWaitingAround();
--- a/node/request_flow.h
+++ b/node/request_flow.h
@@ -194,6 +194,9 @@
     return context_.settings.placement == PlacementStyle::kFleet;
   }
   bool TrySpendRetry(Request& request);
+  // Returns the retry budget of a service or backend server.
+  RetryBudget& RetriesOf(const std::string& name);
+  void FillWithheldRetries();
   Request* Find(RequestHandle handle);
 
   NodeContext& context_;
@@ -225,6 +228,7 @@
   bool has_versioned_queues_ = false;           // For one software version.
   absl::flat_hash_map<std::string, CallerState> callers_;
   absl::flat_hash_map<std::string, RetryBudget> backend_retries_;
+  bool are_retries_withheld_ = false;  // Of the budgets made so far.
   std::set<std::pair<TimePoint, RequestHandle>> deadlines_;
   std::set<std::pair<TimePoint, RequestHandle>> backoffs_;
 };
--- a/routing/retry_budget.h
+++ b/routing/retry_budget.h
@@ -26,6 +26,11 @@
     saved_ -= 1.0;
     return true;
   }
+  // Empties the budget, for a process that follows one that may have spent it
+  // just now. Not thread-safe.
+  void Withhold() { saved_ = 0; }
+  // Fills the budget. Not thread-safe.
+  void Fill() { saved_ = max_saved_; }
   double saved() const { return saved_; }
 
  private:
--- a/tests/node/fleet_fixture.h
+++ b/tests/node/fleet_fixture.h
@@ -75,6 +75,7 @@
     settings.log_down_after = seconds(5);
     settings.engines_check_fences = engines_check_fences_;
     settings.retry_slack = retry_slack_;
+    settings.follows_earlier_process = follows_earlier_process_;
     settings.link_mbps = links_mbps_[name];
     settings.policies = policies_;
     settings.seed = seed_;
@@ -262,6 +263,7 @@
   uint64_t seed_ = 1;         // Of added hosts.
   bool engines_check_fences_ = true;
   double retry_slack_ = 50;
+  bool follows_earlier_process_ = false;
   std::map<std::string, double> links_mbps_;  // Zero: not reported.
   std::map<std::string, Host> hosts_;
   std::vector<std::pair<std::string, Event>> pending_;
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -605,6 +605,32 @@
   EXPECT_TRUE(ActionsOf<RefuseRequest>("a").empty());
 }
 
+// Guards against hosts that start again and again while servers reject
+// requests, and spend a full budget of retries each time.
+TEST_F(FleetTest, RestartedHostDoesNotSpendItsRetriesAgain) {
+  follows_earlier_process_ = true;
+  Add("a");
+  Run(seconds(2));
+  const auto reject_one = [this](RequestHandle handle) {
+    Arrive("a", handle, "/again/x");
+    AttemptEnded full;
+    full.handle = handle;
+    full.attempt = 1;
+    full.result = AttemptResult::kFull;
+    Handle("a", full);
+    const auto refused = ActionsOf<RefuseRequest>("a");
+    return !refused.empty() && refused.back().handle == handle &&
+           refused.back().refusal.reason == RefusalReason::kRetryBudgetSpent;
+  };
+  for (RequestHandle handle = 1; handle <= 5; ++handle) {
+    EXPECT_TRUE(reject_one(handle)) << handle;
+  }
+  Run(seconds(10));
+  for (RequestHandle handle = 6; handle <= 10; ++handle) {
+    EXPECT_FALSE(reject_one(handle)) << handle;
+  }
+}
+
 // An engine rejects a request while it unloads the model, and then loads it
 // again. The request waited for another engine until its deadline.
 TEST_F(FleetTest, RejectedRequestMayReturnToSameEngine) {
