--- a/tests/node/stream_version_test.cc
+++ b/tests/node/stream_version_test.cc
@@ -8,6 +8,23 @@
 class StreamVersionTest : public StreamFixture {
  protected:
   // Three servers of each of two versions, all with the model.
+  // Streams begin at two versions; the servers of one leave and all hosts are
+  // killed and start again.
+  void LoseAllHostsAsAVersionLeaves() {
+    StartBothVersions();
+    AddHosts({"a", "b"});
+    RunStreams(seconds(5));
+    BeginStreams({"a"}, 20, seconds(1));
+    std::vector<std::string> leaving;
+    for (const auto& [id, server] : servers_) {
+      if (server.version == "v1") leaving.push_back(id);
+    }
+    for (const std::string& id : leaving) StopServer(id);
+    for (const char* host : {"a", "b"}) Kill(host);
+    for (const char* host : {"a", "b"}) Restart(host);
+    RunStreams(seconds(6));
+  }
+
   void StartBothVersions() {
     for (int i = 1; i <= 3; ++i) {
       StartServer(absl::StrCat("old-", i), "v1");
@@ -293,6 +310,22 @@
   EXPECT_EQ(Resumptions().Value(), 1.0) << Describe();
 }
 
+// Guards against streams joined of two versions by hosts that have all just
+// started, after the servers of the first version left.
+TEST_F(StreamVersionTest, UnnamedStreamIsNotJoinedAfterAllHostsWereLost) {
+  has_unnamed_resumptions_ = true;
+  LoseAllHostsAsAVersionLeaves();
+  EXPECT_GT(Resumptions().asked, 10);
+  EXPECT_EQ(CountMixed(), 0) << Describe();
+}
+
+// The same for callers that name their streams.
+TEST_F(StreamVersionTest, NamedStreamIsNotJoinedAfterAllHostsWereLost) {
+  LoseAllHostsAsAVersionLeaves();
+  EXPECT_GT(Resumptions().asked, 10);
+  EXPECT_EQ(CountMixed(), 0) << Describe();
+}
+
 // Guards against a guess for a stream that its caller does not name.
 TEST_F(StreamVersionTest, UnnamedStreamIsRefusedWhereTwoVersionsAreKnown) {
   StartBothVersions();
