--- a/node/placement_lease.cc
+++ b/node/placement_lease.cc
@@ -41,7 +41,7 @@
 // or its machine was paused, and another host may have taken over meanwhile.
 constexpr Duration kMaxTickGap = milliseconds(700);
 // A host that is superseded again within this time waits longer before it
-// claims: it and its successor do not hear each other.
+// claims: it and its successor do not reach each other.
 constexpr Duration kDepositionMemory = seconds(60);
 constexpr int kMaxPauseDoublings = 3;
 
@@ -196,8 +196,8 @@
 }
 
 // Reclaiming early would let orders of two holders reach engines in turns. The
-// successor may be alive and only not be heard here: each further turn waits
-// longer.
+// successor may be alive though nothing of it arrives here: each further turn
+// waits longer.
 TimePoint PlacementLease::ClaimableAt() const {
   const Duration pause =
       std::max(context_.settings.order_lease, context_.settings.contact_time);
--- a/tests/node/lease_turns_test.cc
+++ b/tests/node/lease_turns_test.cc
@@ -50,8 +50,8 @@
 };
 
 // Guards against a superseded owner that claims the lease back at once from a
-// successor that it does not hear.
-TEST_F(LeaseTurnsTest, HostsThatDoNotHearEachOtherTakeNoTurns) {
+// successor that it does not reach.
+TEST_F(LeaseTurnsTest, HostsWithoutLinksTakeNoTurns) {
   for (const char* name : {"a", "b"}) Add(name);
   Run(seconds(10));
   ASSERT_EQ(Holders().size(), 1u);
@@ -72,7 +72,7 @@
 }
 
 // Guards against a fleet without an owner after the links work again.
-TEST_F(LeaseTurnsTest, OneOwnerRemainsOnceHostsHearEachOther) {
+TEST_F(LeaseTurnsTest, OneOwnerRemainsOnceLinksWork) {
   for (const char* name : {"a", "b", "c"}) Add(name);
   Run(seconds(10));
   is_cut_ = true;
