--- a/soak/host_processes.cc
+++ b/soak/host_processes.cc
@@ -41,8 +41,6 @@
   return next++;
 }
 
-std::string Local(uint16_t port) { return absl::StrCat("127.0.0.1:", port); }
-
 }  // namespace
 
 // Concurrent soaks use consecutive seeds and therefore different port ranges.
@@ -63,24 +61,32 @@
 }
 
 int HostProcesses::Add(const Address& store, const std::string& policies_off) {
+  return Add(store, policies_off, Json());
+}
+
+int HostProcesses::Add(const Address& store, const std::string& policies_off,
+                       const Json& limits) {
   Host host;
   host.name = absl::StrCat("edge-", hosts_.size());
   host.settings_path = absl::StrCat(folder_, "/", host.name, ".json");
   host.caller_address = {"127.0.0.1", AllocatePort(next_port_)};
-  const Json settings{{"host", host.name},
-                      {"data_centre", "hall"},
-                      {"ip", "127.0.0.1"},
-                      {"callers", host.caller_address.ToString()},
-                      {"readiness", Local(AllocatePort(next_port_))},
-                      {"store", store.ToString()},
-                      {"operators", Local(AllocatePort(next_port_))},
-                      {"peers", Local(AllocatePort(next_port_))},
-                      {"forwards", Local(AllocatePort(next_port_))},
-                      {"policies_off", policies_off},
-                      {"shared_key", "soak-soak-soak-soak"},
-                      {"cpu_share", 0.25},
-                      {"grace_period_ms", 4000},
-                      {"order_lease_ms", 1000}};
+  host.addresses["callers"] = host.caller_address;
+  for (const char* key : {"readiness", "operators", "peers", "forwards"}) {
+    host.addresses[key] = {"127.0.0.1", AllocatePort(next_port_)};
+  }
+  Json settings{{"host", host.name},
+                {"data_centre", "hall"},
+                {"ip", "127.0.0.1"},
+                {"store", store.ToString()},
+                {"policies_off", policies_off},
+                {"shared_key", "soak-soak-soak-soak"},
+                {"cpu_share", 0.25},
+                {"grace_period_ms", 4000},
+                {"order_lease_ms", 1000}};
+  if (!limits.is_null()) settings["limits"] = limits;
+  for (const auto& [key, address] : host.addresses) {
+    settings[key] = address.ToString();
+  }
   std::ofstream(host.settings_path) << settings.dump(1);
   hosts_.push_back(std::move(host));
   return count() - 1;
--- a/soak/host_processes.h
+++ b/soak/host_processes.h
@@ -3,9 +3,11 @@
 
 #include <sys/types.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
+#include "core/json.h"
 #include "core/settings_reader.h"
 
 namespace applehall {
@@ -22,6 +24,9 @@
   // Adds a host that uses the store at `store`, without starting it, and runs
   // without the policies in `policies_off`. Returns its index.
   int Add(const Address& store, const std::string& policies_off);
+  // As above, with the limits of the host's machine, as in its settings.
+  int Add(const Address& store, const std::string& policies_off,
+          const Json& limits);
   void Start(int host);
   // Sends a signal if the host runs.
   void Signal(int host, int signal);
@@ -30,6 +35,12 @@
   // Number of exits that no signal had requested.
   int unexpected_exits() const { return unexpected_exits_; }
   Address caller_address(int host) const { return hosts_[host].caller_address; }
+  // The address under `key` in the settings of the host, such as "readiness".
+  Address address(int host, const std::string& key) const {
+    return hosts_[host].addresses.at(key);
+  }
+  // Zero while the host does not run.
+  pid_t process(int host) const { return hosts_[host].process; }
   int count() const { return static_cast<int>(hosts_.size()); }
 
  private:
@@ -37,6 +48,7 @@
     std::string name;
     std::string settings_path;
     Address caller_address;
+    std::map<std::string, Address> addresses;
     pid_t process = 0;
     bool is_stop_requested = false;
   };
--- a/soak/platform_standin.cc
+++ b/soak/platform_standin.cc
@@ -83,6 +83,13 @@
   return response;
 }
 
+// Returns the count in a header; zero if there is none.
+size_t ReadCount(const HttpRequest& request, const char* header) {
+  size_t count = 0;
+  (void)absl::SimpleAtoi(request.Header(header), &count);
+  return count;
+}
+
 // Returns what makes the request crash its server: its body, or a part of its
 // prompt; empty if nothing does.
 std::string PoisonOf(const HttpRequest& request) {
@@ -534,7 +541,10 @@
     }
     co_await Work(id, *server);
     --server->running;
-    response = StampedResponse(attempt, absl::StrCat("answer to ", attempt));
+    std::string body = absl::StrCat("answer to ", attempt);
+    const size_t size = ReadCount(request, kAnswerBytesHeader);
+    if (size > body.size()) body.resize(size, 'x');
+    response = StampedResponse(attempt, std::move(body));
   }
   AddServerHeaders(id, response.headers);
   co_await exchange.Respond(std::move(response));
@@ -565,6 +575,7 @@
   const std::string attempt = exchange.request().Header("x-attempt-id");
   const bool names_version =
       !exchange.request().Header(kVersionsHeader).empty();
+  const size_t padding = ReadCount(exchange.request(), kEventBytesHeader);
   int from = 0;
   (void)absl::SimpleAtoi(exchange.request().Header("last-event-id"), &from);
   HttpResponse head = StampedResponse(attempt, "");
@@ -583,7 +594,8 @@
     const std::string version =
         names_version ? absl::StrCat("version: ", server.version, "\n") : "";
     const std::string text =
-        absl::StrCat("id: ", event, "\n", version, "data: ", attempt, "\n\n");
+        absl::StrCat("id: ", event, "\n", version, "data: ", attempt,
+                     std::string(padding, 'x'), "\n\n");
     is_ok = co_await exchange.Write(text);
   }
   if (is_ok) co_await exchange.EndStream();
--- a/soak/platform_standin.h
+++ b/soak/platform_standin.h
@@ -30,6 +30,10 @@
 // Header of a request with the time in milliseconds that a server works on it
 // before its answer begins; a server stops when its connection closes.
 inline constexpr char kWorkHeader[] = "x-soak-work-ms";
+// Request headers with the size of a plain answer's body, and of the data of
+// each event of a stream.
+inline constexpr char kAnswerBytesHeader[] = "x-soak-answer-bytes";
+inline constexpr char kEventBytesHeader[] = "x-soak-event-bytes";
 // Begins the ids of prompt parts that crash the engines that answer them.
 inline constexpr char kBadPart[] = "bad-";
 
