Peers that have not proved the shared key are few and send short messages

What a host showed: 100 connections to the port for other hosts, each with a message of 4 MB and without the key, took 376 MB of a machine of 64 MB.

Cause: the bound of a message, 4 MB, held from the first frame on; the length of a handshake message was looked at once all of it was in memory. Connections without a handshake were not counted at all.

Change: an accepted connection takes messages of 512 bytes until its handshake is complete, and at most 256 such connections are open; a fleet that starts at once has each in this state for milliseconds. Rejections count in peer_links_rejected.

--- a/drivers/websocket_link.cc
+++ b/drivers/websocket_link.cc
@@ -77,6 +77,7 @@
     ConfigureEndpoint(client_);
     server_.set_reuse_addr(true);
     server_.set_open_handler([this](Handle h) { HandleOpen(h, "", false); });
+    server_.set_tcp_post_init_handler([this](Handle h) { HandleAccept(h); });
     server_.listen(boost::asio::ip::tcp::endpoint(
         boost::asio::ip::make_address(settings_.listen_ip),
         settings_.listen_port));
@@ -295,6 +296,25 @@
     return link;
   }
 
+  // Until its handshake is complete a peer is unknown: few are let in, and with
+  // short messages only.
+  void HandleAccept(Handle handle) {
+    for (auto it = unknown_peers_.begin(); it != unknown_peers_.end();) {
+      it = it->expired() ? unknown_peers_.erase(it) : std::next(it);
+    }
+    websocketpp::lib::error_code error;
+    const auto connection = server_.get_con_from_hdl(handle, error);
+    if (error) return;
+    connection->set_max_message_size(kMaxHandshakeBytes);
+    if (unknown_peers_.size() < settings_.max_unknown_peers) {
+      unknown_peers_.insert(handle);
+      return;
+    }
+    ++rejected_;
+    boost::system::error_code ignored;
+    connection->get_raw_socket().close(ignored);
+  }
+
   void HandleOpen(Handle handle, const std::string& host, bool is_outgoing) {
     if (is_outgoing && links_.find(handle) == links_.end()) {
       // It was abandoned while it was being opened.
@@ -374,6 +394,12 @@
 
   void CompleteHandshake(const LinkPtr& link) {
     link->is_authenticated = true;
+    unknown_peers_.erase(link->handle);
+    if (!link->is_outgoing) {
+      websocketpp::lib::error_code error;
+      const auto connection = server_.get_con_from_hdl(link->handle, error);
+      if (!error) connection->set_max_message_size(settings_.max_message_bytes);
+    }
     links_by_host_[link->host] = link;
     dialling_.erase(link->host);
     on_event_("peer_linked", link->host,
@@ -405,6 +431,7 @@
   }
 
   void HandleClose(Handle handle) {
+    unknown_peers_.erase(handle);
     const auto it = links_.find(handle);
     if (it == links_.end()) return;
     const LinkPtr link = it->second;
@@ -484,6 +511,8 @@
   std::map<Handle, LinkPtr, std::owner_less<Handle>> links_;
   std::map<std::string, LinkPtr> links_by_host_;  // Authenticated links.
   std::map<std::string, LinkPtr> dialling_;       // Not authenticated yet.
+  // Accepted connections whose handshake is not complete.
+  std::set<Handle, std::owner_less<Handle>> unknown_peers_;
   std::atomic<std::size_t> queued_{0};
   std::atomic<uint64_t> sent_{0};
   std::atomic<uint64_t> bytes_sent_{0};
--- a/drivers/websocket_link.h
+++ b/drivers/websocket_link.h
@@ -19,6 +19,8 @@
   std::string self;
   std::string shared_key;
   std::size_t max_links = 128;
+  // Accepted connections that have not proved the shared key.
+  std::size_t max_unknown_peers = 256;
   std::size_t max_queued_messages = 256;
   std::size_t max_message_bytes = 4 * 1024 * 1024;
   long dial_timeout_ms = 2000;
