A deadline at the end of its type is a long one

What callers saw: X-Deadline-Ms: is refused as too late. By reading: the milliseconds overflow when they become nanoseconds.

EdgeTest.DeadlineAtTheEndOfItsTypeIsALongOne. It was not run on the code before.

--- a/tests/platform/edge_test.cc
+++ b/tests/platform/edge_test.cc
@@ -27,6 +27,19 @@
   EXPECT_EQ(sent_request.find("third"), std::string::npos) << sent_request;
 }
 
+// Guards against a deadline that overflows and makes a request look too late.
+TEST_F(EdgeTest, DeadlineAtTheEndOfItsTypeIsALongOne) {
+  caller_ = std::make_unique<tcp::socket>(io_);
+  caller_->connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port_));
+  const std::string request =
+      "POST /a/b HTTP/1.1\r\nHost: shop\r\nX-Attempt-Id: id-1\r\n"
+      "X-Deadline-Ms: 9223372036854775807\r\nContent-Length: 0\r\n\r\n";
+  asio::write(*caller_, asio::buffer(request));
+  ASSERT_TRUE(RunUntil([this] { return Find<RequestArrived>() != nullptr; }));
+  ASSERT_TRUE(Find<RequestArrived>()->deadline.has_value());
+  EXPECT_GT(*Find<RequestArrived>()->deadline, std::chrono::hours(1));
+}
+
 TEST_F(EdgeTest, PublicRequestHasNeitherTeamNorApiKey) {
   server_.answers = {kAnswer};
   const RequestArrived& request =
