Fields of trailers are not fields of the head

What callers could do: send a trailer X-Model, X-Deadline-Ms or Authorization behind the body. The parser adds trailers to the message's fields, and the request was made of these once it was whole: the value was joined to that of the head, rules and quotas went by it, and servers got it as a field of the head (RFC 9110, section 6.5, forbids that).

Change: the head is read when it is whole; trailers are dropped.

HttpTest.TrailersAreNotFieldsOfTheHead.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -32,7 +32,12 @@
 
 constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
 
-HttpRequest FromBeast(http::request<http::string_body>&& message) {
+using RequestParser = http::request_parser<http::string_body>;
+
+// Reads the head. Fields of trailers are not taken into it later: nothing that
+// a decision depends on may come after the body.
+HttpRequest ReadHead(const RequestParser& parser) {
+  const auto& message = parser.get();
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
@@ -41,7 +46,6 @@
         field.name_string().data(), field.name_string().size()));
     AddHeader(name, std::string(field.value()), request.headers);
   }
-  request.body = std::move(message.body());
   return request;
 }
 
@@ -233,14 +237,16 @@
                                         beast::flat_buffer& buffer,
                                         bool is_first) {
     const HttpServerLimits& limits = self->limits_;
-    http::request_parser<http::string_body> parser;
+    RequestParser parser;
     parser.header_limit(static_cast<uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
     stream.expires_after(is_first ? limits.header_timeout
                                   : limits.idle_timeout);
     auto [error, size] =
         co_await http::async_read_header(stream, buffer, parser, kToken);
+    HttpRequest request;
     if (!error) {
+      request = ReadHead(parser);
       stream.expires_after(limits.header_timeout);
       auto [body_error, body_size] =
           co_await http::async_read(stream, buffer, parser, kToken);
@@ -251,8 +257,9 @@
       co_return false;
     }
     const bool keep_alive = parser.keep_alive();
-    BeastExchange exchange(stream, FromBeast(parser.release()), keep_alive,
-                           limits, self->is_closing_);
+    request.body = std::move(parser.get().body());
+    BeastExchange exchange(stream, std::move(request), keep_alive, limits,
+                           self->is_closing_);
     stream.expires_never();
     std::exception_ptr failure;
     try {
--- a/tests/drivers/http_test.cc
+++ b/tests/drivers/http_test.cc
@@ -40,6 +40,14 @@
       exchange.Abort();
       co_return;
     }
+    if (exchange.request().Path() == "/head") {
+      HttpResponse fields;
+      for (const auto& [name, value] : exchange.request().headers) {
+        fields.body += name + "=" + value + ";";
+      }
+      co_await exchange.Respond(std::move(fields));
+      co_return;
+    }
     if (exchange.request().Path() == "/throw") {
       throw std::runtime_error("a fault of the handler");
     }
@@ -105,6 +113,21 @@
   }
 }
 
+constexpr char kChunkedHead[] =
+    "POST /head HTTP/1.1\r\nConnection: close\r\nX-Model: mine\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+
+// Guards against a trailer that changes what a decision was to go by.
+TEST_F(HttpTest, TrailersAreNotFieldsOfTheHead) {
+  StartServer({});
+  const std::string answer =
+      SendRaw(std::string(kChunkedHead) +
+              "2\r\nhi\r\n0\r\nX-Model: other\r\nX-New: 1\r\n\r\n");
+  EXPECT_NE(answer.find("x-model=mine;"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("other"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("x-new"), std::string::npos) << answer;
+}
+
 // Guards against a timed-out request that the kernel still delivers when a
 // network partition ends, after the client has closed the connection normally.
 // A peer that receives a reset discards the bytes.
