What is read ahead of the parser of requests has a bound

What callers saw: a host's process ran out of memory. Clients had sent trailers without end behind a chunked body.

Cause: the buffer that is read ahead of the parser had no bound. The parser's limits cover the head and the body, and it asks for more until trailers, the line before a chunk, its extension or its size with leading zeros are whole. The same buffer grew by each of them.

Change: the buffer's bound is the limit of a head and 4 KiB, for all of these. A request has a bound on the wire as well, eight times its body, for the lines between chunks that are sound one by one. Beyond either: 431. What the peer still sends is discarded for a second, since a close with unread bytes would discard the refusal. On a kept connection a head has the time of a head from its first byte on, not that of an idle connection. An idle connection keeps no buffer of an earlier request.

HttpTest has the bounds, and chunks of one byte with short trailers, which pass.

Beast's own limits were ruled out as a mend: there is none for chunk lines and trailers.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -2,10 +2,12 @@
 
 #include <absl/strings/ascii.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
+#include "core/event_log.h"
 #include "drivers/background_task.h"
 #include "drivers/peer_close_watcher.h"
 #include "drivers/socket_options.h"
@@ -32,6 +34,15 @@
 
 constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
 
+// Read ahead of the parser beyond the longest line that it waits for.
+constexpr size_t kReadAheadBytes = 4 * 1024;
+// Bytes on the wire for each byte of a body that comes in chunks of one byte,
+// with some room for extensions.
+constexpr size_t kMaxFramingFactor = 8;
+// Time and bytes for which what a peer still sends is discarded after a
+// refusal: a close with unread bytes would discard the refusal.
+constexpr Duration kDiscardTime = std::chrono::seconds(1);
+constexpr size_t kDiscardBlockBytes = 4 * 1024;
 using RequestParser = http::request_parser<http::string_body>;
 
 // Reads the head. Fields of trailers are not taken into it later: nothing that
@@ -193,6 +204,15 @@
   }
 
  private:
+  struct Connection {
+    explicit Connection(asio::ip::tcp::socket socket)
+        : stream(std::move(socket)) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    HttpRequest head;  // Of the request that is being read.
+  };
+
   static asio::awaitable<void> Accept(std::shared_ptr<Impl> self) {
     while (self->acceptor_.is_open()) {
       auto [error, socket] = co_await self->acceptor_.async_accept(kToken);
@@ -212,52 +232,45 @@
       socket.set_option(asio::ip::tcp::no_delay(true), ignored);
       EnableDeadPeerDetection(socket.native_handle());
       ++self->open_connections_;
-      StartTask(self->io_, "serve_connection", Serve(self, std::move(socket)),
+      const auto connection = std::make_shared<Connection>(std::move(socket));
+      StartTask(self->io_, "serve_connection", Serve(self, connection),
                 [self] { --self->open_connections_; });
     }
   }
 
   static asio::awaitable<void> Serve(std::shared_ptr<Impl> self,
-                                     asio::ip::tcp::socket socket) {
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+                                     std::shared_ptr<Connection> connection) {
     bool keep_open = true;
     bool is_first = true;
     while (keep_open) {
-      keep_open = co_await ServeOne(self, stream, buffer, is_first);
+      keep_open = co_await ServeOne(self, connection, is_first);
       is_first = false;
     }
     error_code ignored;
-    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both,
+                                         ignored);
     --self->open_connections_;
   }
 
   static asio::awaitable<bool> ServeOne(std::shared_ptr<Impl> self,
-                                        beast::tcp_stream& stream,
-                                        beast::flat_buffer& buffer,
+                                        std::shared_ptr<Connection> connection,
                                         bool is_first) {
     const HttpServerLimits& limits = self->limits_;
-    RequestParser parser;
-    parser.header_limit(static_cast<uint32_t>(limits.header_bytes));
-    parser.body_limit(limits.body_bytes);
-    stream.expires_after(is_first ? limits.header_timeout
-                                  : limits.idle_timeout);
-    auto [error, size] =
-        co_await http::async_read_header(stream, buffer, parser, kToken);
-    HttpRequest request;
-    if (!error) {
-      request = ReadHead(parser);
-      stream.expires_after(limits.header_timeout);
-      auto [body_error, body_size] =
-          co_await http::async_read(stream, buffer, parser, kToken);
-      error = body_error;
-    }
-    if (error) {
-      co_await RespondToReadError(*self, stream, error);
-      co_return false;
+    beast::tcp_stream& stream = connection->stream;
+    std::optional<RequestParser> parser(std::in_place);
+    parser->eager(true);
+    parser->header_limit(static_cast<uint32_t>(limits.header_bytes));
+    parser->body_limit(limits.body_bytes);
+    const ReadResult read =
+        co_await ReadRequest(*self, *connection, *parser, is_first);
+    if (read.refusal) {
+      co_await Refuse(*self, *connection, *read.refusal);
     }
-    const bool keep_alive = parser.keep_alive();
-    request.body = std::move(parser.get().body());
+    if (read.error || read.refusal) co_return false;
+    HttpRequest request = std::move(connection->head);
+    request.body = std::move(parser->get().body());
+    const bool keep_alive = parser->keep_alive();
+    parser.reset();
     BeastExchange exchange(stream, std::move(request), keep_alive, limits,
                            self->is_closing_);
     stream.expires_never();
@@ -275,25 +288,100 @@
     co_return exchange.can_serve_next();
   }
 
-  static asio::awaitable<void> RespondToReadError(const Impl& server,
-                                                  beast::tcp_stream& stream,
-                                                  error_code error) {
-    HttpResponse answer;
-    if (error == http::error::header_limit) {
-      answer = LimitRefusal(431, "header_too_large");
-    } else if (error == http::error::body_limit) {
-      answer = LimitRefusal(413, "body_too_large");
-    } else if (error == http::error::end_of_stream ||
-               error == beast::error::timeout ||
-               error.category() !=
-                   http::make_error_code(http::error::bad_version).category()) {
-      co_return;  // The peer disconnected or timed out.
-    } else {
-      answer = LimitRefusal(400, "malformed_http");
+  // How the reading of a request ended: whole if neither is set.
+  struct ReadResult {
+    error_code error;
+    std::optional<HttpResponse> refusal;
+  };
+
+  // Reads a request into the parser.
+  static asio::awaitable<ReadResult> ReadRequest(Impl& server,
+                                                 Connection& connection,
+                                                 RequestParser& parser,
+                                                 bool is_first) {
+    const HttpServerLimits& limits = server.limits_;
+    beast::tcp_stream& stream = connection.stream;
+    beast::flat_buffer& buffer = connection.buffer;
+    ReadResult result;
+    // An idle connection keeps no more than what it sent ahead.
+    buffer.shrink_to_fit();
+    buffer.max_size(std::max(buffer.size(), limits.header_bytes) +
+                    kReadAheadBytes);
+    stream.expires_after(is_first ? limits.header_timeout
+                                  : limits.idle_timeout);
+    if (buffer.size() == 0) {
+      const auto [error, size] = co_await stream.async_read_some(
+          buffer.prepare(kReadAheadBytes), kToken);
+      result.error = error;
+      if (error) co_return result;
+      buffer.commit(size);
+    }
+    if (!is_first) stream.expires_after(limits.header_timeout);
+    const auto [head_error, head_size] =
+        co_await http::async_read_header(stream, buffer, parser, kToken);
+    result.error = head_error;
+    if (!head_error) {
+      connection.head = ReadHead(parser);
+      const size_t max_bytes =
+          limits.header_bytes + kMaxFramingFactor * limits.body_bytes;
+      stream.expires_after(limits.header_timeout);
+      size_t read_bytes = 0;
+      while (!result.error) {
+        if (read_bytes > max_bytes) {
+          result.refusal = LimitRefusal(431, "framing_too_large");
+          break;
+        }
+        if (parser.is_done()) break;
+        const auto [error, size] =
+            co_await http::async_read_some(stream, buffer, parser, kToken);
+        result.error = error;
+        read_bytes += size;
+      }
+    }
+    if (result.error) result.refusal = RefusalOf(result.error);
+    co_return result;
+  }
+
+  // Returns nothing if the peer disconnected or timed out.
+  static std::optional<HttpResponse> RefusalOf(error_code error) {
+    if (error == http::error::header_limit ||
+        error == http::error::buffer_overflow) {
+      return LimitRefusal(431, "header_too_large");
+    }
+    if (error == http::error::body_limit) {
+      return LimitRefusal(413, "body_too_large");
+    }
+    const bool is_syntax =
+        error.category() ==
+        http::make_error_code(http::error::bad_version).category();
+    if (!is_syntax || error == http::error::end_of_stream ||
+        error == http::error::partial_message) {
+      return std::nullopt;
+    }
+    return LimitRefusal(400, "malformed_http");
+  }
+
+  // Sends the refusal and lets it arrive: the peer may still be sending.
+  static asio::awaitable<void> Refuse(Impl& server, Connection& connection,
+                                      HttpResponse refusal) {
+    beast::tcp_stream& stream = connection.stream;
+    LogEvent(LogLevel::kWarning, "request_not_read")
+        .With("status", refusal.status)
+        .With("reason", refusal.body);
+    {
+      BeastExchange exchange(stream, {}, /*keep_alive=*/false, server.limits_,
+                             server.is_closing_);
+      co_await exchange.Respond(std::move(refusal));
+    }
+    error_code error;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    connection.buffer.consume(connection.buffer.size());
+    stream.expires_after(kDiscardTime);
+    while (!error) {
+      const auto [read_error, size] = co_await stream.async_read_some(
+          connection.buffer.prepare(kDiscardBlockBytes), kToken);
+      error = read_error;
     }
-    BeastExchange exchange(stream, {}, /*keep_alive=*/false, server.limits_,
-                           server.is_closing_);
-    co_await exchange.Respond(std::move(answer));
   }
 
   asio::io_context& io_;
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -16,6 +16,8 @@
 
 // Limits on the resources that a peer can use.
 struct HttpServerLimits {
+  // Of the head, of each line between the chunks of a body, and of all
+  // trailers.
   size_t header_bytes = 16 * 1024;
   size_t body_bytes = 4 * 1024 * 1024;
   size_t connections = 4096;
--- a/tests/drivers/http_test.cc
+++ b/tests/drivers/http_test.cc
@@ -128,6 +128,30 @@
   EXPECT_EQ(answer.find("x-new"), std::string::npos) << answer;
 }
 
+// Guards against a refusal that the close of its connection discards.
+TEST_F(HttpTest, LinesBetweenChunksAreBounded) {
+  StartServer({});
+  const std::string filler(64 * 1024, 'e');
+  for (const std::string& body :
+       {"1;" + filler, std::string(64 * 1024, '0'), "0\r\nX-Long: " + filler}) {
+    const std::string answer = SendRaw(std::string(kChunkedHead) + body);
+    EXPECT_NE(answer.find("HTTP/1.1 431"), std::string::npos)
+        << body.substr(0, 20);
+  }
+}
+
+// Guards against a bound that a caller inside the limits meets.
+TEST_F(HttpTest, ChunksOfOneByteAndShortLinesPass) {
+  HttpServerLimits limits;
+  limits.body_bytes = 20000;
+  StartServer(limits);
+  std::string body;
+  for (size_t i = 0; i < limits.body_bytes; ++i) body += "1\r\nx\r\n";
+  const std::string answer =
+      SendRaw(std::string(kChunkedHead) + body + "0\r\nX-Trailer: 1\r\n\r\n");
+  EXPECT_NE(answer.find("HTTP/1.1 200"), std::string::npos);
+}
+
 // Guards against a timed-out request that the kernel still delivers when a
 // network partition ends, after the client has closed the connection normally.
 // A peer that receives a reset discards the bytes.
