Connections without a whole request give way to new ones

What callers saw: 800 idle connections, or 800 unfinished heads, at a host that may have 700: an ordinary caller was refused 20 times of 20, as long as they stayed. With 500 connections at each of the five ports a host had 2,521 of 2,000 descriptors.

Cause: at its bound a listener closed each new connection unread. Each listener had a bound of its own, 4,096 for the probes of the platform and for operators.

When it is full the one that has been without a whole request for longest is closed; open requests stay. While there is room nobody gives way.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -180,12 +180,16 @@
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(asio::io_context& io, const Address& address, HttpHandler handler,
-       HttpServerLimits limits)
+       HttpServerLimits limits, HttpServerResources resources)
       : io_(io),
         acceptor_(io, asio::ip::tcp::endpoint(
                           asio::ip::make_address(address.ip), address.port)),
         handler_(std::move(handler)),
         limits_(limits),
+        has_own_pool_(!resources.connections),
+        pool_(has_own_pool_
+                  ? std::make_shared<ConnectionPool>(limits.connections)
+                  : std::move(resources.connections)),
         port_(acceptor_.local_endpoint().port()) {}
 
   void Start() {
@@ -195,7 +199,10 @@
 
   uint16_t port() const { return port_; }
   uint64_t refused() const { return refused_; }
-  void SetLimits(const HttpServerLimits& limits) { limits_ = limits; }
+  void SetLimits(const HttpServerLimits& limits) {
+    limits_ = limits;
+    if (has_own_pool_) pool_->SetLimit(limits.connections);
+  }
   void CloseAfterAnswers() { is_closing_ = true; }
   void SetOverloaded(bool is_overloaded) { is_overloaded_ = is_overloaded; }
   void StopAccepting() {
@@ -204,9 +211,13 @@
   }
 
  private:
-  struct Connection {
+  struct Connection : PooledConnection {
     explicit Connection(asio::ip::tcp::socket socket)
         : stream(std::move(socket)) {}
+    void Close() override {
+      SetDiscardOnClose(stream.socket().native_handle(), true);
+      stream.close();
+    }
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
@@ -223,18 +234,19 @@
         co_await pause.async_wait(kToken);
         continue;
       }
-      if (self->is_overloaded_ ||
-          self->open_connections_ >= self->limits_.connections) {
+      if (self->is_overloaded_ || !self->pool_->TryAdd()) {
         ++self->refused_;
         continue;  // The socket's destructor closes it.
       }
       error_code ignored;
       socket.set_option(asio::ip::tcp::no_delay(true), ignored);
       EnableDeadPeerDetection(socket.native_handle());
-      ++self->open_connections_;
       const auto connection = std::make_shared<Connection>(std::move(socket));
       StartTask(self->io_, "serve_connection", Serve(self, connection),
-                [self] { --self->open_connections_; });
+                [self, connection] {
+                  self->pool_->EndWaiting(*connection);
+                  self->pool_->Remove();
+                });
     }
   }
 
@@ -249,7 +261,7 @@
     error_code ignored;
     connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both,
                                          ignored);
-    --self->open_connections_;
+    self->pool_->Remove();
   }
 
   static asio::awaitable<bool> ServeOne(std::shared_ptr<Impl> self,
@@ -261,12 +273,15 @@
     parser->eager(true);
     parser->header_limit(static_cast<uint32_t>(limits.header_bytes));
     parser->body_limit(limits.body_bytes);
+    self->pool_->BeginWaiting(connection);
     const ReadResult read =
         co_await ReadRequest(*self, *connection, *parser, is_first);
     if (read.refusal) {
       co_await Refuse(*self, *connection, *read.refusal);
     }
-    if (read.error || read.refusal) co_return false;
+    const bool is_displaced = !connection->is_waiting;
+    self->pool_->EndWaiting(*connection);
+    if (read.error || read.refusal || is_displaced) co_return false;
     HttpRequest request = std::move(connection->head);
     request.body = std::move(parser->get().body());
     const bool keep_alive = parser->keep_alive();
@@ -388,16 +403,19 @@
   asio::ip::tcp::acceptor acceptor_;
   HttpHandler handler_;
   HttpServerLimits limits_;
+  const bool has_own_pool_;
+  std::shared_ptr<ConnectionPool> pool_;
   bool is_closing_ = false;
   bool is_overloaded_ = false;
   uint16_t port_;
-  size_t open_connections_ = 0;
   std::atomic<uint64_t> refused_{0};
 };
 
 HttpServer::HttpServer(asio::io_context& io, const Address& address,
-                       HttpHandler handler, HttpServerLimits limits)
-    : impl_(std::make_shared<Impl>(io, address, std::move(handler), limits)) {
+                       HttpHandler handler, HttpServerLimits limits,
+                       HttpServerResources resources)
+    : impl_(std::make_shared<Impl>(io, address, std::move(handler), limits,
+                                   std::move(resources))) {
   impl_->Start();
 }
 
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -10,6 +10,7 @@
 
 #include "core/clock.h"
 #include "core/settings_reader.h"
+#include "drivers/connection_pool.h"
 #include "drivers/http_message.h"
 
 namespace applehall {
@@ -20,12 +21,18 @@
   // trailers.
   size_t header_bytes = 16 * 1024;
   size_t body_bytes = 4 * 1024 * 1024;
-  size_t connections = 4096;
+  size_t connections = 4096;  // See ConnectionPool.
   Duration header_timeout = std::chrono::seconds(10);
   Duration idle_timeout = std::chrono::seconds(75);
   Duration write_timeout = std::chrono::seconds(30);
 };
 
+// What several servers of a process share. Null: the server has its own.
+struct HttpServerResources {
+  // Replaces HttpServerLimits::connections.
+  std::shared_ptr<ConnectionPool> connections;
+};
+
 // One request and its response. Thread: the server's.
 class HttpExchange {
  public:
@@ -66,7 +73,8 @@
   // Binds immediately; with port 0 the kernel chooses the port. Throws
   // boost::system::system_error if the address cannot be bound.
   HttpServer(boost::asio::io_context& io, const Address& address,
-             HttpHandler handler, HttpServerLimits limits);
+             HttpHandler handler, HttpServerLimits limits,
+             HttpServerResources resources = {});
   ~HttpServer();
 
   // The bound port. Thread-safe.
@@ -81,8 +89,8 @@
   // Accepts no new connections; open ones continue. Requires: called on the
   // server's thread.
   void StopAccepting();
-  // Number of connections refused because of the limit or of overload.
-  // Thread-safe.
+  // Number of connections refused because of overload or because all others
+  // have open requests. Thread-safe.
   uint64_t refused_connections() const;
 
  private:
