Requests share one budget of memory

What a host showed, on a machine of 64 MB: 48 bodies of 4 MB that stop a byte short of their end, 193 MB; the same in chunks, 170; 48 whole ones that wait for their answers, 645; 100 heads of 2,500 short fields, 133; long bodies at the inner ports, 193.

Cause: each body had a bound, their sum had none. A body stood in memory four times: in the exchange, the session, the call and the message being sent. A field of three bytes takes over a hundred in each of the maps that hold it.

A request is charged from its head to its answer, a body of known length before it is read. What does not fit is refused at once with 503 and Retry-After, which is true: nothing was passed on. A body that has been incomplete for a second gives its memory to others; without that one crowd could hold the budget, and with less time long bodies that fill it together would all give way before their ends. The exchange, the session and the call share one body.

Ruled out: a lower body_bytes for each connection, which callers inside the limits would meet.

--- a/drivers/caller_session.h
+++ b/drivers/caller_session.h
@@ -36,7 +36,7 @@
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
  public:
   CallerSession(boost::asio::io_context& io, uint64_t handle,
-                HttpRequest request)
+                std::shared_ptr<const HttpRequest> request)
       : io_(io),
         part_added_(io),
         handle_(handle),
@@ -81,7 +81,8 @@
   std::optional<TimePoint> disconnected_at() const;
 
   uint64_t handle() const { return handle_; }
-  const HttpRequest& request() const { return request_; }
+  const HttpRequest& request() const { return *request_; }
+  std::shared_ptr<const HttpRequest> shared_request() const { return request_; }
   // Number of stream events sent to the caller; a broken stream is resumed
   // after them. Thread: the backend's.
   int delivered_events = 0;
@@ -97,7 +98,7 @@
   boost::asio::io_context& io_;
   boost::asio::steady_timer part_added_;
   uint64_t handle_;
-  HttpRequest request_;
+  std::shared_ptr<const HttpRequest> request_;
   std::function<std::optional<Duration>()> close_probe_;
   std::deque<ReplyPart> parts_;
   std::atomic<size_t> buffered_bytes_{0};
--- a/drivers/connection_pool.h
+++ b/drivers/connection_pool.h
@@ -7,6 +7,9 @@
 #include <list>
 #include <memory>
 
+#include "core/clock.h"
+#include "core/memory_budget.h"
+
 namespace applehall {
 
 // A connection from a peer. Thread: the pool's.
@@ -15,13 +18,16 @@
   // Closes the connection, discarding what was not sent.
   virtual void Close() = 0;
 
+  MemoryCharge charge;   // Of the request that is read or open.
+  TimePoint body_since;  // When the head of this request was whole.
   bool is_waiting = false;
   std::list<std::shared_ptr<PooledConnection>>::iterator waiting_at;
 };
 
-// Bounds the connections of all listeners that share it. Once there are as many
-// as allowed, a new one takes the place of the one that has been without a
-// whole request for longest. Not thread-safe: one event loop.
+// Bounds the connections of all listeners that share it. One that has no whole
+// request gives way to others: to a new connection once there are as many as
+// allowed, and to another request once the memory for requests is used up. The
+// one that has waited longest is first. Not thread-safe: one event loop.
 class ConnectionPool {
  public:
   using ConnectionPtr = std::shared_ptr<PooledConnection>;
@@ -38,6 +44,10 @@
   void BeginWaiting(const ConnectionPtr& connection);
   // Does nothing if the connection does not wait any more.
   void EndWaiting(PooledConnection& connection);
+  // Closes the connection whose body has been incomplete for longest, if that
+  // is long enough at `now`. Returns false if there is none.
+  bool CloseLongestUnfinished(const PooledConnection& except, TimePoint now);
+
   size_t open() const { return open_; }
   // Number of connections that gave way.
   uint64_t displaced() const { return displaced_; }
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -225,7 +225,9 @@
 
   asio::awaitable<bool> Send(const HttpCall& call) {
     if (!IsWanted()) co_return false;
-    http::request<http::string_body> message;
+    const std::string& body =
+        call.shared_body ? *call.shared_body : call.request.body;
+    http::request<http::span_body<const char>> message;
     message.method_string(call.request.method);
     message.target(call.request.target);
     message.version(11);
@@ -233,7 +235,7 @@
     for (const auto& [name, value] : call.request.headers) {
       message.set(name, value);
     }
-    message.body() = call.request.body;
+    message.body() = {body.data(), body.size()};
     message.prepare_payload();
     // From here on the peer may have received the request.
     state_ = SendState::kMayBeSent;
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -70,6 +70,8 @@
 struct HttpCall {
   Address address;
   HttpRequest request;
+  // Sent as the body instead of that of `request`, without a copy.
+  std::shared_ptr<const std::string> shared_body = nullptr;
   Duration connect_timeout = std::chrono::seconds(2);
   Duration header_timeout = std::chrono::seconds(10);
   // Opens a new connection instead of reusing an idle one. The peer may have
--- a/drivers/http_message.h
+++ b/drivers/http_message.h
@@ -26,6 +26,8 @@
   HttpHeaders headers;
   std::string body;
 
+  // A copy without the body. Thread-safe.
+  HttpRequest Head() const { return {method, target, headers, ""}; }
   // The path without its query. Requires: nothing. Thread-safe.
   std::string Path() const { return target.substr(0, target.find('?')); }
   // A query parameter; empty if absent. No percent-decoding. Thread-safe.
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -39,6 +39,14 @@
 // Bytes on the wire for each byte of a body that comes in chunks of one byte,
 // with some room for extensions.
 constexpr size_t kMaxFramingFactor = 8;
+// Memory for a request besides its fields and its body.
+constexpr size_t kRequestBytes = 16 * 1024;
+// Memory for a field besides its text, in one map of fields.
+constexpr size_t kFieldBytes = 128;
+// Maps that hold the fields of an open request: the exchange, its session, the
+// facts for the rules, the call to a server and the message that is sent.
+constexpr size_t kFieldCopies = 5;
+constexpr char kRetryAfterSeconds[] = "1";
 // Time and bytes for which what a peer still sends is discarded after a
 // refusal: a close with unread bytes would discard the refusal.
 constexpr Duration kDiscardTime = std::chrono::seconds(1);
@@ -60,12 +68,22 @@
   return request;
 }
 
+// Returns the memory that a request takes up while it is open, without its
+// body.
+size_t HeadCost(const HttpRequest& head) {
+  size_t cost = head.target.size() * kFieldCopies + kRequestBytes;
+  for (const auto& [name, value] : head.headers) {
+    cost += (kFieldBytes + name.size() + value.size()) * kFieldCopies;
+  }
+  return cost;
+}
+
 class BeastExchange : public HttpExchange {
  public:
   BeastExchange(beast::tcp_stream& stream, HttpRequest request, bool keep_alive,
                 const HttpServerLimits& limits, const bool& is_closing)
       : stream_(stream),
-        request_(std::move(request)),
+        request_(std::make_shared<const HttpRequest>(std::move(request))),
         wants_keep_alive_(keep_alive),
         is_closing_(is_closing),
         limits_(limits),
@@ -74,7 +92,10 @@
   }
   ~BeastExchange() override { watch_->Stop(); }
 
-  const HttpRequest& request() const override { return request_; }
+  const HttpRequest& request() const override { return *request_; }
+  std::shared_ptr<const HttpRequest> shared_request() const override {
+    return request_;
+  }
   bool is_peer_disconnected() const override {
     return watch_->is_disconnected();
   }
@@ -151,7 +172,7 @@
 
  private:
   beast::tcp_stream& stream_;
-  HttpRequest request_;
+  std::shared_ptr<const HttpRequest> request_;
   bool wants_keep_alive_;
   bool keep_alive_ = false;
   const bool& is_closing_;
@@ -163,9 +184,11 @@
 };
 
 HttpResponse LimitRefusal(int status, const std::string& reason) {
-  return HttpResponse::JsonText(
+  HttpResponse response = HttpResponse::JsonText(
       status,
       "{\"error\":{\"verdict\":\"not_run\",\"reason\":\"" + reason + "\"}}");
+  if (status == 503) response.headers["retry-after"] = kRetryAfterSeconds;
+  return response;
 }
 
 // It is unknown how far the request got.
@@ -186,6 +209,7 @@
                           asio::ip::make_address(address.ip), address.port)),
         handler_(std::move(handler)),
         limits_(limits),
+        budget_(std::move(resources.memory)),
         has_own_pool_(!resources.connections),
         pool_(has_own_pool_
                   ? std::make_shared<ConnectionPool>(limits.connections)
@@ -273,10 +297,15 @@
     parser->eager(true);
     parser->header_limit(static_cast<uint32_t>(limits.header_bytes));
     parser->body_limit(limits.body_bytes);
+    connection->charge = MemoryCharge(self->budget_);
     self->pool_->BeginWaiting(connection);
     const ReadResult read =
         co_await ReadRequest(*self, *connection, *parser, is_first);
     if (read.refusal) {
+      // A refused request keeps no memory until it is closed.
+      connection->head = {};
+      parser.reset();
+      connection->charge.Release();
       co_await Refuse(*self, *connection, *read.refusal);
     }
     const bool is_displaced = !connection->is_waiting;
@@ -300,6 +329,7 @@
       if (!exchange.has_begun()) co_await exchange.Respond(InternalError());
       co_return false;
     }
+    connection->charge.Release();
     co_return exchange.can_serve_next();
   }
 
@@ -309,7 +339,8 @@
     std::optional<HttpResponse> refusal;
   };
 
-  // Reads a request into the parser.
+  // Reads a request into the parser and charges for it as its bytes arrive. A
+  // body whose length is known is charged for before it is read.
   static asio::awaitable<ReadResult> ReadRequest(Impl& server,
                                                  Connection& connection,
                                                  RequestParser& parser,
@@ -337,11 +368,24 @@
     result.error = head_error;
     if (!head_error) {
       connection.head = ReadHead(parser);
+      connection.body_since = server.clock_.Now();
+      const size_t head_cost = HeadCost(connection.head);
+      const size_t declared = parser.content_length().value_or(0);
       const size_t max_bytes =
           limits.header_bytes + kMaxFramingFactor * limits.body_bytes;
       stream.expires_after(limits.header_timeout);
       size_t read_bytes = 0;
       while (!result.error) {
+        const size_t body = std::max(declared, parser.get().body().capacity());
+        bool is_charged = connection.charge.TryGrowTo(head_cost + body);
+        while (!is_charged && server.pool_->CloseLongestUnfinished(
+                                  connection, server.clock_.Now())) {
+          is_charged = connection.charge.TryGrowTo(head_cost + body);
+        }
+        if (!is_charged) {
+          result.refusal = LimitRefusal(503, "memory_used_up");
+          break;
+        }
         if (read_bytes > max_bytes) {
           result.refusal = LimitRefusal(431, "framing_too_large");
           break;
@@ -382,7 +426,8 @@
     beast::tcp_stream& stream = connection.stream;
     LogEvent(LogLevel::kWarning, "request_not_read")
         .With("status", refusal.status)
-        .With("reason", refusal.body);
+        .With("reason", refusal.body)
+        .With("memory_used", server.budget_ ? server.budget_->used() : 0);
     {
       BeastExchange exchange(stream, {}, /*keep_alive=*/false, server.limits_,
                              server.is_closing_);
@@ -403,8 +448,10 @@
   asio::ip::tcp::acceptor acceptor_;
   HttpHandler handler_;
   HttpServerLimits limits_;
+  std::shared_ptr<MemoryBudget> budget_;
   const bool has_own_pool_;
   std::shared_ptr<ConnectionPool> pool_;
+  const SystemClock clock_{};
   bool is_closing_ = false;
   bool is_overloaded_ = false;
   uint16_t port_;
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "core/memory_budget.h"
 #include "core/settings_reader.h"
 #include "drivers/connection_pool.h"
 #include "drivers/http_message.h"
@@ -27,8 +28,12 @@
   Duration write_timeout = std::chrono::seconds(30);
 };
 
-// What several servers of a process share. Null: the server has its own.
+// What several servers of a process share. Null: the server has its own
+// connections, and requests are not bounded together.
 struct HttpServerResources {
+  // Charged for each request from its head to its response; what does not fit
+  // is refused with 503.
+  std::shared_ptr<MemoryBudget> memory;
   // Replaces HttpServerLimits::connections.
   std::shared_ptr<ConnectionPool> connections;
 };
@@ -39,6 +44,8 @@
   virtual ~HttpExchange() = default;
 
   virtual const HttpRequest& request() const = 0;
+  // The same, to be kept beyond the exchange. Never null.
+  virtual std::shared_ptr<const HttpRequest> shared_request() const = 0;
   // True once the peer closed its side while the handler was running.
   virtual bool is_peer_disconnected() const = 0;
   // Sets a callback that runs at most once, when the peer closes before the
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -366,7 +366,8 @@
   const RequestHandle handle = event.handle;
   const std::string request_id = event.request_id;
   const auto session = std::make_shared<CallerSession>(
-      callers_.io(), handle, std::move(session_request));
+      callers_.io(), handle,
+      std::make_shared<const HttpRequest>(std::move(session_request)));
   session->SetCloseProbe(exchange.PeerCloseProbe());
   {
     const std::lock_guard<std::mutex> lock(sessions_mutex_);
--- a/tests/drivers/connection_pool_test.cc
+++ b/tests/drivers/connection_pool_test.cc
@@ -12,13 +12,18 @@
     bool is_closed = false;
   };
 
-  std::shared_ptr<TestConnection> AddWaiting() {
+  std::shared_ptr<TestConnection> AddWaiting(size_t charged = 0) {
     EXPECT_TRUE(pool_.TryAdd());
     auto connection = std::make_shared<TestConnection>();
+    connection->charge = MemoryCharge(budget_);
+    connection->charge.Set(charged);
+    connection->body_since = now_;
     pool_.BeginWaiting(connection);
     return connection;
   }
 
+  TimePoint now_ = FromUnixMillis(1000000);
+  std::shared_ptr<MemoryBudget> budget_ = std::make_shared<MemoryBudget>(1000);
   ConnectionPool pool_{2};
 };
 
@@ -49,5 +54,20 @@
   EXPECT_FALSE(first->is_closed || second->is_closed);
 }
 
+// Guards against bodies that never end and hold the memory of all requests, and
+// against those that have just begun and would never end if each gave way.
+TEST_F(ConnectionPoolTest, LongUnfinishedBodyGivesItsMemoryBack) {
+  const auto idle = AddWaiting();
+  const auto slow = AddWaiting(/*charged=*/700);
+  const PooledConnection& other = *idle;
+  EXPECT_FALSE(pool_.CloseLongestUnfinished(other, now_));
+  now_ += std::chrono::seconds(2);
+  EXPECT_FALSE(pool_.CloseLongestUnfinished(*slow, now_));
+  EXPECT_TRUE(pool_.CloseLongestUnfinished(other, now_));
+  EXPECT_TRUE(slow->is_closed);
+  EXPECT_FALSE(idle->is_closed);
+  EXPECT_EQ(budget_->used(), 0u);
+}
+
 }  // namespace
 }  // namespace applehall
--- a/tests/drivers/http_test.cc
+++ b/tests/drivers/http_test.cc
@@ -161,6 +161,27 @@
   EXPECT_NE(answer.find("HTTP/1.1 200"), std::string::npos);
 }
 
+// Guards against a request that does not fit into the memory and is not told
+// so, and against a long one that keeps a short one out.
+TEST_F(HttpTest, RequestsBeyondTheMemoryAreRefusedWith503) {
+  const auto memory = std::make_shared<MemoryBudget>(256 * 1024);
+  StartServer({}, {.memory = memory, .connections = nullptr});
+  const HttpResult refused =
+      FetchBlocking(Call("/x", std::string(300 * 1024, 'a')));
+  EXPECT_EQ(refused.response.status, 503);
+  EXPECT_TRUE(refused.response.headers.contains("retry-after"));
+  EXPECT_NE(refused.response.body.find("not_run"), std::string::npos);
+  MemoryCharge others(memory);
+  EXPECT_TRUE(others.TryGrowTo(192 * 1024));
+  EXPECT_EQ(
+      FetchBlocking(Call("/x", std::string(100 * 1024, 'a'))).response.status,
+      503);
+  EXPECT_TRUE(FetchBlocking(Call("/x", "short")).is_ok());
+  others.Release();
+  EXPECT_TRUE(FetchBlocking(Call("/x", std::string(100 * 1024, 'a'))).is_ok());
+  EXPECT_EQ(memory->used(), 0u);
+}
+
 // Guards against a timed-out request that the kernel still delivers when a
 // network partition ends, after the client has closed the connection normally.
 // A peer that receives a reset discards the bytes.
--- a/tests/platform/edge_fixture.h
+++ b/tests/platform/edge_fixture.h
@@ -80,7 +80,7 @@
   EdgeTest()
       : server_(io_),
         ingress_(io_, Address{"127.0.0.1", ChoosePort()},
-                 Address{"127.0.0.1", 0}, "key", /*max_connections=*/1000,
+                 Address{"127.0.0.1", 0}, "key", /*max_connections=*/1000, nullptr,
                  [this](Event event) { events_.push_back(std::move(event)); }),
         engines_(
             io_, "edge-1", "key",
--- a/tests/platform/forwarded_request_test.cc
+++ b/tests/platform/forwarded_request_test.cc
@@ -26,7 +26,7 @@
            const std::string& key)
       : forward_address(kLoopback + (":" + std::to_string(forwards))),
         ingress(io, Address{kLoopback, callers}, Address{kLoopback, forwards},
-                key, /*max_connections=*/1000,
+                key, /*max_connections=*/1000, nullptr,
                 [this](Event event) { events.push_back(event); }),
         engines(
             io, "host", key, [this](Event event) { events.push_back(event); },
