Answers that callers do not read share one budget of memory

What a host showed, on a machine of 64 MB: 48 callers that never read answers of 4 MB, 132 MB; 600 that never read streams, 109 MB.

Cause: answers counted towards a bound while they were read from their servers, and no longer while they waited for their callers. Streams had 256 KB each and nothing together; events that were not whole were not counted.

Change: MemoryBudget, a fourth of the machine's memory, charged from the first byte of an answer until its caller has read it. It takes the place of the bound on answers being read. While it is used up, servers are read no further, and the caller that has read nothing for longest is closed, if that is a second at least; after 3 s without memory an answer is given up.

--- a/drivers/caller_session.cc
+++ b/drivers/caller_session.cc
@@ -51,6 +51,8 @@
   ReplyPart part;
   part.kind = ReplyPart::Kind::kChunk;
   part.data = std::move(data);
+  part.charge = MemoryCharge(budget_);
+  part.charge.Set(part.data.size());
   Push(std::move(part));
 }
 
--- a/drivers/caller_session.h
+++ b/drivers/caller_session.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "core/memory_budget.h"
 #include "core/verdict.h"
 #include "drivers/http_message.h"
 
@@ -25,6 +26,7 @@
   std::string data;       // kChunk.
   Refusal refusal;        // kRefusal.
   std::string rule;
+  MemoryCharge charge;  // For `response.body` and `data`.
 };
 
 // An open request of one caller with the queue of its response parts. The one
@@ -35,12 +37,16 @@
 // memory.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
  public:
+  // Chunks are charged to `budget` until they are written; null: unbounded
+  // together.
   CallerSession(boost::asio::io_context& io, uint64_t handle,
-                std::shared_ptr<const HttpRequest> request)
+                std::shared_ptr<const HttpRequest> request,
+                std::shared_ptr<MemoryBudget> budget = nullptr)
       : io_(io),
         part_added_(io),
         handle_(handle),
-        request_(std::move(request)) {}
+        request_(std::move(request)),
+        budget_(std::move(budget)) {}
 
   // Thread-safe. Parts pushed after Close() are ignored.
   void Push(ReplyPart part);
@@ -99,6 +105,7 @@
   boost::asio::steady_timer part_added_;
   uint64_t handle_;
   std::shared_ptr<const HttpRequest> request_;
+  std::shared_ptr<MemoryBudget> budget_;
   std::function<std::optional<Duration>()> close_probe_;
   std::deque<ReplyPart> parts_;
   std::atomic<size_t> buffered_bytes_{0};
--- a/drivers/event_stream.h
+++ b/drivers/event_stream.h
@@ -20,6 +20,8 @@
   std::string Add(std::string_view bytes);
   // Returns whether an event has begun and is not complete.
   bool has_partial() const { return !partial_.empty(); }
+  // Memory that the event that has begun takes up.
+  size_t partial_bytes() const { return partial_.capacity(); }
   // Returns whether the event that has begun is longer than kMaxEventBytes.
   bool is_too_long() const { return partial_.size() > kMaxEventBytes; }
 
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -354,10 +354,6 @@
                                       std::string& body) {
   const SystemClock clock{};
   std::string error;
-  size_t read_bytes = 0;
-  size_t unshared = 0;
-  size_t& shared =
-      limits.shared_bytes == nullptr ? unshared : *limits.shared_bytes;
   while (!stream.is_complete() && error.empty()) {
     const Duration time_left = limits.read_by - clock.Now();
     if (time_left <= Duration::zero()) {
@@ -365,23 +361,22 @@
       break;
     }
     const std::string piece = co_await stream.ReadSome(time_left);
-    read_bytes += piece.size();
-    shared += piece.size();
-    const bool is_too_much =
-        limits.shared_bytes != nullptr && shared > limits.max_shared_bytes;
-    if (read_bytes > limits.max_bytes) {
+    if (piece.empty() && !stream.is_complete()) co_return stream.error();
+    const size_t size = body.size() + piece.size();
+    if (size > limits.max_bytes) {
       error = "the body is longer than " + std::to_string(limits.max_bytes) +
               " bytes";
-    } else if (is_too_much) {
-      error = "bodies being read exceed " +
-              std::to_string(limits.max_shared_bytes) + " bytes";
-    } else if (piece.empty() && !stream.is_complete()) {
-      shared -= read_bytes;
-      co_return stream.error();
+      break;
+    }
+    // A string that grows has up to twice its size.
+    while (limits.charge != nullptr && !limits.charge->TryGrowTo(2 * size)) {
+      const bool has_memory = co_await limits.await_memory();
+      if (has_memory) continue;
+      error = "the memory for answers is used up";
+      break;
     }
     if (error.empty()) body += piece;
   }
-  shared -= read_bytes;
   if (!error.empty()) stream.Cancel();
   co_return error;
 }
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "core/memory_budget.h"
 #include "core/settings_reader.h"
 #include "drivers/http_message.h"
 
@@ -54,10 +55,11 @@
 struct BodyLimits {
   size_t max_bytes = 0;
   TimePoint read_by;
-  // Size of all bodies that are being read and share `max_shared_bytes`, if
-  // they do.
-  size_t* shared_bytes = nullptr;
-  size_t max_shared_bytes = 0;
+  // Charged for the body as it is read; null: not charged.
+  MemoryCharge* charge = nullptr;
+  // Called while the charge does not fit; waits for memory. Returns false if
+  // there will be none in time.
+  std::function<boost::asio::awaitable<bool>()> await_memory = nullptr;
 };
 
 // Reads the rest of the response body. Returns why it is not whole, which is
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -162,6 +162,12 @@
 
   void Abort() override { is_ok_ = false; }
 
+  void Reset() override {
+    is_ok_ = false;
+    SetDiscardOnClose(stream_.socket().native_handle(), true);
+    stream_.close();
+  }
+
   // True if a part of the response may have been sent.
   bool has_begun() const { return has_begun_; }
 
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -68,6 +68,9 @@
   // Closes the connection without ending the response, so that the peer detects
   // an incomplete response.
   virtual void Abort() = 0;
+  // Aborts and ends a pending Respond(), Write() or EndStream(), discarding
+  // what the peer has not read. Thread: the server's.
+  virtual void Reset() = 0;
 };
 
 using HttpHandler =
--- a/tests/platform/edge_fixture.h
+++ b/tests/platform/edge_fixture.h
@@ -80,7 +80,7 @@
   EdgeTest()
       : server_(io_),
         ingress_(io_, Address{"127.0.0.1", ChoosePort()},
-                 Address{"127.0.0.1", 0}, "key", /*max_connections=*/1000, nullptr,
+                 Address{"127.0.0.1", 0}, "key", /*max_connections=*/1000, memory_,
                  [this](Event event) { events_.push_back(std::move(event)); }),
         engines_(
             io_, "edge-1", "key",
@@ -163,6 +163,7 @@
   ScriptedServer server_;
   uint16_t port_ = 0;
   std::deque<Event> events_;
+  CallerMemory memory_;
   Ingress ingress_;
   EngineClient engines_;
   std::unique_ptr<tcp::socket> caller_;
--- a/tests/platform/forwarded_request_test.cc
+++ b/tests/platform/forwarded_request_test.cc
@@ -26,7 +26,7 @@
            const std::string& key)
       : forward_address(kLoopback + (":" + std::to_string(forwards))),
         ingress(io, Address{kLoopback, callers}, Address{kLoopback, forwards},
-                key, /*max_connections=*/1000, nullptr,
+                key, /*max_connections=*/1000, CallerMemory{},
                 [this](Event event) { events.push_back(event); }),
         engines(
             io, "host", key, [this](Event event) { events.push_back(event); },
@@ -184,7 +184,7 @@
   begin.response.headers[wire::kServerStamp] = "stamp";
   begin.response.headers["content-type"] = "text/event-stream";
   WriteOrigin(StreamOrigin{"llm", "v1"}, begin.response.headers);
-  HelperSession()->Push(begin);
+  HelperSession()->Push(std::move(begin));
   HelperSession()->PushChunk("id: 1\ndata: a\n\n");
   ASSERT_TRUE(RunUntil([this] { return !body_.empty(); }));
   const auto* started = cut_->Find<AttemptStarted>();
@@ -203,7 +203,7 @@
   part.response.headers[wire::kAttemptId] = "id-1";
   part.response.headers[wire::kServerStamp] = "stamp";
   part.response.body = "whole";
-  HelperSession()->Push(part);
+  HelperSession()->Push(std::move(part));
   ASSERT_TRUE(RunUntil([this] { return is_done_; }));
   EXPECT_EQ(stream_->head().status, 500);
   EXPECT_EQ(stream_->head().headers.at(wire::kServerStamp), "stamp");
@@ -221,7 +221,7 @@
   begin.response.headers[wire::kAttemptId] = "id-1";
   begin.response.headers[wire::kServerStamp] = "stamp";
   begin.response.headers["content-type"] = "text/event-stream";
-  session->Push(begin);
+  session->Push(std::move(begin));
   session->PushChunk("id: 1\ndata: a\n\n");
   ASSERT_TRUE(RunUntil([this] { return !body_.empty(); }));
   EXPECT_EQ(body_, "id: 1\ndata: a\n\n");
