What callers send ahead of an open request is charged

What a host showed, on a machine of 64 MB: 390 callers that send 4 MB behind an open request, 559 MB, nearly all of it unread in the kernel, which the platform counts.

Cause: the kernel lets the receive buffer of a connection grow to megabytes, and nothing counted it.

Change: the buffer of a connection stays at 64 KiB. Unread bytes behind an open request are charged to the budget of requests; a caller whose bytes do not fit counts as gone.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -51,6 +51,9 @@
 // refusal: a close with unread bytes would discard the refusal.
 constexpr Duration kDiscardTime = std::chrono::seconds(1);
 constexpr size_t kDiscardBlockBytes = 4 * 1024;
+// Of a connection, in the kernel; twice as much is set aside.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+
 using RequestParser = http::request_parser<http::string_body>;
 
 // Reads the head. Fields of trailers are not taken into it later: nothing that
@@ -168,6 +171,11 @@
     stream_.close();
   }
 
+  // Charges for what the peer sends ahead while the request is open.
+  void LimitUnread(MemoryCharge charge) {
+    watch_->LimitUnread(std::move(charge));
+  }
+
   // True if a part of the response may have been sent.
   bool has_begun() const { return has_begun_; }
 
@@ -220,7 +228,13 @@
         pool_(has_own_pool_
                   ? std::make_shared<ConnectionPool>(limits.connections)
                   : std::move(resources.connections)),
-        port_(acceptor_.local_endpoint().port()) {}
+        port_(acceptor_.local_endpoint().port()) {
+    // Inherited by the connections. Without it the kernel lets the buffer of a
+    // connection grow to megabytes, whatever the process may use.
+    error_code ignored;
+    acceptor_.set_option(
+        asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
+  }
 
   void Start() {
     StartDuty(io_, "accept",
@@ -323,6 +337,7 @@
     parser.reset();
     BeastExchange exchange(stream, std::move(request), keep_alive, limits,
                            self->is_closing_);
+    exchange.LimitUnread(MemoryCharge(self->budget_));
     stream.expires_never();
     std::exception_ptr failure;
     try {
--- a/drivers/peer_close_watcher.cc
+++ b/drivers/peer_close_watcher.cc
@@ -1,11 +1,13 @@
 #include "drivers/peer_close_watcher.h"
 
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio.hpp>
 #include <cerrno>
 
+#include "core/event_log.h"
 #include "drivers/socket_options.h"
 
 namespace applehall {
@@ -85,16 +87,33 @@
       return;
     case PeerState::kOpenWithBytes:
       // They belong to the next request, which is read later.
-      CheckLater();
+      if (ChargeUnread()) {
+        CheckLater();
+        return;
+      }
+      LogEvent(LogLevel::kWarning, "caller_sent_ahead")
+          .With("unread_bytes", unread_.bytes())
+          .With("reason", "the memory for requests is used up");
+      ReportClosed(age);
       return;
     case PeerState::kClosed:
-      closed_at_ = clock_.Now() - age;
-      is_disconnected_ = true;
-      if (on_disconnect_) std::exchange(on_disconnect_, nullptr)();
+      ReportClosed(age);
       return;
   }
 }
 
+void PeerCloseWatcher::ReportClosed(Duration age) {
+  closed_at_ = clock_.Now() - age;
+  is_disconnected_ = true;
+  if (on_disconnect_) std::exchange(on_disconnect_, nullptr)();
+}
+
+bool PeerCloseWatcher::ChargeUnread() {
+  int size = 0;
+  if (::ioctl(socket_->native_handle(), FIONREAD, &size) != 0) return true;
+  return unread_.TryGrowTo(static_cast<size_t>(size));
+}
+
 void PeerCloseWatcher::Stop() {
   {
     const std::lock_guard lock(mutex_);
--- a/drivers/peer_close_watcher.h
+++ b/drivers/peer_close_watcher.h
@@ -11,6 +11,7 @@
 #include <optional>
 
 #include "core/clock.h"
+#include "core/memory_budget.h"
 
 namespace applehall {
 
@@ -30,6 +31,9 @@
   void SetOnDisconnect(std::function<void()> callback) {
     on_disconnect_ = std::move(callback);
   }
+  // Charges for the bytes that the peer sends while nothing is read; if they do
+  // not fit, the peer counts as gone. Thread: as above.
+  void LimitUnread(MemoryCharge charge) { unread_ = std::move(charge); }
   // True once a close has been noticed. Thread-safe.
   bool is_disconnected() const { return is_disconnected_; }
   // Returns how long ago the peer's close reached this machine, also if the
@@ -46,6 +50,9 @@
   void AwaitReadable();
   void CheckLater();
   void HandleReadable();
+  void ReportClosed(Duration age);
+  // Returns false if the unread bytes do not fit into their budget.
+  bool ChargeUnread();
 
   SystemClock clock_;
   mutable std::mutex mutex_;  // Guards `socket_` between threads.
@@ -53,6 +60,7 @@
   boost::asio::cancellation_signal cancel_;
   std::optional<boost::asio::steady_timer> recheck_;
   std::function<void()> on_disconnect_;
+  MemoryCharge unread_;
   std::atomic<bool> is_disconnected_{false};
   std::atomic<TimePoint> closed_at_{TimePoint{}};  // If `is_disconnected_`.
 };
