A request at the limit of a head passes the next host

What callers saw: by reading, a request whose head is just inside max_header_bytes and that is sent on to another host gets 431 there, as the first host adds fields.

ForwardedRequestTest.HeadJustInsideTheLimitPassesTheNextHost. It was not run on the code before.

--- a/tests/platform/forwarded_request_test.cc
+++ b/tests/platform/forwarded_request_test.cc
@@ -254,6 +254,15 @@
 }
 
 // Guards against anyone but a host that has requests decided as forwarded.
+// Guards against a request that its first host takes and the next one refuses.
+TEST_F(ForwardedRequestTest, HeadJustInsideTheLimitPassesTheNextHost) {
+  const HttpServerLimits limits;
+  SendAndForward(kKey,
+                 {{"x-long", std::string(limits.header_bytes - 400, 'h')}});
+  ASSERT_TRUE(
+      RunUntil([this] { return helper_->Find<RequestArrived>() != nullptr; }));
+}
+
 TEST_F(ForwardedRequestTest, RequestWithoutProofIsRejected) {
   SendAndForward("another key");
   ASSERT_NE(AwaitEnd(), nullptr);
