--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -197,11 +197,19 @@
   bool is_complete_ = false;
 };
 
-HttpResponse LimitRefusal(int status, const std::string& reason) {
+// Why a request was not read.
+struct ReadRefusal {
+  int status = 0;
+  std::string reason;
+};
+
+HttpResponse RefusalResponse(const ReadRefusal& refusal) {
   HttpResponse response = HttpResponse::JsonText(
-      status,
-      "{\"error\":{\"verdict\":\"not_run\",\"reason\":\"" + reason + "\"}}");
-  if (status == 503) response.headers["retry-after"] = kRetryAfterSeconds;
+      refusal.status, "{\"error\":{\"verdict\":\"not_run\",\"reason\":\"" +
+                          refusal.reason + "\"}}");
+  if (refusal.status == 503) {
+    response.headers["retry-after"] = kRetryAfterSeconds;
+  }
   return response;
 }
 
@@ -357,7 +365,7 @@
   // How the reading of a request ended: whole if neither is set.
   struct ReadResult {
     error_code error;
-    std::optional<HttpResponse> refusal;
+    std::optional<ReadRefusal> refusal;
   };
 
   // Reads a request into the parser and charges for it as its bytes arrive. A
@@ -404,11 +412,11 @@
           is_charged = connection.charge.TryGrowTo(head_cost + body);
         }
         if (!is_charged) {
-          result.refusal = LimitRefusal(503, "memory_used_up");
+          result.refusal = ReadRefusal{503, "memory_used_up"};
           break;
         }
         if (read_bytes > max_bytes) {
-          result.refusal = LimitRefusal(431, "framing_too_large");
+          result.refusal = ReadRefusal{431, "framing_too_large"};
           break;
         }
         if (parser.is_done()) break;
@@ -423,13 +431,13 @@
   }
 
   // Returns nothing if the peer disconnected or timed out.
-  static std::optional<HttpResponse> RefusalOf(error_code error) {
+  static std::optional<ReadRefusal> RefusalOf(error_code error) {
     if (error == http::error::header_limit ||
         error == http::error::buffer_overflow) {
-      return LimitRefusal(431, "header_too_large");
+      return ReadRefusal{431, "header_too_large"};
     }
     if (error == http::error::body_limit) {
-      return LimitRefusal(413, "body_too_large");
+      return ReadRefusal{413, "body_too_large"};
     }
     const bool is_syntax =
         error.category() ==
@@ -438,21 +446,22 @@
         error == http::error::partial_message) {
       return std::nullopt;
     }
-    return LimitRefusal(400, "malformed_http");
+    return ReadRefusal{400, "malformed_http"};
   }
 
   // Sends the refusal and lets it arrive: the peer may still be sending.
   static asio::awaitable<void> Refuse(Impl& server, Connection& connection,
-                                      HttpResponse refusal) {
+                                      ReadRefusal refusal) {
     beast::tcp_stream& stream = connection.stream;
     LogEvent(LogLevel::kWarning, "request_not_read")
         .With("status", refusal.status)
-        .With("reason", refusal.body)
+        .With("reason", refusal.reason)
         .With("memory_used", server.budget_ ? server.budget_->used() : 0);
     {
       BeastExchange exchange(stream, {}, /*keep_alive=*/false, server.limits_,
                              server.is_closing_);
-      co_await exchange.Respond(std::move(refusal));
+      HttpResponse response = RefusalResponse(refusal);
+      co_await exchange.Respond(std::move(response));
     }
     error_code error;
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
--- a/drivers/peer_close_watcher.cc
+++ b/drivers/peer_close_watcher.cc
@@ -120,6 +120,7 @@
     socket_ = nullptr;
   }
   on_disconnect_ = nullptr;
+  unread_.Release();
   if (recheck_) recheck_->cancel();
   cancel_.emit(asio::cancellation_type::all);
 }
--- a/drivers/websocket_link.cc
+++ b/drivers/websocket_link.cc
@@ -296,8 +296,8 @@
     return link;
   }
 
-  // Until its handshake is complete a peer is unknown: few are let in, and with
-  // short messages only.
+  // Limits the number of peers whose handshake is not complete, and the size of
+  // their messages.
   void HandleAccept(Handle handle) {
     for (auto it = unknown_peers_.begin(); it != unknown_peers_.end();) {
       it = it->expired() ? unknown_peers_.erase(it) : std::next(it);
