--- a/tests/platform/edge_fixture.h
+++ b/tests/platform/edge_fixture.h
@@ -80,7 +80,8 @@
   EdgeTest()
       : server_(io_),
         ingress_(io_, Address{"127.0.0.1", ChoosePort()},
-                 Address{"127.0.0.1", 0}, "key", /*max_connections=*/1000, memory_,
+                 Address{"127.0.0.1", 0}, "key", /*max_connections=*/1000,
+                 memory_,
                  [this](Event event) { events_.push_back(std::move(event)); }),
         engines_(
             io_, "edge-1", "key",
