A status outside 100 to 599 is no answer

Callers got answers with a status of 000, 001, 099, 600 or 999, as a whole or as events, with the engine's stamp: HTTP/1.1 defines no such status.

Cause: Beast's parser takes any three digits, and what it could parse was a response for every caller of HttpClient. A head of status 000 that said X-Not-Executed was taken for the proof that the request had not run, so that one which may not be repeated could be sent again; the limits and loads that it named counted too.

Evidence: BrokenAnswerTest.StatusOutOfRangeIsNoAnswer and StatusOutOfRangeProvesNothing failed on the code as it was (the caller received "HTTP/1.1 000 <unknown-status>" with the body). Ruled out: status lines of two or four digits, with signs, blanks or letters, and of other versions; the parser rejects them (MalformedStatusLineIsNoAnswer passed before).

Change: one check in the place where heads are read, so that engines, services, other hosts, the store, orders, reports and applehalld share it. A head that is none leaves the call in the state "may be sent", as a connection that breaks off does: what may not be repeated is not sent again. Statuses of 100 to 599 pass unchanged (StatusesInRangeArePassedOn).

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -12,6 +12,7 @@
 #include "core/clock.h"
 #include "drivers/background_task.h"
 #include "drivers/connection_closer.h"
+#include "drivers/response_check.h"
 #include "drivers/socket_options.h"
 
 namespace applehall {
@@ -273,6 +274,11 @@
         is_closed_by_peer_ = IsPeerClose(error);
         co_return;
       }
+      const std::string fault = FindHeadFault(parser_->get());
+      if (!fault.empty()) {
+        error_ = "no response: " + fault;
+        co_return;
+      }
       const unsigned status = parser_->get().result_int();
       if (status / 100 != 1) break;
       if (status == kSwitchingProtocols || interim_heads == kMaxInterimHeads) {
--- /dev/null
+++ b/tests/platform/broken_answer_test.cc
@@ -0,0 +1,87 @@
+// Answers that are none by their head: the request may have run, and nothing of
+// them reaches the caller.
+
+#include <absl/strings/str_cat.h>
+
+#include "tests/platform/edge_fixture.h"
+
+namespace applehall {
+namespace {
+
+constexpr char kFields[] = "X-Attempt-Id: id-1\r\nX-Server-Stamp: s\r\n";
+
+class BrokenAnswerTest : public EdgeTest {
+ protected:
+  AttemptEnded Answer(const std::string& answer) {
+    events_.clear();
+    server_.answers = {answer};
+    Dispatch(SendRequest().handle);
+    return WaitForAttemptEnd();
+  }
+
+  void ExpectNoAnswer(const std::string& answer) {
+    const AttemptEnded ended = Answer(answer);
+    EXPECT_EQ(ended.result, AttemptResult::kBroken) << answer;
+    EXPECT_FALSE(ended.has_delivered) << answer;
+    EXPECT_EQ(ReceivedByCaller(), "") << answer;
+    received_.clear();
+  }
+
+  void ExpectPassedOn(const std::string& answer, const std::string& status_line,
+                      const std::string& body) {
+    EXPECT_EQ(Answer(answer).result, AttemptResult::kCompleted) << answer;
+    const std::string received = ReceivedByCaller();
+    EXPECT_TRUE(received.starts_with(status_line)) << received;
+    EXPECT_TRUE(received.ends_with("\r\n\r\n" + body)) << received;
+    received_.clear();
+  }
+};
+
+// Guards against an answer whose status no protocol defines and that reaches
+// the caller, as a whole or as events.
+TEST_F(BrokenAnswerTest, StatusOutOfRangeIsNoAnswer) {
+  for (const char* status : {"000", "001", "010", "099", "600", "700", "999"}) {
+    const std::string head =
+        absl::StrCat("HTTP/1.1 ", status, " Trouble\r\n", kFields);
+    ExpectNoAnswer(absl::StrCat(head, "Content-Length: 5\r\n\r\nhello"));
+    ExpectNoAnswer(absl::StrCat(head, "\r\nhello"));
+    ExpectNoAnswer(absl::StrCat(head,
+                                "Content-Type: text/event-stream\r\n\r\n"
+                                "id: 1\ndata: a\n\n"));
+  }
+}
+
+// Guards against a request that is sent again, or that its caller is told to
+// send again, because a head that is none says that it did not run.
+TEST_F(BrokenAnswerTest, StatusOutOfRangeProvesNothing) {
+  for (const char* status : {"000", "099", "600", "999"}) {
+    ExpectNoAnswer(absl::StrCat("HTTP/1.1 ", status, " Full\r\n", kFields,
+                                "X-Not-Executed: 1\r\nServer-Limit: 1.5\r\n"
+                                "Content-Length: 0\r\n\r\n"));
+    EXPECT_EQ(Find<AttemptEnded>()->limit.kind, ReportedLimit::Kind::kUnknown)
+        << status;
+  }
+}
+
+TEST_F(BrokenAnswerTest, StatusesInRangeArePassedOn) {
+  for (const char* status : {"200", "299", "301", "400", "499", "500", "599"}) {
+    ExpectPassedOn(absl::StrCat("HTTP/1.1 ", status, " Known\r\n", kFields,
+                                "Content-Length: 5\r\n\r\nhello"),
+                   absl::StrCat("HTTP/1.1 ", status, " "), "hello");
+  }
+}
+
+TEST_F(BrokenAnswerTest, MalformedStatusLineIsNoAnswer) {
+  for (const char* line :
+       {"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK",
+        "HTTP/1.1 -20 OK", "HTTP/1.1  200 OK", "HTTP/1.1200 OK",
+        "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.2 200 OK", "HTTP 200 OK",
+        "http/1.1 200 OK", "ICY 200 OK", " HTTP/1.1 200 OK",
+        "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\x7fK"}) {
+    ExpectNoAnswer(
+        absl::StrCat(line, "\r\n", kFields, "Content-Length: 5\r\n\r\nhello"));
+  }
+}
+
+}  // namespace
+}  // namespace applehall
--- a/tests/platform/edge_fixture.h
+++ b/tests/platform/edge_fixture.h
@@ -24,7 +24,8 @@
     "Content-Length: 5\r\n\r\nhello";
 
 // Serves one connection at a time: reads a request, sends the next scripted
-// text, then the filler again and again until the caller closes, and closes.
+// text, then the filler again and again until the caller closes, and closes,
+// unless it keeps connections.
 class ScriptedServer {
  public:
   explicit ScriptedServer(asio::io_context& io)
@@ -42,11 +43,37 @@
   std::string filler;
   size_t filler_bytes = 0;  // Written so far.
   bool is_filler_refused = false;
+  // Serves the next requests on the same connection and others beside it.
+  bool keeps_connections = false;
+  int connections = 0;
 
  private:
+  asio::awaitable<void> Keep(tcp::socket socket) {
+    std::string buffer;
+    while (true) {
+      const auto [error, size] = co_await asio::async_read_until(
+          socket, asio::dynamic_buffer(buffer), "\r\n\r\n",
+          asio::as_tuple(asio::use_awaitable));
+      if (error || answers.empty()) co_return;
+      requests.push_back(buffer.substr(0, size));
+      buffer.erase(0, size);
+      const std::string answer = answers.front();
+      answers.pop_front();
+      const auto written = co_await asio::async_write(
+          socket, asio::buffer(answer), asio::as_tuple(asio::use_awaitable));
+      (void)written;
+    }
+  }
+
   asio::awaitable<void> Serve() {
     while (true) {
       tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
+      ++connections;
+      if (keeps_connections) {
+        asio::co_spawn(acceptor_.get_executor(), Keep(std::move(socket)),
+                       asio::detached);
+        continue;
+      }
       std::string request;
       const auto read = co_await asio::async_read_until(
           socket, asio::dynamic_buffer(request), "\r\n\r\n",
@@ -135,6 +162,8 @@
     dispatch.deadline = SystemClock().Now() + std::chrono::seconds(4);
     dispatch.priority = 2;
     dispatch.team = team_;
+    dispatch.is_repeatable = is_repeatable_;
+    dispatch.has_retries = has_retries_;
     engines_.Dispatch(dispatch, ingress_.Find(handle));
   }
 
@@ -170,6 +199,8 @@
   std::unique_ptr<tcp::socket> caller_;
   std::string received_;
   std::optional<std::string> team_;  // Of the dispatched request.
+  bool is_repeatable_ = true;        // The dispatched request.
+  bool has_retries_ = false;         // The dispatched request.
   int cancels_after_close_ = 0;
 };
 
