Tests of heads that the parser already rejects

Names of fields that are no tokens (a blank, a tab, a blank before the colon, control bytes, NUL, DEL, CR, a high byte, none, brackets), alone and where they would hide the length of the body, also in trailers; control bytes in values; chunks that are none. On other systems such answers reached clients with that line passed on, or with a body that was not the engine's.

--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -83,5 +83,56 @@
   }
 }
 
+// Guards against a line of the head that is no field and is passed on, or that
+// hides the length of the body.
+TEST_F(BrokenAnswerTest, NameOfAFieldThatIsNoTokenIsNoAnswer) {
+  const std::string nul("X-Te\0st", 7);
+  for (const std::string& name :
+       {std::string("X Test"), std::string("X-Test "), std::string("X-Test\t"),
+        std::string("X\x01Test"), nul, std::string("X\x7fTest"),
+        std::string("X\rTest"), std::string("X\x80Test"), std::string(""),
+        std::string("X(Test)"), std::string("X[Test]"),
+        std::string("Content Length"), std::string("Content-Length "),
+        std::string("Transfer-Encoding\t"), std::string("Content-Type ")}) {
+    for (const char* place : {"", kFields}) {
+      ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", place, name, ": 2\r\n",
+                                  kFields, "Content-Length: 5\r\n\r\nhello"));
+      ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", place, kFields, name,
+                                  ": 2\r\n\r\nhi"));
+    }
+    ExpectNoAnswer(
+        absl::StrCat("HTTP/1.1 200 OK\r\n", kFields,
+                     "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+                     name, ": 2\r\n\r\n"));
+  }
+  ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields,
+                              "X-Test\r\nContent-Length: 5\r\n\r\nhello"));
+}
+
+TEST_F(BrokenAnswerTest, ControlBytesInAValueAreNoAnswer) {
+  const std::string nul("a\0b", 3);
+  for (const std::string& value :
+       {nul, std::string("a\x01z"), std::string("a\rb"), std::string("a\nb"),
+        std::string("a\x7fz")}) {
+    ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields, "X-Test: ",
+                                value, "\r\nContent-Length: 5\r\n\r\nhello"));
+  }
+}
+
+// Guards against chunks that are none and whose bytes are passed on.
+TEST_F(BrokenAnswerTest, MalformedChunksAreNoAnswer) {
+  for (const char* chunks :
+       {"z\r\nhello\r\n0\r\n\r\n", "-5\r\nhello\r\n0\r\n\r\n",
+        "+5\r\nhello\r\n0\r\n\r\n", "0x5\r\nhello\r\n0\r\n\r\n",
+        "5\r\nhello!\r\n0\r\n\r\n", "5\nhello\n0\n\n",
+        "10000000000000005\r\nhello\r\n0\r\n\r\n",
+        "5\r\nhello\r\n0\r\nX Trailer: 1\r\n\r\n",
+        "5\r\nhello\r\n0\r\nContent-Length: 5\r\n\r\n", "5\r\nhello\r\n0\r\n",
+        "5\r\nhello\r\n"}) {
+    ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields,
+                                "Transfer-Encoding: chunked\r\n\r\n", chunks));
+  }
+}
+
 }  // namespace
 }  // namespace applehall
