A head with a continued line is no answer

Callers got an answer of which a line began with a blank: the parser joins it to the field before it, so that "X-Server-Stamp: s" and " X-Test: 1" reached the caller as the stamp "s X-Test: 1", and a Content-Length behind a blank was lost in the field above it.

Cause: the parser's value does not tell whether its line was continued, and the reader looked at nothing else. RFC 9112, section 5.2, leaves an intermediary the choice to answer 502 or to join; joined fields are not what the engine's stamp or our decisions can rest on.

Evidence: BrokenAnswerTest.FoldedLineIsNoAnswer failed on the code as it was.

Change: the reader first buffers a whole head, looks at its lines and then parses it. The buffer is bounded by the limit of a head meanwhile; a head without end is still broken off (UnboundedAnswerTest), one that stops still counts as a close by the peer (AnswerHeadTest).

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
+#include <boost/beast/core/buffer_ref.hpp>
 #include <deque>
 #include <map>
 #include <optional>
@@ -263,22 +264,41 @@
     parser_->body_limit(boost::none);
   }
 
+  // Reads one head and parses it. Returns false if it is none.
+  asio::awaitable<bool> ReadOneHead() {
+    // The lines are checked before the parser joins them.
+    buffer_.max_size(kMaxHeaderBytes);
+    const auto [read_error, head_size] = co_await asio::async_read_until(
+        *stream_, beast::ref(buffer_), "\r\n\r\n", kToken);
+    error_code error = read_error;
+    std::string fault;
+    if (!error) {
+      const std::string_view head(
+          static_cast<const char*>(buffer_.data().data()), head_size);
+      fault = FindLineFault(head);
+    }
+    buffer_.max_size(kMaxBufferBytes);
+    if (!error && fault.empty()) {
+      const auto [parse_error, size] =
+          co_await http::async_read_header(*stream_, buffer_, *parser_, kToken);
+      error = parse_error;
+    }
+    if (error) {
+      is_closed_by_peer_ = IsPeerClose(error);
+      fault = error == asio::error::not_found ? "the head is too long"
+                                              : error.message();
+    }
+    if (fault.empty()) fault = FindHeadFault(parser_->get());
+    if (!fault.empty()) error_ = "no response: " + fault;
+    co_return fault.empty();
+  }
+
   // Interim heads (1xx) may precede the response; none is one.
   asio::awaitable<void> ReadHead(const HttpCall& call) {
     stream_->expires_after(ClampToTotalTimeout(call.header_timeout));
     for (int interim_heads = 0;; ++interim_heads) {
-      const auto [error, size] =
-          co_await http::async_read_header(*stream_, buffer_, *parser_, kToken);
-      if (error) {
-        error_ = "no response: " + error.message();
-        is_closed_by_peer_ = IsPeerClose(error);
-        co_return;
-      }
-      const std::string fault = FindHeadFault(parser_->get());
-      if (!fault.empty()) {
-        error_ = "no response: " + fault;
-        co_return;
-      }
+      const bool is_head = co_await ReadOneHead();
+      if (!is_head) co_return;
       const unsigned status = parser_->get().result_int();
       if (status / 100 != 1) break;
       if (status == kSwitchingProtocols || interim_heads == kMaxInterimHeads) {
--- a/drivers/response_check.cc
+++ b/drivers/response_check.cc
@@ -11,6 +11,12 @@
 
 }  // namespace
 
+std::string FindLineFault(std::string_view head) {
+  const bool is_folded = head.find("\r\n ") != std::string_view::npos ||
+                         head.find("\r\n\t") != std::string_view::npos;
+  return is_folded ? "a line of the head is continued" : "";
+}
+
 std::string FindHeadFault(const ResponseHead& head) {
   const unsigned status = head.result_int();
   if (status < kMinStatus || status > kMaxStatus) {
--- a/drivers/response_check.h
+++ b/drivers/response_check.h
@@ -4,11 +4,17 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <string>
+#include <string_view>
 
 namespace applehall {
 
 using ResponseHead = boost::beast::http::response_header<>;
 
+// Returns why the lines of a head, as received, cannot be parsed safely; empty
+// if they can. A line that continues the one before it may be neither passed on
+// nor dropped (RFC 9112, section 5.2). Thread-safe.
+std::string FindLineFault(std::string_view head);
+
 // Returns why the head is not that of an HTTP/1.1 response, though it can be
 // parsed; empty if it is one. The peer may have processed the request all the
 // same. Thread-safe.
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -134,5 +134,18 @@
   }
 }
 
+// Guards against a line that begins with a blank and becomes a part of the
+// field before it.
+TEST_F(BrokenAnswerTest, FoldedLineIsNoAnswer) {
+  for (const char* blank : {" ", "\t"}) {
+    ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields, blank,
+                                "X-Test: 1\r\nContent-Length: 5\r\n\r\nhello"));
+    ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields, blank,
+                                "Content-Length: 5\r\n\r\nhello"));
+    ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", blank, kFields,
+                                "Content-Length: 5\r\n\r\nhello"));
+  }
+}
+
 }  // namespace
 }  // namespace applehall
