A transfer coding that is not undone makes no answer

Callers got a body that was not the engine's: with "Transfer-Encoding: gzip", "chunked, gzip", "gzip, chunked", "xchunked" or two such fields the field was removed and the coded bytes, or the lines of the chunks, were passed on as a whole answer of status 200.

Cause: the parser undoes "chunked" where it stands last and otherwise reads to the end of the connection; that a coding was left was looked at nowhere. It also undoes chunks in HTTP/1.0, which has none (RFC 9112, section 6.1).

Evidence: BrokenAnswerTest.TransferCodingThatIsNotChunkedAloneIsNoAnswer and TransferCodingInHttp10IsNoAnswer failed on the code as it was. A length beside chunks was rejected before and is.

Change: the check of heads, which all readers share, accepts "chunked" alone, once, in HTTP/1.1. Answers with a length, with chunks, extensions and trailers, and those that end with their connection pass unchanged (KnownFramingIsPassedOn passed before and after).

--- a/drivers/response_check.cc
+++ b/drivers/response_check.cc
@@ -2,12 +2,28 @@
 
 #include <absl/strings/str_format.h>
 
+#include <iterator>
+
 namespace applehall {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
 namespace {
 
 // RFC 9110, section 15.
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
+constexpr int kHttp11 = 11;
+
+// Returns false if the body is coded in a way that the parser does not undo, or
+// if the version has no transfer codings (RFC 9112, sections 6.1 and 6.3).
+bool IsTransferCodingKnown(const ResponseHead& head) {
+  const auto [first, last] = head.equal_range(http::field::transfer_encoding);
+  if (first == last) return true;
+  return std::next(first) == last && head.version() >= kHttp11 &&
+         beast::iequals(first->value(), "chunked");
+}
 
 }  // namespace
 
@@ -22,6 +38,7 @@
   if (status < kMinStatus || status > kMaxStatus) {
     return absl::StrFormat("status %03d", status);
   }
+  if (!IsTransferCodingKnown(head)) return "unknown transfer coding";
   return "";
 }
 
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -119,6 +119,55 @@
   }
 }
 
+// Guards against a transfer coding that is not undone, and whose bytes are the
+// body that the caller gets.
+TEST_F(BrokenAnswerTest, TransferCodingThatIsNotChunkedAloneIsNoAnswer) {
+  for (const char* coding :
+       {"gzip", "identity", "chunked, gzip", "gzip, chunked",
+        "chunked, chunked", "xchunked", "chunked;q=1", "\"chunked\"", ""}) {
+    for (const char* length : {"", "Content-Length: 15\r\n"}) {
+      ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields,
+                                  "Transfer-Encoding: ", coding, "\r\n", length,
+                                  "\r\n5\r\nhello\r\n0\r\n\r\n"));
+    }
+    ExpectNoAnswer(absl::StrCat(
+        "HTTP/1.1 200 OK\r\n", kFields, "Content-Type: text/event-stream\r\n",
+        "Transfer-Encoding: ", coding, "\r\n\r\nid: 1\ndata: a\n\n"));
+  }
+  for (const char* other : {"gzip", "chunked", ""}) {
+    for (const bool is_first : {true, false}) {
+      const std::string field =
+          absl::StrCat("Transfer-Encoding: ", other, "\r\n");
+      ExpectNoAnswer(
+          absl::StrCat("HTTP/1.1 200 OK\r\n", kFields, is_first ? field : "",
+                       "Transfer-Encoding: chunked\r\n", is_first ? "" : field,
+                       "\r\n5\r\nhello\r\n0\r\n\r\n"));
+    }
+  }
+}
+
+// Guards against chunks in a version of the protocol that has none.
+TEST_F(BrokenAnswerTest, TransferCodingInHttp10IsNoAnswer) {
+  ExpectNoAnswer(absl::StrCat("HTTP/1.0 200 OK\r\n", kFields,
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "5\r\nhello\r\n0\r\n\r\n"));
+}
+
+TEST_F(BrokenAnswerTest, KnownFramingIsPassedOn) {
+  for (const char* coding : {"chunked", "Chunked", " chunked "}) {
+    ExpectPassedOn(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields,
+                                "Transfer-Encoding:", coding,
+                                "\r\n\r\n5;a=b\r\nhello\r\n0\r\n"
+                                "X-Trailer: 1\r\n\r\n"),
+                   "HTTP/1.1 200 ", "hello");
+  }
+  ExpectPassedOn(absl::StrCat("HTTP/1.0 200 OK\r\n", kFields,
+                              "Content-Length: 5\r\n\r\nhello"),
+                 "HTTP/1.1 200 ", "hello");
+  ExpectPassedOn(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields, "\r\nhello"),
+                 "HTTP/1.1 200 ", "hello");
+}
+
 // Guards against chunks that are none and whose bytes are passed on.
 TEST_F(BrokenAnswerTest, MalformedChunksAreNoAnswer) {
   for (const char* chunks :
