Answers that have no content are sent without a length

Callers got "Content-Length: 0" with a 204, where it must not stand, and with a 304, where it is the length of another answer (RFC 9110, sections 8.6 and 15.4.5).

Cause: each answer was given the length of its body. Evidence: BrokenAnswerTest.StatusWithoutContentHasNoLength failed on the code as it was. Change: the HTTP server sends neither length nor body with these two.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -81,6 +81,13 @@
   return cost;
 }
 
+// Returns false for a status with which a length must not be sent, or is that
+// of another response (RFC 9110, section 8.6).
+bool HasContent(int status) {
+  return status != static_cast<int>(http::status::no_content) &&
+         status != static_cast<int>(http::status::not_modified);
+}
+
 class BeastExchange : public HttpExchange {
  public:
   BeastExchange(beast::tcp_stream& stream, HttpRequest request, bool keep_alive,
@@ -115,8 +122,10 @@
     for (const auto& [name, value] : response.headers) message.set(name, value);
     keep_alive_ = wants_keep_alive_ && !is_closing_;
     message.keep_alive(keep_alive_);
-    message.body() = std::move(response.body);
-    message.prepare_payload();
+    if (HasContent(response.status)) {
+      message.body() = std::move(response.body);
+      message.prepare_payload();
+    }
     has_begun_ = true;
     stream_.expires_after(limits_.write_timeout);
     const auto [error, size] =
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -1,6 +1,7 @@
 // Answers that are none by their head: the request may have run, and nothing of
 // them reaches the caller.
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 
 #include "tests/platform/edge_fixture.h"
@@ -196,5 +197,22 @@
   }
 }
 
+// Guards against a length that the caller gets of a body that its answer cannot
+// have (RFC 9110, sections 8.6 and 15.4.5).
+TEST_F(BrokenAnswerTest, StatusWithoutContentHasNoLength) {
+  for (const char* answer :
+       {"204 No Content\r\n", "204 No Content\r\nContent-Length: 0\r\n",
+        "304 Not Modified\r\n", "304 Not Modified\r\nContent-Length: 5\r\n"}) {
+    EXPECT_EQ(Answer(absl::StrCat("HTTP/1.1 ", answer, kFields, "\r\n")).result,
+              AttemptResult::kCompleted);
+    const std::string received = absl::AsciiStrToLower(ReceivedByCaller());
+    EXPECT_TRUE(received.starts_with("http/1.1 " + std::string(answer, 3)))
+        << received;
+    EXPECT_EQ(received.find("content-length"), std::string::npos) << received;
+    EXPECT_TRUE(received.ends_with("\r\n\r\n")) << received;
+    received_.clear();
+  }
+}
+
 }  // namespace
 }  // namespace applehall
