Content that a status forbids is neither passed on nor left on a connection

An engine that sent 204 or 205 with content was answered as if it had not: the bytes of a 204 were dropped, those of a 205 passed on, and the caller could not tell. With a 304 that named a length, the connection was used again at once; content that came late was read as the answer to the next call, and orders, reports and calls to the store have no id that would show it.

Cause: the parser ends a 204 or 304 behind its head whatever the head announces, and the reader gave every complete connection back.

Evidence: BrokenAnswerTest.ContentThatTheStatusForbidsIsNoAnswer and KeptConnectionTest.ConnectionWithUnreadContentIsNotReused failed on the code as it was. Bytes that came with an answer, behind its end, never reached the next one (BytesBehindAnAnswerBelongToNoRequest passed before).

Change: 204 and 205 with content are no answers; a 304 that names a length or a coding, which is sound, is passed on and its connection closed.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -115,7 +115,7 @@
   }
   ~BeastStream() override {
     if (is_complete_ && parser_->keep_alive() && buffer_.size() == 0 &&
-        stream_) {
+        !HasSkippedContent(parser_->get()) && stream_) {
       const auto keep_alive = head_.headers.find("keep-alive");
       idle_->Release(
           address_, std::move(stream_),
--- a/drivers/response_check.cc
+++ b/drivers/response_check.cc
@@ -25,6 +25,13 @@
          beast::iequals(first->value(), "chunked");
 }
 
+// Returns whether the head announces content, whatever its status allows.
+bool AnnouncesContent(const ResponseHead& head) {
+  const auto length = head.find(http::field::content_length);
+  const bool has_length = length != head.end() && length->value() != "0";
+  return has_length || head.count(http::field::transfer_encoding) > 0;
+}
+
 }  // namespace
 
 std::string FindLineFault(std::string_view head) {
@@ -39,7 +46,16 @@
     return absl::StrFormat("status %03d", status);
   }
   if (!IsTransferCodingKnown(head)) return "unknown transfer coding";
+  const bool is_empty = head.result() == http::status::no_content ||
+                        head.result() == http::status::reset_content;
+  if (is_empty && AnnouncesContent(head)) {
+    return absl::StrFormat("content with status %d", status);
+  }
   return "";
 }
 
+bool HasSkippedContent(const ResponseHead& head) {
+  return head.result() == http::status::not_modified && AnnouncesContent(head);
+}
+
 }  // namespace applehall
--- a/drivers/response_check.h
+++ b/drivers/response_check.h
@@ -20,6 +20,10 @@
 // same. Thread-safe.
 std::string FindHeadFault(const ResponseHead& head);
 
+// Returns whether the head announces content that its status does not have and
+// that is not read. A faulty peer may send it all the same. Thread-safe.
+bool HasSkippedContent(const ResponseHead& head);
+
 }  // namespace applehall
 
 #endif  // APPLEHALL_DRIVERS_RESPONSE_CHECK_H_
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -197,6 +197,19 @@
   }
 }
 
+// Guards against bytes that an answer announces, though its status allows none,
+// and that are lost or taken for the next answer.
+TEST_F(BrokenAnswerTest, ContentThatTheStatusForbidsIsNoAnswer) {
+  for (const char* framing :
+       {"Content-Length: 5\r\n\r\nhello",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"}) {
+    for (const char* status : {"204 No Content", "205 Reset Content"}) {
+      ExpectNoAnswer(
+          absl::StrCat("HTTP/1.1 ", status, "\r\n", kFields, framing));
+    }
+  }
+}
+
 // Guards against a length that the caller gets of a body that its answer cannot
 // have (RFC 9110, sections 8.6 and 15.4.5).
 TEST_F(BrokenAnswerTest, StatusWithoutContentHasNoLength) {
@@ -214,5 +227,60 @@
   }
 }
 
+class KeptConnectionTest : public BrokenAnswerTest {
+ protected:
+  KeptConnectionTest() { server_.keeps_connections = true; }
+
+  OrderResult Order() {
+    events_.clear();
+    SendOrder action;
+    action.engine = "i-7";
+    action.address = server_.address();
+    action.order.id = "order-1";
+    action.order.kind = OrderKind::kLoad;
+    action.order.name = "llm/m0";
+    action.order.send_by = SystemClock().Now() + std::chrono::seconds(4);
+    engines_.Send(action);
+    EXPECT_TRUE(RunUntil([this] { return Find<OrderAnswered>() != nullptr; }));
+    const auto* answered = Find<OrderAnswered>();
+    return answered == nullptr ? OrderResult::kUnanswered : answered->result;
+  }
+};
+
+// Guards against bytes behind an answer that are taken for the next one.
+TEST_F(KeptConnectionTest, BytesBehindAnAnswerBelongToNoRequest) {
+  const std::string extra =
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Server-Stamp: t\r\n"
+      "Content-Length: 5\r\n\r\nextra";
+  for (const std::string& answer :
+       {std::string(kAnswer),
+        absl::StrCat("HTTP/1.1 200 OK\r\n", kFields,
+                     "Transfer-Encoding: chunked\r\n\r\n"
+                     "5\r\nhello\r\n0\r\n\r\n"),
+        absl::StrCat("HTTP/1.1 304 Not Modified\r\n", kFields,
+                     "Content-Length: 5\r\n\r\n"),
+        absl::StrCat("HTTP/1.1 503 Full\r\n", kFields,
+                     "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")}) {
+    (void)Answer(answer + extra);
+    EXPECT_EQ(ReceivedByCaller().find("extra"), std::string::npos) << answer;
+    EXPECT_EQ(Answer(kAnswer).result, AttemptResult::kCompleted);
+    EXPECT_EQ(ReceivedByCaller().find("extra"), std::string::npos) << answer;
+    received_.clear();
+  }
+}
+
+// Guards against content that comes late behind a status that has none, and
+// that answers the next request.
+TEST_F(KeptConnectionTest, ConnectionWithUnreadContentIsNotReused) {
+  EXPECT_EQ(Answer(absl::StrCat("HTTP/1.1 304 Not Modified\r\n", kFields,
+                                "Content-Length: 5\r\n\r\n"))
+                .result,
+            AttemptResult::kCompleted);
+  EXPECT_EQ(Answer(kAnswer).result, AttemptResult::kCompleted);
+  EXPECT_EQ(server_.connections, 2);
+  EXPECT_EQ(Answer(kAnswer).result, AttemptResult::kCompleted);
+  EXPECT_EQ(server_.connections, 2);
+}
+
 }  // namespace
 }  // namespace applehall
