A stamp or a type that stands twice makes no answer

Callers got "X-Server-Stamp: s, t" where an engine in trouble sent two stamps, a stamp that no engine made; and of two types in one head the first decided whether the answer was read as events.

Cause: fields of one name are joined to a list, which is right for fields that are lists, and the list was taken for the one value. An id that stands twice was rejected before, as it differs from that of the request; so were two lengths.

Evidence: BrokenAnswerTest.FieldThatStandsTwiceIsNoAnswer failed on the code as it was, for stamps and types.

Other lists pass (Vary, in the same test).

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -313,7 +313,9 @@
     for (const auto& field : parser_->get()) {
       const std::string name = absl::AsciiStrToLower(absl::string_view(
           field.name_string().data(), field.name_string().size()));
-      AddHeader(name, std::string(field.value()), head_.headers);
+      const bool is_first =
+          AddHeader(name, std::string(field.value()), head_.headers);
+      if (!is_first) head_.repeated.insert(name);
     }
   }
 
--- a/drivers/http_message.h
+++ b/drivers/http_message.h
@@ -2,6 +2,7 @@
 #define APPLEHALL_DRIVERS_HTTP_MESSAGE_H_
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace applehall {
@@ -11,13 +12,14 @@
 
 // Adds a received field. Fields of the same name are joined to a list (RFC 9110
 // section 5.3), as the last one would otherwise replace the others. Of several
-// set-cookie fields only the last is kept. Requires: `name` in lower case. Not
-// thread-safe.
-inline void AddHeader(const std::string& name, const std::string& value,
+// set-cookie fields only the last is kept. Returns false if there was one of
+// that name. Requires: `name` in lower case. Not thread-safe.
+inline bool AddHeader(const std::string& name, const std::string& value,
                       HttpHeaders& headers) {
   const auto [known, is_first] = headers.insert({name, value});
-  if (is_first) return;
+  if (is_first) return true;
   known->second = name == "set-cookie" ? value : known->second + ", " + value;
+  return false;
 }
 
 struct HttpRequest {
@@ -43,9 +45,19 @@
   int status = 200;
   HttpHeaders headers;
   std::string body;
+  // Names of the received fields that stood more than once; `headers` has the
+  // list of their values.
+  std::set<std::string> repeated = {};
+
+  // A header; empty if absent. Thread-safe.
+  std::string Header(const std::string& name) const {
+    const auto it = headers.find(name);
+    return it == headers.end() ? "" : it->second;
+  }
 
   static HttpResponse JsonText(int status, std::string body) {
-    return {status, {{"content-type", "application/json"}}, std::move(body)};
+    return {
+        status, {{"content-type", "application/json"}}, std::move(body), {}};
   }
 };
 
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -227,6 +227,30 @@
   }
 }
 
+// Guards against a list that is taken for the one value of a field that a
+// decision, or the caller's check, rests on.
+TEST_F(BrokenAnswerTest, FieldThatStandsTwiceIsNoAnswer) {
+  for (const char* twice : {"X-Attempt-Id: id-1\r\n", "X-Attempt-Id: id-2\r\n",
+                            "X-Server-Stamp: s\r\n", "X-Server-Stamp: t\r\n",
+                            "Content-Length: 4\r\n"}) {
+    ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields, twice,
+                                "Content-Length: 5\r\n\r\nhello"));
+  }
+  for (const char* types :
+       {"Content-Type: text/plain\r\nContent-Type: text/event-stream\r\n",
+        "Content-Type: text/event-stream\r\nContent-Type: text/plain\r\n"}) {
+    ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields, types,
+                                "\r\nid: 1\ndata: a\n\n"));
+  }
+  ExpectNoAnswer(absl::StrCat("HTTP/1.1 500 Trouble\r\n", kFields,
+                              "X-Server-Stamp: t\r\n"
+                              "Content-Length: 5\r\n\r\nhello"));
+  ExpectPassedOn(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields,
+                              "Vary: a\r\nVary: b\r\n"
+                              "Content-Length: 5\r\n\r\nhello"),
+                 "HTTP/1.1 200 ", "hello");
+}
+
 class KeptConnectionTest : public BrokenAnswerTest {
  protected:
   KeptConnectionTest() { server_.keeps_connections = true; }
