A failure with a content coding is no answer

Callers got failures of engines with a coded body, which none had asked for. Cause: the check of the coding guarded successes only.

--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -251,6 +251,15 @@
                  "HTTP/1.1 200 ", "hello");
 }
 
+// Guards against a failure whose body is coded, which no caller asked for.
+TEST_F(BrokenAnswerTest, FailureWithAContentCodingIsNoAnswer) {
+  for (const char* status : {"404", "500"}) {
+    ExpectNoAnswer(absl::StrCat("HTTP/1.1 ", status, " Trouble\r\n", kFields,
+                                "Content-Encoding: gzip\r\n"
+                                "Content-Length: 5\r\n\r\nhello"));
+  }
+}
+
 class KeptConnectionTest : public BrokenAnswerTest {
  protected:
   KeptConnectionTest() { server_.keeps_connections = true; }
