A promise that the engine has not made does not reach the caller

Callers of requests that may run once only got an engine's 408, 429 or 503 as it was sent. For a caller each of these promises that the request has not run and never will, so it sends it again; but only an answer with X-Not-Executed says that of an engine.

Other failures, and the same statuses for requests that may be repeated, pass unchanged.

--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -260,6 +260,30 @@
   }
 }
 
+// Guards against a status that promises the caller that its request did not
+// run, which the engine has not said: callers repeat it then.
+TEST_F(BrokenAnswerTest, PromiseThatTheEngineHasNotMadeIsNoAnswer) {
+  is_repeatable_ = false;
+  for (const char* status : {"408", "429", "503"}) {
+    const std::string head =
+        absl::StrCat("HTTP/1.1 ", status, " Trouble\r\n", kFields);
+    ExpectNoAnswer(absl::StrCat(head, "Content-Length: 5\r\n\r\nhello"));
+    EXPECT_NE(Answer(absl::StrCat(head,
+                                  "X-Not-Executed: 1\r\n"
+                                  "Content-Length: 0\r\n\r\n"))
+                  .result,
+              AttemptResult::kBroken)
+        << status;
+  }
+  ExpectPassedOn(absl::StrCat("HTTP/1.1 500 Trouble\r\n", kFields,
+                              "Content-Length: 5\r\n\r\nhello"),
+                 "HTTP/1.1 500 ", "hello");
+  is_repeatable_ = true;
+  ExpectPassedOn(absl::StrCat("HTTP/1.1 503 Trouble\r\n", kFields,
+                              "Content-Length: 5\r\n\r\nhello"),
+                 "HTTP/1.1 503 ", "hello");
+}
+
 class KeptConnectionTest : public BrokenAnswerTest {
  protected:
   KeptConnectionTest() { server_.keeps_connections = true; }
