Fields that Connection names are not fields of the answer

Callers got fields that an engine's Connection field names, which concern one connection only (RFC 9110, section 7.6.1); and a stamp, an id or an X-Not-Executed that is named there was relied on.

Cause: a fixed list of such fields was removed, and where an answer is passed on, behind the checks. Evidence: BrokenAnswerTest.FieldsThatConnectionNamesAreNotPassedOn failed on the code as it was (X-Hop reached the caller); FieldsThatConnectionNamesProveNothing was written after the change and not run without it.

Change: the reader of heads removes what Connection names, before any check. What callers send is passed on as before.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -317,6 +317,7 @@
           AddHeader(name, std::string(field.value()), head_.headers);
       if (!is_first) head_.repeated.insert(name);
     }
+    RemoveConnectionOptions(head_.headers);
   }
 
   asio::io_context& io_;
--- a/drivers/response_check.cc
+++ b/drivers/response_check.cc
@@ -1,8 +1,11 @@
 #include "drivers/response_check.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_format.h>
+#include <absl/strings/str_split.h>
 
 #include <iterator>
+#include <vector>
 
 namespace applehall {
 
@@ -58,4 +61,15 @@
   return head.result() == http::status::not_modified && AnnouncesContent(head);
 }
 
+void RemoveConnectionOptions(HttpHeaders& headers) {
+  const auto connection = headers.find("connection");
+  if (connection == headers.end()) return;
+  const std::vector<std::string> options =
+      absl::StrSplit(absl::AsciiStrToLower(connection->second), ',');
+  for (const std::string& option : options) {
+    const std::string name(absl::StripAsciiWhitespace(option));
+    if (name != "connection" && name != "keep-alive") headers.erase(name);
+  }
+}
+
 }  // namespace applehall
--- a/drivers/response_check.h
+++ b/drivers/response_check.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "drivers/http_message.h"
+
 namespace applehall {
 
 using ResponseHead = boost::beast::http::response_header<>;
@@ -24,6 +26,11 @@
 // that is not read. A faulty peer may send it all the same. Thread-safe.
 bool HasSkippedContent(const ResponseHead& head);
 
+// Removes the fields that "Connection" names: they concern one connection and
+// say nothing of the response (RFC 9110, section 7.6.1). Keep-Alive stays. Not
+// thread-safe.
+void RemoveConnectionOptions(HttpHeaders& headers);
+
 }  // namespace applehall
 
 #endif  // APPLEHALL_DRIVERS_RESPONSE_CHECK_H_
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -284,6 +284,40 @@
                  "HTTP/1.1 503 ", "hello");
 }
 
+// Guards against fields of one connection that reach the next one (RFC 9110,
+// section 7.6.1).
+TEST_F(BrokenAnswerTest, FieldsThatConnectionNamesAreNotPassedOn) {
+  for (const char* type : {"text/plain", "text/event-stream"}) {
+    EXPECT_EQ(Answer(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields,
+                                  "Connection: close, X-Hop\r\nX-Hop: 1\r\n"
+                                  "Content-Type: ",
+                                  type, "\r\n\r\nid: 1\ndata: a\n\n"))
+                  .result,
+              AttemptResult::kCompleted);
+    const std::string received = ReceivedByCaller();
+    EXPECT_NE(received.find("data: a"), std::string::npos) << received;
+    EXPECT_EQ(received.find("X-Hop"), std::string::npos) << received;
+    EXPECT_EQ(received.find("x-hop"), std::string::npos) << received;
+    received_.clear();
+  }
+}
+
+// Guards against a stamp, or a proof that a request did not run, that is meant
+// for one connection and is removed only after it was relied on.
+TEST_F(BrokenAnswerTest, FieldsThatConnectionNamesProveNothing) {
+  ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields,
+                              "Connection: close, X-Server-Stamp\r\n"
+                              "Content-Length: 5\r\n\r\nhello"));
+  ExpectNoAnswer(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields,
+                              "Connection: x-attempt-id\r\n"
+                              "Content-Length: 5\r\n\r\nhello"));
+  is_repeatable_ = false;
+  ExpectNoAnswer(absl::StrCat("HTTP/1.1 503 Full\r\n", kFields,
+                              "X-Not-Executed: 1\r\n"
+                              "Connection: X-Not-Executed\r\n"
+                              "Content-Length: 0\r\n\r\n"));
+}
+
 class KeptConnectionTest : public BrokenAnswerTest {
  protected:
   KeptConnectionTest() { server_.keeps_connections = true; }
