--- a/drivers/event_stream.cc
+++ b/drivers/event_stream.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kEventId = "id:";
 
 }  // namespace
 
@@ -32,4 +33,19 @@
   return count;
 }
 
+std::string LastEventId(std::string_view events) {
+  size_t line = 0;
+  std::string id;
+  while (line < events.size()) {
+    const size_t end = std::min(events.find('\n', line), events.size());
+    const std::string_view text = events.substr(line, end - line);
+    if (text.starts_with(kEventId)) {
+      const size_t from = text.find_first_not_of(' ', kEventId.size());
+      if (from != std::string_view::npos) id = std::string(text.substr(from));
+    }
+    line = end + 1;
+  }
+  return id;
+}
+
 }  // namespace applehall
--- a/drivers/event_stream.h
+++ b/drivers/event_stream.h
@@ -33,6 +33,10 @@
 // Thread-safe.
 int CountEvents(std::string_view events);
 
+// Returns the id of the last event that has one; empty if none has. Requires:
+// complete events only. Thread-safe.
+std::string LastEventId(std::string_view events);
+
 }  // namespace applehall
 
 #endif  // APPLEHALL_DRIVERS_EVENT_STREAM_H_
