An order is refused by the statuses of a refusal only

What the owner saw: an engine that answered an order with 204, 302 or 404, or with 000, counted as one that does not know the model. The owner took back its reservation, though such an answer does not say that the order was not accepted: a load that runs all the same would find its memory given to the next model, and an engine that is ordered to load more than it holds crashes.

Cause: each status below 500 that the protocol does not name was taken for "the order does not exist", which is 400.

Evidence: KeptConnectionTest.OrderIsRefusedByItsOwnStatusesOnly failed on the code as it was.

--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -373,5 +373,32 @@
   EXPECT_EQ(server_.connections, 2);
 }
 
+// Guards against an order whose loss is taken for proved, by an answer that
+// does not say so: its memory would be given to another model.
+TEST_F(KeptConnectionTest, OrderIsRefusedByItsOwnStatusesOnly) {
+  const std::map<std::string, OrderResult> results{
+      {"200", OrderResult::kDone},
+      {"202", OrderResult::kAccepted},
+      {"400", OrderResult::kUnknownModel},
+      {"409", OrderResult::kBusy},
+      {"412", OrderResult::kStaleFence},
+      {"421", OrderResult::kWrongIncarnation},
+      {"000", OrderResult::kUnanswered},
+      {"099", OrderResult::kUnanswered},
+      {"204", OrderResult::kUnanswered},
+      {"206", OrderResult::kUnanswered},
+      {"302", OrderResult::kUnanswered},
+      {"404", OrderResult::kUnanswered},
+      {"500", OrderResult::kUnanswered},
+      {"503", OrderResult::kUnanswered},
+      {"600", OrderResult::kUnanswered},
+      {"999", OrderResult::kUnanswered}};
+  for (const auto& [status, result] : results) {
+    server_.answers = {
+        absl::StrCat("HTTP/1.1 ", status, " Any\r\nContent-Length: 0\r\n\r\n")};
+    EXPECT_EQ(Order(), result) << status;
+  }
+}
+
 }  // namespace
 }  // namespace applehall
