An answer to a request is not one to an order or a question

What the owner saw: an engine may answer a request twice, the second time at the point where the next answer is due. Where an order or a question for a report used the connection next, a second "200" counted as "the order already holds", and a body that looked like a report as one.

Cause: requests are told apart by their id; answers to orders and questions have none, and an id in them was not looked at.

A second answer to an order itself is still taken for that to the next one; its count then shows in the next report.

--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -373,6 +373,16 @@
   EXPECT_EQ(server_.connections, 2);
 }
 
+// Guards against a second answer to a request that is taken for the answer to
+// an order.
+TEST_F(KeptConnectionTest, AnswerToARequestIsNotThatToAnOrder) {
+  for (const char* status : {"200 OK", "202 Accepted", "400 No"}) {
+    server_.answers = {absl::StrCat("HTTP/1.1 ", status, "\r\n", kFields,
+                                    "Content-Length: 0\r\n\r\n")};
+    EXPECT_EQ(Order(), OrderResult::kUnanswered) << status;
+  }
+}
+
 // Guards against an order whose loss is taken for proved, by an answer that
 // does not say so: its memory would be given to another model.
 TEST_F(KeptConnectionTest, OrderIsRefusedByItsOwnStatusesOnly) {
@@ -400,5 +410,40 @@
   }
 }
 
+// Guards against a report that is taken from bytes that are no answer, and
+// against an order that is answered by them.
+TEST_F(KeptConnectionTest, ReportsAreReadFromAnswersOnly) {
+  const std::string report =
+      R"({"stage":"colocated","models":[],"busy":false,"seq":2,"queued":0,)"
+      R"("in_flight":0,"kv_used":0,"kv_total":9,"handles":0})";
+  const std::string length =
+      absl::StrCat("Content-Length: ", report.size(), "\r\n\r\n");
+  const std::vector<std::string> heads{
+      "HTTP/1.1 000 OK\r\n" + length,
+      "HTTP/1.1 600 OK\r\n" + length,
+      "HTTP/1.1 500 OK\r\n" + length,
+      "HTTP/1.1 200 OK\r\nA b: 1\r\n" + length,
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+      absl::StrCat("HTTP/1.1 200 OK\r\n", kFields, length)};
+  SendOrder action;
+  action.engine = "i-7";
+  action.address = server_.address();
+  action.order.kind = OrderKind::kInspect;
+  for (const std::string& head : heads) {
+    events_.clear();
+    server_.answers = {head + report};
+    engines_.Send(action);
+    const size_t sent = server_.requests.size();
+    EXPECT_TRUE(RunUntil([&] { return server_.requests.size() > sent; }));
+    io_.run_for(std::chrono::milliseconds(50));
+    io_.restart();
+    EXPECT_EQ(Find<InventoryReceived>(), nullptr) << head;
+  }
+  server_.answers = {"HTTP/1.1 200 OK\r\n" + length + report};
+  engines_.Send(action);
+  EXPECT_TRUE(
+      RunUntil([this] { return Find<InventoryReceived>() != nullptr; }));
+}
+
 }  // namespace
 }  // namespace applehall
