A page of the store that lacks its items or its end is none

What hosts saw: a page "{}", or one without items or without its end, counted as the whole of a topic without records. A host that read it dropped all servers, or the lease, and followed the topic from its beginning.

Cause: what a page lacks was filled in with nothing.

--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio.hpp>
+#include <deque>
 
 #include "drivers/sleep.h"
 
@@ -40,6 +41,8 @@
     topics_[kServers].emplace_back(id, value);
   }
 
+  // Answers to the next reads of the newest server entries.
+  std::deque<HttpResponse> server_pages;
   int unanswered_config_reads = 0;  // The next reads never answered.
   int config_reads = 0;
 
@@ -84,6 +87,10 @@
     const std::string topic = request.QueryParameter("topic");
     if (request.Path() == "/v1/log-newest") {
       HttpResponse response = NewestResponse(topic);
+      if (topic == kServers && !server_pages.empty()) {
+        response = server_pages.front();
+        server_pages.pop_front();
+      }
       co_await exchange.Respond(std::move(response));
       co_return;
     }
@@ -131,6 +138,7 @@
     } else if (const auto* updates = std::get_if<StoreUpdatesRead>(&event)) {
       ++update_events_[updates->topic];
     } else if (const auto* list = std::get_if<ServerListRead>(&event)) {
+      ++lists_;
       for (const ListedServer& server : list->listed) {
         leaving_[server.id] = server.is_leaving;
       }
@@ -145,6 +153,7 @@
   ScriptedStore store_{io_};
   std::map<std::string, int> update_events_;
   std::map<std::string, bool> leaving_;  // By server, as last listed.
+  int lists_ = 0;
   LogOffset version_ = 0;
   StoreClient client_{io_,
                       store_.address(),
@@ -221,5 +230,38 @@
   EXPECT_FALSE(leaving_.contains("foreign"));
 }
 
+// Guards against a page that is none and that empties the server list of a host
+// or makes it follow the list from the beginning.
+TEST_F(StoreClientTest, BrokenPageIsNoServerList) {
+  const std::string item = Json{
+      {"key", "i-9"},
+      {"value", absl::Base64Escape(Entry("ready", "64"))},
+      {"offset", 0}}.dump();
+  for (const std::string& body :
+       {std::string(""), std::string("{}"), std::string("[]"),
+        std::string("null"), std::string(R"({"end":0})"),
+        std::string(R"({"items":[]})"), std::string(R"({"items":5,"end":1})"),
+        std::string(R"({"items":null,"end":1})"),
+        std::string(R"({"items":{"a":{}},"end":1})"),
+        std::string(R"({"items":[5],"end":1})"),
+        std::string(R"({"items":[{"offset":0}],"end":1})"),
+        std::string(R"({"items":[],"end":"1"})"),
+        std::string(R"({"items":[],"end":-1})"),
+        R"({"items":[)" + item + R"(],"end":1)"}) {
+    store_.server_pages.push_back(HttpResponse::JsonText(200, body));
+  }
+  const std::string whole = R"({"items":[)" + item + R"(],"end":1})";
+  for (const int status : {0, 99, 600, 999}) {
+    store_.server_pages.push_back(HttpResponse::JsonText(status, whole));
+  }
+  store_.Append(Config(1));
+  store_.AppendServer("i-1", Entry("ready", "64"));
+  client_.Start();
+  RunUntil([&] { return lists_ > 0; });
+  EXPECT_TRUE(store_.server_pages.empty());
+  EXPECT_TRUE(leaving_.contains("i-1"));
+  EXPECT_FALSE(leaving_.contains("i-9"));
+}
+
 }  // namespace
 }  // namespace applehall
