Test of broken answers at applehalld

The daemon with rules and groups reads by the same client. Since the reader rejects them its callers get the 504 of a request that may have run, and what may not be repeated is sent once.

--- a/tests/main/daemon_test.cc
+++ b/tests/main/daemon_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio.hpp>
 #include <fstream>
 #include <functional>
+#include <mutex>
 #include <thread>
 
 #include "core/uuid.h"
@@ -21,6 +22,54 @@
 
 constexpr char kChat[] = "/v1/chat/completions";
 
+// A service that answers each connection with the same bytes and closes it.
+class RawService {
+ public:
+  RawService() : thread_([this] { Run(); }) {}
+  ~RawService() {
+    is_stopped_ = true;
+    boost::system::error_code ignored;
+    boost::asio::ip::tcp::socket last(io_);
+    last.connect(acceptor_.local_endpoint(), ignored);
+    thread_.join();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  int requests() const { return requests_; }
+  // Thread-safe.
+  void SetAnswer(const std::string& answer) {
+    const std::lock_guard lock(mutex_);
+    answer_ = answer;
+  }
+
+ private:
+  void Run() {
+    while (true) {
+      boost::system::error_code ignored;
+      boost::asio::ip::tcp::socket socket = acceptor_.accept();
+      if (is_stopped_) return;
+      std::string request;
+      boost::asio::read_until(socket, boost::asio::dynamic_buffer(request),
+                              "\r\n\r\n", ignored);
+      if (ignored) continue;
+      ++requests_;
+      const std::lock_guard lock(mutex_);
+      boost::asio::write(socket, boost::asio::buffer(answer_), ignored);
+    }
+  }
+
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_{
+      io_, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+  std::atomic<bool> is_stopped_{false};
+  std::atomic<int> requests_{0};
+  std::mutex mutex_;
+  std::string answer_;
+  std::thread thread_;
+};
+
 class DaemonTest : public testing::Test {
  protected:
   void SetUp() override {
@@ -341,5 +390,48 @@
   }
 }
 
+// Guards against bytes that are no answer and reach a caller of this daemon, or
+// that make it repeat a request which must not be repeated.
+TEST_F(DaemonTest, BrokenAnswerReachesNoCaller) {
+  RawService pumps;
+  Platform("/hosts", Json{{"put",
+                           {{"name", "pumps-1"},
+                            {"kind", "service"},
+                            {"service", "pumps"},
+                            {"data_centre", "hall"},
+                            {"slots", 8},
+                            {"address", pumps.address()}}}});
+  Json rules = TestRules();
+  rules["rules"].insert(
+      rules["rules"].begin(),
+      Json{{"name", "pumps"},
+           {"when", {{"service", "pumps"}}},
+           {"then",
+            {{"repeatable", false}, {"claim", false}, {"deadline_ms", 3000}}}});
+  std::ofstream(rules_path_) << rules.dump();
+  PublishAndAwaitReady();
+  const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+  pumps.SetAnswer(sound);
+  Await(
+      [&] { return SendToHost("entry-1", "/services/pumps/1", "{}").is_ok(); });
+  for (const std::string& head :
+       {std::string("HTTP/1.1 000 OK\r\nContent-Length: 5\r\n"),
+        std::string("HTTP/1.1 600 OK\r\nContent-Length: 5\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nA b: 1\r\nContent-Length: 5\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nA: 1\r\n B: 2\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n")}) {
+    const int before = pumps.requests();
+    pumps.SetAnswer(head + "\r\nhello");
+    const HttpResult result = SendToHost("entry-1", "/services/pumps/1", "{}");
+    EXPECT_EQ(result.response.status, 504) << head;
+    EXPECT_NE(result.response.body.find("\"may_have_run\""), std::string::npos)
+        << result.response.body;
+    EXPECT_EQ(pumps.requests(), before + 1) << head;
+  }
+  pumps.SetAnswer(sound);
+  EXPECT_EQ(SendToHost("entry-1", "/services/pumps/1", "{}").response.body,
+            "hello");
+}
+
 }  // namespace
 }  // namespace applehall
