A host out of step does not guess the version of a stream

An operator of a system like ours reported streams of two software versions: they had begun on engines of a new version while one host was out of step, broke, were taken up at that host and went on at an engine of another version.

Cause: for a stream without a name the host went by the only version that it had seen, however old its listing was, while for named ones a listing must be fresh. And a version that came and went while the host read nothing was in no state of it: of the changes read at once only the last of each server counted.

Change: the only version counts while the listing is fresh and complete since the host's first one. A read of changes names the versions that came and went within it, so that a host that was out of step is complete again with its first read; only where the store has deleted the changes its past begins anew. The log says how old the listing was. Streams without a name are refused at such a host; named ones are looked up as before.

--- a/membership/version_history.cc
+++ b/membership/version_history.cc
@@ -47,6 +47,7 @@
   const bool is_first = known_since_ == TimePoint{};
   if (is_first) SettleCommonVersions(now);
   if (is_first || !is_contiguous) known_since_ = now;
+  if (!is_first && !is_contiguous) gap_at_ = now;
   if (is_first && is_first_start_) known_since_ = now - kMaxStreamAge;
 }
 
@@ -102,14 +103,16 @@
 
 std::optional<std::string> VersionHistory::SettledVersion(
     const std::string& service, Duration listing_age, TimePoint now) const {
-  const bool is_known = known_since_ != TimePoint{} &&
-                        now - known_since_ >= kMaxStreamAge &&
-                        listing_age <= max_listing_age_;
-  return is_known ? OnlySeenVersion(service, now) : std::nullopt;
+  const bool is_known =
+      known_since_ != TimePoint{} && now - known_since_ >= kMaxStreamAge;
+  return is_known ? OnlySeenVersion(service, listing_age, now) : std::nullopt;
 }
 
 std::optional<std::string> VersionHistory::OnlySeenVersion(
-    const std::string& service, TimePoint now) const {
+    const std::string& service, Duration listing_age, TimePoint now) const {
+  const bool has_gap = gap_at_ != TimePoint{} && known_since_ >= gap_at_ &&
+                       now - gap_at_ < kMaxStreamAge;
+  if (has_gap || listing_age > max_listing_age_) return std::nullopt;
   const auto versions = services_.find(service);
   if (versions == services_.end()) return std::nullopt;
   std::optional<std::string> only;
--- a/membership/version_history.h
+++ b/membership/version_history.h
@@ -60,8 +60,10 @@
                                             Duration listing_age,
                                             TimePoint now) const;
   // Returns the only version of `service` that this host has seen lately;
-  // nothing if it has seen several or none. Another one may have begun streams.
+  // nothing if it has seen several or none, or if it may have missed one since
+  // its first listing. One that left before that may have begun streams.
   std::optional<std::string> OnlySeenVersion(const std::string& service,
+                                             Duration listing_age,
                                              TimePoint now) const;
   bool IsSettled(const std::string& service, Duration listing_age,
                  TimePoint now) const {
@@ -98,6 +100,8 @@
   std::map<std::string, Versions> services_;
   // All versions since then are known; the epoch before the first listing.
   TimePoint known_since_;
+  // Of the last listing before which versions may have come and gone unseen.
+  TimePoint gap_at_;
 };
 
 }  // namespace applehall
--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -121,6 +121,10 @@
     context_.metrics.Count("server_entries_unusable_total");
     if (servers_.contains(id)) RemoveServer(id, "unusable entry");
   }
+  for (const StreamOrigin& passed : event.passed) {
+    streams_.versions().Add(passed.service, passed.version, context_.now);
+    streams_.versions().Remove(passed.service, passed.version, context_.now);
+  }
   for (const ListedServer& server : event.listed) {
     if (!AcceptIncarnation(server)) continue;
     const bool is_new = !servers_.contains(server.id);
@@ -165,7 +169,7 @@
       RemoveServer(id, "unlisted");
     }
   }
-  streams_.RecordListing(event.topic, previous_age);
+  streams_.RecordListing(event.topic, event.is_whole, previous_age);
   // Which versions take new streams shows with the complete first listing.
   for (const ListedServer& server : event.listed) {
     if (is_first) UpdateView(server.id);
--- a/node/messages.h
+++ b/node/messages.h
@@ -205,6 +205,8 @@
   std::vector<std::string> gone;  // No longer listed.
   // Servers whose entries are malformed or invalid; they receive no requests.
   std::vector<std::string> unusable = {};
+  // Of servers that were listed and removed between the last read and this one.
+  std::vector<StreamOrigin> passed = {};
   // Topic of the store; its freshness is that of the listing.
   std::string topic = {};
   LogOffset next = 0;  // The first offset that is not included.
--- a/node/request_flow_streams.cc
+++ b/node/request_flow_streams.cc
@@ -52,8 +52,8 @@
   StreamManager::Finding finding{request.arrival.handle, std::nullopt,
                                  StreamManager::Source::kOnlyVersion,
                                  Duration{0}};
-  const std::optional<std::string> only =
-      streams_.versions().OnlySeenVersion(request.service, context_.now);
+  const std::optional<std::string> only = streams_.versions().OnlySeenVersion(
+      request.service, streams_.ListingAge(), context_.now);
   if (only) finding.origin = StreamOrigin{request.service, *only};
   return finding;
 }
@@ -80,6 +80,8 @@
       .With("service", finding.origin ? finding.origin->service : "")
       .With("version", finding.origin ? finding.origin->version : "")
       .With("source", finding.origin ? SourceName(finding.source) : "none")
+      .With("listing_age_ms",
+            ToMillis(std::min(streams_.ListingAge(), kMaxStreamAge)))
       .With("took_ms", ToMillis(finding.took));
   if (!finding.origin) {
     Refuse(handle, NotRun(RefusalReason::kStreamUnknown,
--- a/node/stream_manager.cc
+++ b/node/stream_manager.cc
@@ -50,11 +50,13 @@
   return context_.now - listing->as_of;
 }
 
-void StreamManager::RecordListing(const std::string& topic,
+void StreamManager::RecordListing(const std::string& topic, bool is_whole,
                                   Duration previous_age) {
   listing_topic_ = topic;
-  versions_.RecordListing(
-      previous_age <= context_.settings.freshness.max_staleness, context_.now);
+  // All changes name each version; a whole listing names those of the moment.
+  const bool is_contiguous =
+      !is_whole || previous_age <= context_.settings.freshness.max_staleness;
+  versions_.RecordListing(is_contiguous, context_.now);
 }
 
 // ---- Streams of this host ----
--- a/node/stream_manager.h
+++ b/node/stream_manager.h
@@ -29,9 +29,10 @@
   // ---- Commands ----
 
   VersionHistory& versions() { return versions_; }
-  // Records that the listing of `topic` was applied. `previous_age` is its age
-  // just before.
-  void RecordListing(const std::string& topic, Duration previous_age);
+  // Records that the listing of `topic` was applied: `is_whole`, or all of its
+  // changes since the last. `previous_age` is its age just before.
+  void RecordListing(const std::string& topic, bool is_whole,
+                     Duration previous_age);
   // Records that this host has sent events of a stream to its caller.
   void RecordBegun(uint64_t key, const StreamOrigin& origin);
   // Records that the caller has the whole stream.
--- a/tests/membership/version_history_test.cc
+++ b/tests/membership/version_history_test.cc
@@ -110,6 +110,21 @@
   EXPECT_FALSE(Settled());
 }
 
+// Guards against a host that was out of step and takes the only version it has
+// seen for the only one there was.
+TEST_F(VersionHistoryTest, OnlySeenVersionNeedsAListingWithoutGaps) {
+  Start("v1");
+  now_ += seconds(2);
+  EXPECT_EQ(history_.OnlySeenVersion("llm", kFresh, now_), "v1");
+  EXPECT_FALSE(history_.OnlySeenVersion("llm", kMaxAge + kFresh, now_));
+  EXPECT_FALSE(history_.OnlySeenVersion("llm", Duration::max(), now_));
+  history_.RecordListing(/*is_contiguous=*/false, now_);
+  EXPECT_FALSE(history_.OnlySeenVersion("llm", kFresh, now_));
+  // The placement owner has seen all versions of the last ten seconds.
+  history_.MergeRows(Json{{"c", 10'000}, {"a", 0}}, now_);
+  EXPECT_EQ(history_.OnlySeenVersion("llm", kFresh, now_), "v1");
+}
+
 TEST_F(VersionHistoryTest, HostThatStartedLearnsThePastFromThePlan) {
   Start("v1");
   now_ += seconds(100);
--- a/tests/node/stream_fixture.h
+++ b/tests/node/stream_fixture.h
@@ -330,7 +330,14 @@
     read.is_whole = known == positions_.end();
     std::map<std::string, std::optional<ListedServer>> changes;
     for (size_t i = read.is_whole ? 0 : known->second; i < end; ++i) {
-      changes[listing_log_[i].id] = listing_log_[i].server;
+      const ListingChange& change = listing_log_[i];
+      const auto before = changes.find(change.id);
+      if (!read.is_whole && !change.server && before != changes.end() &&
+          before->second) {
+        read.passed.push_back(
+            {before->second->service, before->second->version});
+      }
+      changes[change.id] = change.server;
     }
     for (const auto& [id, server] : changes) {
       if (server) {
@@ -501,6 +508,8 @@
     std::vector<ServerRun> ended;
     for (size_t i = 0; i < runs_.size(); ++i) {
       if (runs_[i].next_event_at > now_) continue;
+      // A host that stands still reads nothing.
+      if (hosts_.at(runs_[i].host).is_down) continue;
       runs_[i].next_event_at = now_ + kEventInterval;
       SendEvent(runs_[i]);
     }
--- a/tests/node/stream_version_test.cc
+++ b/tests/node/stream_version_test.cc
@@ -39,6 +39,40 @@
       RunStreams(duration / count);
     }
   }
+  // Streams begin at a new version while `host` is out of step; they break and
+  // are resumed there, by callers that do not name them.
+  void ServeNewVersionBehind(const std::string& host,
+                             const std::function<void(bool)>& set_behind) {
+    for (int i = 1; i <= 3; ++i) StartServer(absl::StrCat("old-", i), "v1");
+    AddHosts({"a", "b", host});
+    RunStreams(seconds(70));
+    has_unnamed_resumptions_ = true;
+    for (int round = 0; round < 4; ++round) {
+      set_behind(true);
+      RunStreams(milliseconds(800));
+      for (int i = 1; i <= 9; ++i) {
+        StartServer(absl::StrCat("new-", round, "-", i),
+                    absl::StrCat("v2.", round));
+      }
+      RunStreams(milliseconds(1500));
+      choose_host_ = [host](size_t) { return host; };
+      BeginStreams({"a", "b"}, 20, milliseconds(800));
+      const bool was_down = hosts_.at(host).is_down;
+      if (was_down) set_behind(false);
+      CrashAllRuns();
+      for (const char* name : {"a", "b"}) Kill(name);
+      // Requests may come before the first read of the listing.
+      for (size_t i = 0; i < streams_.size(); ++i) {
+        if (streams_[i].next_try_at != TimePoint::max()) SendTry(i, host);
+      }
+      RunStreams(seconds(2));
+      if (!was_down) set_behind(false);
+      for (const char* name : {"a", "b"}) Restart(name);
+      RunStreams(seconds(5));
+    }
+    EXPECT_GT(Resumptions().asked, 40);
+    EXPECT_EQ(CountMixed(), 0) << Describe();
+  }
   void CrashAllRuns() {
     for (const auto& [id, server] : servers_) CrashRuns(id);
   }
@@ -340,6 +374,21 @@
   EXPECT_EQ(Resumptions().served, 0) << Describe();
 }
 
+// Guards against a host that is out of step and takes the only version it knows
+// for that of a stream which its caller does not name: one that is cut off...
+TEST_F(StreamVersionTest, UnnamedStreamIsNotJoinedAtAHostThatIsCutOff) {
+  ServeNewVersionBehind("c", [this](bool is_behind) {
+    hosts_.at("c").is_cut_from_store = is_behind;
+    hosts_.at("c").is_cut_from_hosts = is_behind;
+  });
+}
+
+// ... and one that stands still and resumes with its old listing.
+TEST_F(StreamVersionTest, UnnamedStreamIsNotJoinedAtAHostThatStoodStill) {
+  ServeNewVersionBehind(
+      "c", [this](bool is_behind) { hosts_.at("c").is_down = is_behind; });
+}
+
 // Guards against a new version that takes no streams, and one that is left.
 TEST_F(StreamVersionTest, RollOutAndRollBackServeNewStreams) {
   for (int i = 1; i <= 4; ++i) StartServer(absl::StrCat("v1-", i), "v1");
@@ -506,8 +555,62 @@
     }
     RunStreams(seconds(3));
   }
+
+  // Hosts are cut off and stand still while servers of new versions join.
+  void PlayUnnamed(uint64_t seed, Duration duration) {
+    Random random(seed);
+    const std::vector<std::string> hosts{"a", "b", "c", "d"};
+    for (int i = 1; i <= 4; ++i) StartServer(absl::StrCat("s", i), "v0");
+    AddHosts(hosts);
+    has_unnamed_resumptions_ = true;
+    choose_host_ = [&random, hosts](size_t) {
+      return hosts[random.Below(hosts.size())];
+    };
+    RunStreams(seconds(65));
+    int started = 4;
+    int version = 0;
+    for (const TimePoint end = now_ + duration; now_ < end;) {
+      Host& host = hosts_.at(hosts[random.Below(hosts.size())]);
+      const double kind = random.Unit();
+      if (kind < 0.5) {
+        Begin(hosts[random.Below(hosts.size())]);
+      } else if (kind < 0.58) {
+        version += random.Unit() < 0.3;
+        StartServer(absl::StrCat("s", ++started), absl::StrCat("v", version));
+      } else if (kind < 0.66 && servers_.size() > 3) {
+        StopServer(std::string(servers_.begin()->first));
+      } else if (kind < 0.8) {
+        auto it = servers_.begin();
+        std::advance(it, random.Below(servers_.size()));
+        CrashRuns(std::string(it->first));
+      } else if (kind < 0.87) {
+        host.is_cut_from_store ^= true;
+      } else if (kind < 0.93) {
+        host.is_cut_from_hosts ^= true;
+      } else {
+        host.is_down ^= true;
+      }
+      RunStreams(kStep * (1 + random.Below(8)));
+    }
+    RunStreams(seconds(3));
+  }
 };
 
+// Guards against hosts out of step that resume streams which their callers do
+// not name. Hosts that start anew have a test of their own.
+TEST_F(StreamChaosTest, NoUnnamedStreamHasTwoVersionsBesideHostsOutOfStep) {
+  const int block = testing::UnitTest::GetInstance()->random_seed();
+  const bool is_by_hand = GTEST_FLAG_GET(random_seed) > 0;
+  const uint64_t first = is_by_hand ? 1 + 200 * block : 1;
+  const uint64_t last = is_by_hand ? first + 199 : 40;
+  for (uint64_t seed = first; seed <= last; ++seed) {
+    Reset();
+    PlayUnnamed(seed, seconds(20));
+    EXPECT_EQ(CountMixed(), 0) << "seed " << seed << "\n" << Describe();
+    if (HasFailure()) return;
+  }
+}
+
 // Guards against any order of events in which a stream gets two versions. The
 // seeds are 1 to 40; --gtest_random_seed=N plays 1 + 200 N to 200 N + 200.
 TEST_F(StreamChaosTest, NoStreamHasTwoVersions) {
--- a/tests/platform/server_entry_test.cc
+++ b/tests/platform/server_entry_test.cc
@@ -206,6 +206,20 @@
 }
 
 // Guards against a start time beyond what a time can hold.
+TEST(ServerEntry, ServerThatCameAndWentBetweenTwoReadsIsNamed) {
+  Json entry = *ParseJson(kEntry);
+  entry["version"] = "v2";
+  const ServerListRead read = ReadServerRecords({{"i-1", kEntry, 5},
+                                                 {"i-2", entry.dump(), 6},
+                                                 {"i-2", "", 7},
+                                                 {"i-3", "", 8}},
+                                                /*is_whole=*/false);
+  ASSERT_EQ(read.passed.size(), 1u);
+  EXPECT_EQ(read.passed[0].version, "v2");
+  EXPECT_EQ(read.listed.size(), 1u);
+  EXPECT_EQ(read.gone.size(), 2u);
+}
+
 TEST(ServerEntry, StartTimeOutOfRangeIsRejected) {
   for (const char* born :
        {"253402300800000", "9223372036854775807", "18446744073709551615"}) {
