The fields of an answer's head are bounded in number

An operator of a system like ours reported a machine that ran out of memory by the bytes of a faulty engine. Here a host of 64 MB took 546 MB while 200 requests waited at two servers that sent heads of 60 KB in short fields and bodies without end, and 340 MB where the body was an event.

Cause: a head is bounded in bytes, but a field of seven bytes takes about a hundred in each of the maps that hold it while the body is read.

Change: a head of more than 256 lines is none, seen before it is parsed.

--- a/drivers/response_check.cc
+++ b/drivers/response_check.cc
@@ -18,6 +18,9 @@
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
 constexpr int kHttp11 = 11;
+// Of a head; a field takes many times its bytes on the wire in memory.
+constexpr size_t kMaxLines = 256;
+constexpr std::string_view kLineEnd = "\r\n";
 
 // Returns false if the body is coded in a way that the parser does not undo, or
 // if the version has no transfer codings (RFC 9112, sections 6.1 and 6.3).
@@ -38,9 +41,16 @@
 }  // namespace
 
 std::string FindLineFault(std::string_view head) {
-  const bool is_folded = head.find("\r\n ") != std::string_view::npos ||
-                         head.find("\r\n\t") != std::string_view::npos;
-  return is_folded ? "a line of the head is continued" : "";
+  size_t lines = 0;
+  for (size_t end = head.find(kLineEnd); end != std::string_view::npos;
+       end = head.find(kLineEnd, end)) {
+    end += kLineEnd.size();
+    if (++lines > kMaxLines) return "the head has too many lines";
+    const bool is_continued =
+        end < head.size() && (head[end] == ' ' || head[end] == '\t');
+    if (is_continued) return "a line of the head is continued";
+  }
+  return "";
 }
 
 std::string FindHeadFault(const ResponseHead& head) {
--- a/drivers/response_check.h
+++ b/drivers/response_check.h
@@ -12,9 +12,9 @@
 
 using ResponseHead = boost::beast::http::response_header<>;
 
-// Returns why the lines of a head, as received, cannot be parsed safely; empty
-// if they can. A line that continues the one before it may be neither passed on
-// nor dropped (RFC 9112, section 5.2). Thread-safe.
+// Returns why the lines of a head, as received, are not to be parsed; empty if
+// they are. Their number is bounded, and a line that continues the one before
+// it may be neither passed on nor dropped (RFC 9112, section 5.2). Thread-safe.
 std::string FindLineFault(std::string_view head);
 
 // Returns why the head is not that of an HTTP/1.1 response, though it can be
--- a/soak/platform_standin.cc
+++ b/soak/platform_standin.cc
@@ -20,8 +20,6 @@
 using std::chrono::milliseconds;
 
 constexpr char kLoopback[] = "127.0.0.1";
-constexpr uint64_t kModelMegabytes = 70000;
-constexpr uint64_t kEngineMegabytes = 200000;
 constexpr uint64_t kBytesPerMegabyte = 1000000;
 constexpr int kEvents = 12;
 constexpr Duration kEventGap = milliseconds(8);
@@ -36,8 +34,6 @@
 constexpr double kSlowdown = 2.5;
 constexpr Duration kSlowPeriod = milliseconds(4000);
 constexpr Duration kSlowTime = milliseconds(600);
-// Longest gap between two events of a stream on the routes of uneven servers.
-constexpr int kUnevenGapMillis = 300;
 // Time until a crashed server is removed from the list and replaced.
 constexpr Duration kReplaceDelay = milliseconds(1500);
 constexpr Duration kUnresponsiveTime = std::chrono::seconds(60);
@@ -52,21 +48,6 @@
   return text;
 }
 
-Json Route(const std::string& name, const std::string& kind,
-           const std::string& service) {
-  Json route{{"name", name},
-             {"host", "soak.example"},
-             {"path_prefix", "/" + name + "/"},
-             {"kind", kind},
-             {"timeout_ms", 4000},
-             {"target_latency_ms", 500},
-             {"priority", 1},
-             {"service", service},
-             {"max_attempts", kind == "non_idempotent" ? 1 : 2}};
-  if (kind == "streaming") route["resumable"] = name == "stream";
-  return route;
-}
-
 HttpResponse StampedResponse(const std::string& attempt, std::string body) {
   HttpResponse response;
   response.headers["x-attempt-id"] = attempt;
@@ -146,38 +127,6 @@
   topics_[topic].push_back({key, value});
 }
 
-void PlatformStandin::PutConfig(const std::vector<std::string>& extra) {
-  Json config{{"version", ++config_version_}, {"routes", Json::array()}};
-  config["routes"].push_back(Route("once", "non_idempotent", "app"));
-  config["routes"].push_back(Route("again", "idempotent", "app"));
-  config["routes"].push_back(Route("stream", "streaming", "llm"));
-  config["routes"].push_back(Route("rare", "streaming", "llm"));
-  for (const std::string& name : extra) {
-    config["routes"].push_back(Route(name, "idempotent", "app"));
-  }
-  for (Json& route : config["routes"]) {
-    if (!is_uneven_) break;
-    route["target_latency_ms"] = ToMillis(kUnevenTarget);
-    if (route["kind"] == "streaming") route["target_gap_ms"] = kUnevenGapMillis;
-  }
-  Json models = Json::array();
-  for (int i = 0; i < models_; ++i) {
-    models.push_back({{"name", absl::StrCat("m", i)},
-                      {"weights_mb", kModelMegabytes},
-                      {"load_s", 0.6},
-                      {"warmup_s", 0.1},
-                      {"disk_s", 0.2},
-                      {"adapters", 0}});
-  }
-  const Json engine{{"weights_mb", kEngineMegabytes},
-                    {"adapter_slots", 8},
-                    {"loads_per_s", 4.0},
-                    {"models", models}};
-  config["services"] = Json::array(
-      {Json{{"name", "app"}}, Json{{"name", "llm"}, {"engine", engine}}});
-  AppendRecord("keyed.op", "config", config.dump());
-}
-
 asio::awaitable<void> PlatformStandin::ServeStore(HttpExchange& exchange,
                                                   Translate translate) {
   const HttpRequest& request = exchange.request();
--- a/soak/platform_standin.h
+++ b/soak/platform_standin.h
@@ -71,6 +71,9 @@
 inline constexpr Duration kUnevenTarget = std::chrono::milliseconds(300);
 // Plain servers then: two of each speed.
 inline constexpr int kUnevenServers = 6;
+// Of each model, and room of each engine.
+inline constexpr uint64_t kModelMegabytes = 70000;
+inline constexpr uint64_t kEngineMegabytes = 200000;
 inline constexpr char kLimitHeader[] = "server-limit";
 inline constexpr char kBrittleHeader[] = "server-brittle";
 
@@ -97,6 +100,10 @@
   // Starts a server with a new id and returns the id.
   std::string StartEngine(const std::vector<std::string>& models);
   std::string StartApp();
+  // Lists a server of the caller's own for the service of the routes "/raw/",
+  // whose requests may be repeated, and "/raw-once/", whose may not. The routes
+  // are in the configurations that are put after it.
+  void ListRawServer(const Address& address);
   // Lists the server as leaving; it serves until Stop().
   void Drain(const std::string& id);
   // Stops the server at once; also removes it from the list if `is_delisted`.
@@ -235,6 +242,7 @@
   std::map<std::string, TimePoint> silent_until_;
   uint64_t config_version_ = 0;
   int started_ = 0;
+  int raw_servers_ = 0;
   int streams_ = 0;
   int break_every_ = 0;
 };
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -197,6 +197,17 @@
   }
 }
 
+// Guards against a bound on fields that a sound answer meets.
+TEST_F(BrokenAnswerTest, FieldsOfAHeadAreBounded) {
+  std::string fields;
+  for (int i = 0; i < 200; ++i) absl::StrAppend(&fields, "X-F", i, ": v\r\n");
+  const std::string framing = "Content-Length: 5\r\n\r\nhello";
+  ExpectPassedOn(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields, fields, framing),
+                 "HTTP/1.1 200 ", "hello");
+  ExpectNoAnswer(
+      absl::StrCat("HTTP/1.1 200 OK\r\n", kFields, fields, fields, framing));
+}
+
 // Guards against bytes that an answer announces, though its status allows none,
 // and that are lost or taken for the next answer.
 TEST_F(BrokenAnswerTest, ContentThatTheStatusForbidsIsNoAnswer) {
--- a/tests/processes/host_fixture.cc
+++ b/tests/processes/host_fixture.cc
@@ -4,8 +4,10 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <iostream>
 #include <sstream>
 #include <utility>
@@ -134,6 +136,44 @@
   ADD_FAILURE() << "the host did not begin to serve";
 }
 
+void HostTest::StartFaultyServers(int count, const FaultyAnswer& answer) {
+  std::promise<void> is_listed;
+  boost::asio::post(io_, [&] {
+    for (int i = 0; i < count; ++i) {
+      faulty_servers_.push_back(std::make_unique<FaultyServer>());
+      faulty_servers_.back()->SetAnswer(answer);
+      platform_->ListRawServer(faulty_servers_.back()->address());
+    }
+    platform_->PutConfig({});
+    is_listed.set_value();
+  });
+  is_listed.get_future().wait();
+  for (int i = 0; i < kMaxStartRequests; ++i) {
+    (void)Request("/raw/x");
+    if (ArrivalsOfLastRequest() > 0) return;
+    ::usleep(kStartPauseMicros);
+  }
+  ADD_FAILURE() << "no request reached the faulty servers";
+}
+
+void HostTest::SetFaultyAnswer(const FaultyAnswer& answer) {
+  for (const auto& server : faulty_servers_) server->SetAnswer(answer);
+}
+
+int HostTest::ArrivalsOfLastRequest() const {
+  return ArrivalsOf(absl::StrCat("r", requests_));
+}
+
+int HostTest::ArrivalsOf(const std::string& id) const {
+  int count = 0;
+  for (const auto& server : faulty_servers_) {
+    const std::map<std::string, int> arrivals = server->Arrivals();
+    const auto found = arrivals.find(id);
+    if (found != arrivals.end()) count += found->second;
+  }
+  return count;
+}
+
 bool HostTest::Sample() {
   const pid_t process = hosts_->process(0);
   std::vector<uint16_t> ports;
--- a/tests/processes/host_fixture.h
+++ b/tests/processes/host_fixture.h
@@ -8,10 +8,12 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "soak/host_processes.h"
 #include "soak/platform_standin.h"
 #include "tests/processes/client_crowd.h"
+#include "tests/processes/faulty_servers.h"
 
 namespace applehall {
 
@@ -28,6 +30,14 @@
   Address address(const std::string& listener) const {
     return hosts_->address(0, listener);
   }
+  // Starts servers behind the routes "/raw/" and "/raw-once/", which send
+  // `answer` to each request, and waits until the host passes requests on.
+  void StartFaultyServers(int count, const FaultyAnswer& answer);
+  void SetFaultyAnswer(const FaultyAnswer& answer);
+  // Returns how often requests with an id reached these servers.
+  int ArrivalsOf(const std::string& id) const;
+  // As above, for the last request of Request().
+  int ArrivalsOfLastRequest() const;
   // Records the process's use of memory and descriptors; the highest counts.
   // Returns whether the process has used processor time since the last call.
   // Requires: the host has begun to serve.
@@ -56,6 +66,7 @@
       work_{io_.get_executor()};
   std::unique_ptr<PlatformStandin> platform_;
   std::unique_ptr<HostProcesses> hosts_;
+  std::vector<std::unique_ptr<FaultyServer>> faulty_servers_;
   std::thread thread_;  // Runs `io_`.
   int requests_ = 0;
   int64_t peak_kilobytes_ = 0;
