--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -32,6 +32,9 @@
 // bodies, the line before each chunk.
 constexpr size_t kMaxBufferBytes = 2 * kMaxHeaderBytes;
 
+// Kept between the head and the body.
+constexpr size_t kMaxIdleBufferBytes = 16 * 1024;
+
 // Heads such as "103 Early Hints" before a response.
 constexpr int kMaxInterimHeads = 10;
 constexpr unsigned kSwitchingProtocols = 101;
@@ -115,7 +118,7 @@
   }
   ~BeastStream() override {
     if (is_complete_ && parser_->keep_alive() && buffer_.size() == 0 &&
-        !HasSkippedContent(parser_->get()) && stream_) {
+        !has_skipped_content_ && stream_) {
       const auto keep_alive = head_.headers.find("keep-alive");
       idle_->Release(
           address_, std::move(stream_),
@@ -318,6 +321,10 @@
       if (!is_first) head_.repeated.insert(name);
     }
     RemoveConnectionOptions(head_.headers);
+    has_skipped_content_ = HasSkippedContent(parser_->get());
+    // The head is held once while the body is read.
+    parser_->get().clear();
+    if (buffer_.capacity() > kMaxIdleBufferBytes) buffer_.shrink_to_fit();
   }
 
   asio::io_context& io_;
@@ -334,6 +341,7 @@
   std::optional<TimePoint> sent_at_;
   HttpResponse head_;
   bool is_complete_ = false;
+  bool has_skipped_content_ = false;
   bool is_cancelled_ = false;
   bool is_withheld_ = false;
   bool is_closed_by_peer_ = false;
