--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -383,6 +383,8 @@
   BodyLimits limits;
   limits.max_bytes = call.max_body_bytes;
   limits.read_by = SystemClock().Now() + call.header_timeout;
+  MemoryCharge charge(call.body_budget);
+  limits.charge = &charge;
   result.error = co_await ReadBody(*stream, limits, result.response.body);
   if (!result.error.empty()) result.state = SendState::kMayBeSent;
   co_return result;
@@ -408,7 +410,8 @@
     }
     // A string that grows has up to twice its size.
     while (limits.charge != nullptr && !limits.charge->TryGrowTo(2 * size)) {
-      const bool has_memory = co_await limits.await_memory();
+      bool has_memory = false;
+      if (limits.await_memory) has_memory = co_await limits.await_memory();
       if (has_memory) continue;
       error = "the memory for answers is used up";
       break;
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -58,7 +58,7 @@
   // Charged for the body as it is read; null: not charged.
   MemoryCharge* charge = nullptr;
   // Called while the charge does not fit; waits for memory. Returns false if
-  // there will be none in time.
+  // there will be none in time. Null: does not wait.
   std::function<boost::asio::awaitable<bool>()> await_memory = nullptr;
 };
 
@@ -86,6 +86,9 @@
   std::optional<Duration> total_timeout = std::nullopt;
   // Max size of the response body; for Fetch() only.
   size_t max_body_bytes = 16 * 1024 * 1024;
+  // Charged for the response body while it is read, which fails once it is used
+  // up; for Fetch() only. Null: not charged.
+  std::shared_ptr<MemoryBudget> body_budget = nullptr;
   // Called once a new connection was made, or failed or timed out; not for a
   // reused connection or a cancelled call.
   std::function<void(bool is_connected, Duration took)> on_connect = nullptr;
--- a/drivers/response_body.h
+++ b/drivers/response_body.h
@@ -17,6 +17,8 @@
 struct ResponseBody {
   using value_type = std::string;
 
+  // NOLINTNEXTLINE(readability-identifier-naming): the name that Beast asks
+  // for.
   class reader {
    public:
     template <bool kIsRequest, typename Fields>
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -421,6 +421,37 @@
   }
 }
 
+// Guards against answers to orders and questions that together exceed the
+// memory.
+TEST_F(KeptConnectionTest, AnswersToOrdersAndQuestionsAreCharged) {
+  constexpr size_t kLimit = 256 * 1024;
+  const auto memory = std::make_shared<MemoryBudget>(kLimit);
+  EngineClient bounded(
+      io_, "edge-1", "key",
+      [this](Event event) { events_.push_back(std::move(event)); },
+      [](Duration) {}, memory);
+  SendOrder action;
+  action.engine = "i-7";
+  action.address = server_.address();
+  action.order.name = "llm/m0";
+  action.order.send_by = SystemClock().Now() + std::chrono::seconds(4);
+  for (const auto& [bytes, result] :
+       std::map<size_t, OrderResult>{{1000, OrderResult::kDone},
+                                     {2 * kLimit, OrderResult::kUnanswered}}) {
+    events_.clear();
+    server_.answers = {
+        absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", bytes, "\r\n\r\n",
+                     std::string(bytes, 'x'))};
+    action.order.kind = OrderKind::kLoad;
+    bounded.Send(action);
+    EXPECT_TRUE(RunUntil([this] { return Find<OrderAnswered>() != nullptr; }));
+    EXPECT_EQ(Find<OrderAnswered>()->result, result) << bytes;
+  }
+  EXPECT_GT(memory->refusals(), 0u);
+  EXPECT_LE(memory->peak(), kLimit);
+  EXPECT_EQ(memory->used(), 0u);
+}
+
 // Guards against a report that is taken from bytes that are no answer, and
 // against an order that is answered by them.
 TEST_F(KeptConnectionTest, ReportsAreReadFromAnswersOnly) {
