--- a/drivers/event_stream.cc
+++ b/drivers/event_stream.cc
@@ -8,6 +8,12 @@
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kEventId = "id:";
 
+// Ids go into the header of the request that resumes a stream.
+bool IsPrintable(std::string_view text) {
+  return std::none_of(text.begin(), text.end(),
+                      [](unsigned char c) { return c < ' ' || c == 0x7f; });
+}
+
 }  // namespace
 
 std::string EventSplitter::Add(std::string_view bytes) {
@@ -41,7 +47,9 @@
     const std::string_view text = events.substr(line, end - line);
     if (text.starts_with(kEventId)) {
       const size_t from = text.find_first_not_of(' ', kEventId.size());
-      if (from != std::string_view::npos) id = std::string(text.substr(from));
+      const bool is_id =
+          from != std::string_view::npos && IsPrintable(text.substr(from));
+      if (is_id) id = std::string(text.substr(from));
     }
     line = end + 1;
   }
--- a/drivers/event_stream.h
+++ b/drivers/event_stream.h
@@ -33,8 +33,8 @@
 // Thread-safe.
 int CountEvents(std::string_view events);
 
-// Returns the id of the last event that has one; empty if none has. Requires:
-// complete events only. Thread-safe.
+// Returns the id of the last event that has one; empty if none has. One with
+// control bytes is none. Requires: complete events only. Thread-safe.
 std::string LastEventId(std::string_view events);
 
 }  // namespace applehall
--- a/drivers/response_body.h
+++ b/drivers/response_body.h
@@ -17,8 +17,7 @@
 struct ResponseBody {
   using value_type = std::string;
 
-  // NOLINTNEXTLINE(readability-identifier-naming): the name that Beast asks
-  // for.
+  // Beast asks for this name. NOLINTNEXTLINE(readability-identifier-naming)
   class reader {
    public:
     template <bool kIsRequest, typename Fields>
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -295,6 +295,19 @@
                  "HTTP/1.1 503 ", "hello");
 }
 
+// Guards against an id of an event that becomes a line of the head of the
+// request which resumes the stream.
+TEST_F(BrokenAnswerTest, EventIdWithControlBytesIsNone) {
+  const AttemptEnded ended =
+      Answer(absl::StrCat("HTTP/1.1 200 OK\r\n", kFields,
+                          "Content-Type: text/event-stream\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n"
+                          "1d\r\nid: 7\rX-Model: n\ndata: abcd\n\n\r\n"));
+  EXPECT_EQ(ended.result, AttemptResult::kBroken);
+  EXPECT_TRUE(ended.has_delivered);
+  EXPECT_FALSE(ended.can_resume);
+}
+
 // Guards against fields of one connection that reach the next one (RFC 9110,
 // section 7.6.1).
 TEST_F(BrokenAnswerTest, FieldsThatConnectionNamesAreNotPassedOn) {
