--- a/tests/node/stream_fixture.h
+++ b/tests/node/stream_fixture.h
@@ -331,13 +331,9 @@
     std::map<std::string, std::optional<ListedServer>> changes;
     for (size_t i = read.is_whole ? 0 : known->second; i < end; ++i) {
       const ListingChange& change = listing_log_[i];
-      const auto before = changes.find(change.id);
-      if (!read.is_whole && !change.server && before != changes.end() &&
-          before->second) {
-        read.passed.push_back(
-            {before->second->service, before->second->version});
-      }
-      changes[change.id] = change.server;
+      const auto before = std::exchange(changes[change.id], change.server);
+      if (read.is_whole || !before || change.server) continue;
+      read.passed.push_back({before->service, before->version});
     }
     for (const auto& [id, server] : changes) {
       if (server) {
@@ -465,7 +461,7 @@
     request.is_forwarded = true;
     request.is_resumption = of.events > 0;
     if (of.events > 0) request.resumes = of.begun_by;
-    PassOrigin(sent, request);
+    request.origin = sent.origin;
     hops_[{helper, request.handle}] = {name, sent, *stream};
     ++forwards_;
     Handle(helper, request);
@@ -579,9 +575,6 @@
     pending_.push_back({from.from, ended});
   }
 
-  static void PassOrigin(const DispatchRequest& sent, RequestArrived& request) {
-    request.origin = sent.origin;
-  }
   static AttemptStarted StartedOverHop(const Hop& hop, const ServerRun& run) {
     AttemptStarted started{hop.sent.handle};
     started.origin = run.sent.origin;
