The soak restarts hosts in series; hosts end by themselves

The soak accepted any end after a request to stop, restarts never overlapped with a stop, no signal came before the warm-up and no other program had a port. Ends count unless the process was killed, or was asked to stop and ended with code 0; the old runs count so, too.

Signals before the program's first instruction are left out, as no program can take them.

--- a/soak/applehall_soak.cc
+++ b/soak/applehall_soak.cc
@@ -41,6 +41,9 @@
                "and report their load");
   app.add_flag("--leaving", options.has_leaving,
                "Callers leave at any moment, and hosts stand still in series");
+  app.add_flag("--restarts", options.has_restarts,
+               "Hosts get signals in series from their start on, restarts "
+               "overlap with planned stops, ports are taken for a while");
   CLI11_PARSE(app, argc, argv);
   options.length = std::chrono::seconds(seconds);
   std::signal(SIGPIPE, SIG_IGN);
--- a/soak/host_processes.cc
+++ b/soak/host_processes.cc
@@ -54,9 +54,12 @@
 
 HostProcesses::~HostProcesses() {
   for (Host& host : hosts_) {
-    if (host.process == 0) continue;
-    ::kill(host.process, SIGKILL);
-    ::waitpid(host.process, nullptr, 0);
+    host.earlier.push_back(host.process);
+    for (const Process& process : host.earlier) {
+      if (process.id == 0) continue;
+      ::kill(process.id, SIGKILL);
+      ::waitpid(process.id, nullptr, 0);
+    }
   }
 }
 
@@ -87,8 +90,9 @@
   for (const auto& [key, address] : host.addresses) {
     settings[key] = address.ToString();
   }
-  std::ofstream(host.settings_path) << settings.dump(1);
+  host.settings = settings.dump(1);
   hosts_.push_back(std::move(host));
+  RestoreSettings(count() - 1);
   return count() - 1;
 }
 
@@ -107,28 +111,80 @@
   char config[] = "--config";
   char* const arguments[] = {daemon_.data(), config, host.settings_path.data(),
                              nullptr};
-  if (posix_spawn(&host.process, daemon_.c_str(), &files, nullptr, arguments,
+  host.process = {};
+  if (posix_spawn(&host.process.id, daemon_.c_str(), &files, nullptr, arguments,
                   environ) != 0) {
-    host.process = 0;
+    host.process = {};
   }
   posix_spawn_file_actions_destroy(&files);
-  host.is_stop_requested = false;
 }
 
-void HostProcesses::Signal(int index, int signal) {
+void HostProcesses::StartBeside(int index) {
   Host& host = hosts_[index];
+  if (IsRunning(index)) host.earlier.push_back(host.process);
+  host.process = {};
+  Start(index);
+}
+
+void HostProcesses::Signal(int index, int signal) {
+  Process& process = hosts_[index].process;
   if (!IsRunning(index)) return;
-  if (signal == SIGKILL || signal == SIGTERM) host.is_stop_requested = true;
-  ::kill(host.process, signal);
+  if (signal == SIGKILL) process.is_killed = true;
+  if (signal == SIGTERM) process.is_stop_requested = true;
+  ::kill(process.id, signal);
+}
+
+bool HostProcesses::Check(const Host& host, Process& process) {
+  if (process.id == 0) return false;
+  int status = 0;
+  if (::waitpid(process.id, &status, WNOHANG) == 0) return true;
+  const bool is_planned = process.is_stop_requested && WIFEXITED(status) &&
+                          WEXITSTATUS(status) == 0;
+  if (!process.is_killed && !is_planned) {
+    unexpected_ends_.push_back(
+        WIFSIGNALED(status)
+            ? absl::StrCat(host.name, " signal ", WTERMSIG(status))
+            : absl::StrCat(host.name, " exit code ", WEXITSTATUS(status)));
+  }
+  process = {};
+  return false;
 }
 
 bool HostProcesses::IsRunning(int index) {
   Host& host = hosts_[index];
-  if (host.process == 0) return false;
-  if (::waitpid(host.process, nullptr, WNOHANG) == 0) return true;
-  if (!host.is_stop_requested) ++unexpected_exits_;
-  host.process = 0;
-  return false;
+  return Check(host, host.process);
+}
+
+bool HostProcesses::HasProcess(int index) {
+  Host& host = hosts_[index];
+  std::erase_if(host.earlier, [this, &host](Process& process) {
+    return !Check(host, process);
+  });
+  return IsRunning(index) || !host.earlier.empty();
+}
+
+bool HostProcesses::TakesSignal(int index, int signal) const {
+  std::ifstream status(
+      absl::StrCat("/proc/", hosts_[index].process.id, "/status"));
+  uint64_t taken = 0;
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("SigBlk:") || line.starts_with("SigIgn:") ||
+        line.starts_with("SigCgt:")) {
+      taken |= std::strtoull(line.c_str() + std::string("SigBlk:").size(),
+                             nullptr, 16);
+    }
+  }
+  return (taken >> (signal - 1) & 1) != 0;
+}
+
+void HostProcesses::CutSettings(int index) const {
+  const Host& host = hosts_[index];
+  std::ofstream(host.settings_path)
+      << host.settings.substr(0, host.settings.size() / 2);
+}
+
+void HostProcesses::RestoreSettings(int index) const {
+  std::ofstream(hosts_[index].settings_path) << hosts_[index].settings;
 }
 
 }  // namespace applehall
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -127,6 +127,9 @@
   }
   if (options_.has_versions) asio::co_spawn(io_, RunVersions(), asio::detached);
   if (options_.has_leaving) asio::co_spawn(io_, RunStands(), asio::detached);
+  for (int i = 0; i < hosts_.count() && options_.has_restarts; ++i) {
+    asio::co_spawn(io_, RunRestarts(i), asio::detached);
+  }
   const int leaving = options_.has_leaving ? hosts_.count() * 4 : 0;
   for (int i = 0; i < leaving; ++i) {
     ++callers_running_;
@@ -146,9 +149,9 @@
   }
   std::vector<std::string> broken = platform_.violations();
   if (callers_running_ > 0) broken.push_back("HANG a request has no answer");
-  if (hosts_.unexpected_exits() > 0) {
-    broken.push_back(absl::StrCat("CRASH ", hosts_.unexpected_exits(),
-                                  " hosts exited unexpectedly"));
+  if (options_.has_restarts) StopAll(broken);
+  for (const std::string& end : hosts_.unexpected_ends()) {
+    broken.push_back("CRASH " + end);
   }
   CheckAnswers(broken);
   CheckRuns(broken);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -52,6 +52,9 @@
   // Callers close or reset their connections at any moment, also at hosts that
   // stand.
   bool has_leaving = false;
+  // Each host gets signals in series from its start on, restarts that overlap
+  // with a planned stop, ports that are taken and settings that are cut.
+  bool has_restarts = false;
 };
 
 // A caller of a model that nobody else asks for, on one connection.
@@ -128,6 +131,14 @@
   // Makes hosts stand still in series.
   Awaitable<void> RunStands();
   Awaitable<void> StandStill(int host, Duration lasts);
+  // Sends signals to a host and restarts it, in series.
+  Awaitable<void> RunRestarts(int host);
+  Awaitable<void> RestartInSomeWay(int host, Random& random);
+  // Starts a host while one of its ports is taken for a while.
+  Awaitable<void> StartBesideTakenPort(int host, Random& random);
+  Awaitable<void> AwaitSignalsTaken(int host);
+  // Asks all hosts to stop, and waits until they have.
+  void StopAll(std::vector<std::string>& broken);
   // Makes servers announce, change and withdraw limits.
   Awaitable<void> RunLimits();
   // Cuts hosts from all servers, in series and overlapping.
