Tests of stop signals and SIGHUP during the start

Both daemons end by the default action of SIGTERM, SIGINT and SIGHUP until their handlers are made, which comes last in the start; a stop signal that the parent process had blocked is never delivered. The tests hold the daemon where it reads its settings, by a FIFO, so that the verdict does not depend on time. All six cases (three tests, both daemons) fail on this code.

--- a/tests/processes/daemon_process.cc
+++ b/tests/processes/daemon_process.cc
@@ -52,6 +52,13 @@
       const rlimit both{limit, limit};
       ::setrlimit(static_cast<__rlimit_resource>(resource), &both);
     }
+    if (pending_signal_ != 0) {
+      sigset_t blocked;
+      sigemptyset(&blocked);
+      sigaddset(&blocked, pending_signal_);
+      ::sigprocmask(SIG_BLOCK, &blocked, nullptr);
+      ::kill(::getpid(), pending_signal_);
+    }
     ::execv(program_.c_str(), arguments.data());
     ::_exit(127);
   }
--- a/tests/processes/daemon_process.h
+++ b/tests/processes/daemon_process.h
@@ -32,6 +32,8 @@
   void SetOutput(int descriptor) { output_ = descriptor; }
   // Limits a resource, such as RLIMIT_FSIZE, of the next start.
   void Limit(int resource, rlim_t limit) { limits_[resource] = limit; }
+  // Makes `signal` pending and blocked at the next starts.
+  void SetPendingSignal(int signal) { pending_signal_ = signal; }
 
   // Starts the process. Requires: it does not run.
   void Start();
@@ -55,6 +57,7 @@
   std::string log_path_;
   int output_ = -1;
   std::map<int, rlim_t> limits_;
+  int pending_signal_ = 0;
   pid_t process_ = 0;
   std::optional<int> status_;
 };
--- /dev/null
+++ b/tests/processes/signal_test.cc
@@ -0,0 +1,105 @@
+// Signals to the daemons, from their first instructions to their ends.
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "tests/processes/daemon_process.h"
+
+namespace applehall {
+namespace {
+
+using std::chrono::seconds;
+
+// Bounds for what takes milliseconds; only a process that hangs reaches them.
+constexpr seconds kLimit{20};
+
+// The parameter is the path of a daemon.
+class SignalTest : public testing::TestWithParam<const char*> {
+ protected:
+  SignalTest() {
+    if (GetParam() == std::string(APPLEHALLD)) {
+      Json& settings = fixture_.settings();
+      settings.erase("ip");
+      settings.erase("store");
+      settings.erase("readiness");
+      settings.erase("forwards");
+      settings.erase("grace_period_ms");
+      for (const char* key : {"log", "hosts", "store"}) {
+        settings["platform"][key] = "127.0.0.1:" + std::to_string(FreePort());
+      }
+      settings["timings"] = Json{{"drain_bound_ms", 1000}};
+      fixture_.WriteSettings();
+    }
+  }
+
+  // Starts the daemon and returns when it reads its settings, which it does
+  // before its signal handlers are made. The settings are a FIFO until then.
+  void StartHeld() {
+    std::filesystem::remove(fixture_.settings_path());
+    ASSERT_EQ(::mkfifo(fixture_.settings_path().c_str(), 0600), 0);
+    process_.Start();
+    settings_writer_ = ::open(fixture_.settings_path().c_str(), O_WRONLY);
+    ASSERT_GE(settings_writer_, 0);
+  }
+  // Lets the daemon of StartHeld() read its settings.
+  void Continue() {
+    std::filesystem::remove(fixture_.settings_path());
+    fixture_.WriteSettings();
+    const std::string text = fixture_.settings().dump();
+    // Fails if the process has ended. Restored, since children inherit it.
+    const sighandler_t action = ::signal(SIGPIPE, SIG_IGN);
+    (void)!::write(settings_writer_, text.data(), text.size());
+    ::signal(SIGPIPE, action);
+    ::close(settings_writer_);
+  }
+  std::string End() { return DescribeWaitStatus(process_.AwaitExit(kLimit)); }
+
+  EdgeFixture fixture_;
+  DaemonProcess process_{GetParam(), fixture_.arguments(), fixture_.log_path()};
+  int settings_writer_ = -1;
+};
+
+// Guards against a process that a stop signal ends by its default action before
+// the handlers are made.
+TEST_P(SignalTest, StopSignalDuringStartIsAPlannedStop) {
+  for (const int signal : {SIGTERM, SIGINT}) {
+    StartHeld();
+    process_.Signal(signal);
+    Continue();
+    EXPECT_EQ(End(), "exit code 0") << "signal " << signal;
+  }
+}
+
+// Guards against a reload during the start that ends the process.
+TEST_P(SignalTest, HangupDuringStartIsAReload) {
+  StartHeld();
+  process_.Signal(SIGHUP);
+  Continue();
+  EXPECT_TRUE(process_.AwaitLog("event=started", kLimit));
+  process_.Signal(SIGTERM);
+  EXPECT_EQ(End(), "exit code 0");
+}
+
+// Guards against a stop signal that is never delivered, because the parent had
+// blocked it: a process inherits the mask and its pending signals at exec.
+TEST_P(SignalTest, StopSignalThatWasPendingAtExecIsAPlannedStop) {
+  process_.SetPendingSignal(SIGTERM);
+  process_.Start();
+  EXPECT_EQ(End(), "exit code 0");
+}
+
+}  // namespace
+
+INSTANTIATE_TEST_SUITE_P(Daemons, SignalTest,
+                         testing::Values(APPLEHALL_EDGED, APPLEHALLD),
+                         [](const auto& info) {
+                           return info.index == 0 ? "Edge" : "Own";
+                         });
+
+}  // namespace applehall
