Tests of signals that have no meaning for a daemon, and of SIGQUIT

Signals such as SIGUSR1, SIGPIPE or SIGXCPU end both daemons at any time by their default action, and SIGQUIT cuts the open responses.

--- a/tests/processes/signal_test.cc
+++ b/tests/processes/signal_test.cc
@@ -94,6 +94,26 @@
   EXPECT_EQ(End(), "exit code 0");
 }
 
+// Guards against signals without a meaning for a daemon that end it.
+TEST_P(SignalTest, UnusedSignalsAreIgnored) {
+  process_.Start();
+  ASSERT_TRUE(process_.AwaitLog("event=started", kLimit));
+  for (const int signal : {SIGPIPE, SIGXFSZ, SIGXCPU, SIGUSR1, SIGUSR2, SIGALRM,
+                           SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT}) {
+    process_.Signal(signal);
+  }
+  process_.Signal(SIGTERM);
+  EXPECT_EQ(End(), "exit code 0");
+}
+
+// Guards against SIGQUIT that cuts open responses and leaves a core dump.
+TEST_P(SignalTest, QuitIsAPlannedStop) {
+  process_.Start();
+  ASSERT_TRUE(process_.AwaitLog("event=started", kLimit));
+  process_.Signal(SIGQUIT);
+  EXPECT_EQ(End(), "exit code 0");
+}
+
 }  // namespace
 
 INSTANTIATE_TEST_SUITE_P(Daemons, SignalTest,
