No signal but that of a fault ends a daemon by its default action

Operators saw processes that ended by a signal: SIGTERM, SIGINT or SIGHUP before the handlers were made, which came last in the start, and SIGUSR1, SIGXCPU and others at any time. A stop signal that the parent process had blocked was never delivered.

Cause: each signal keeps its default action until code replaces it. A pending SIGTERM is then a planned stop with code 0, a SIGHUP a reload. SIGQUIT is a stop signal as well: who sends it wants an end, and SIGABRT still gives a core dump. applehalld logs that it keeps its settings at SIGHUP. SIGSYS, SIGTRAP and real-time signals are left alone.

What remains is the time of exec and of the dynamic loader, in which no code of the process runs; a parent that blocks the signals closes it, since they are released at the end of the start.

--- a/main/applehalld.cc
+++ b/main/applehalld.cc
@@ -7,6 +7,7 @@
 #include "main/run_daemon.h"
 
 int main(int argc, char** argv) {
+  applehall::PrepareSignals();
   CLI::App app{"applehall entry host: routes requests for rarely used models"};
   std::string config_path;
   bool check_only = false;
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -11,6 +11,7 @@
 #include "core/uuid.h"
 #include "drivers/background_task.h"
 #include "drivers/forward_proof.h"
+#include "drivers/process_signals.h"
 #include "drivers/sleep.h"
 
 namespace applehall {
@@ -231,14 +232,12 @@
       .With("callers_port", caller_server_->port())
       .With("operators_port", operator_server_->port())
       .With("peers_port", peers_->port());
-  asio::signal_set signals(main_io_, SIGTERM, SIGINT);
-  std::function<void(const boost::system::error_code&, int)> on_signal =
-      [&](const boost::system::error_code& error, int) {
-        if (error) return;
-        Drain();
-        signals.async_wait(on_signal);
-      };
-  signals.async_wait(on_signal);
+  ProcessSignals signals(main_io_);
+  signals.Start([this] { Drain(); },
+                [] {
+                  LogEvent(LogLevel::kInfo, "settings_kept")
+                      .With("in_force", "at the next start");
+                });
   const auto guard = asio::make_work_guard(main_io_);
   main_io_.run();
   // Waits until the callers' thread has sent the last responses.
--- a/main/run_daemon.h
+++ b/main/run_daemon.h
@@ -7,12 +7,20 @@
 #include <iostream>
 
 #include "core/event_log.h"
+#include "drivers/process_signals.h"
 
 namespace applehall {
 
 inline constexpr int kExitBadSettings = 2;
 inline constexpr int kExitCannotStart = 3;
 
+// Signals of a daemon's start. Thread: the main one, as the first call of
+// main().
+inline void PrepareSignals() {
+  HoldSignals();
+  IgnoreUnusedSignals();
+}
+
 // Runs a daemon with its event log until it stops, or only checks its settings;
 // returns the exit code of the process. `run` gets the settings and returns
 // when the daemon has stopped; an exception from it means that the daemon could
