Tests of a log without a reader, at a file limit and on a full device

One that fails: after the reader of the log is back, nothing is written any more, and the lost lines are not counted; both daemons.

--- a/tests/processes/signal_test.cc
+++ b/tests/processes/signal_test.cc
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "drivers/http_client.h"
 #include "tests/processes/daemon_process.h"
 
 namespace applehall {
@@ -58,6 +59,22 @@
     ::signal(SIGPIPE, action);
     ::close(settings_writer_);
   }
+  // Waits until the metrics count lost lines of the log.
+  bool AwaitLostLines() {
+    HttpCall call;
+    call.address = fixture_.address("operators");
+    call.request.method = "GET";
+    call.request.target = "/metrics";
+    const auto end = std::chrono::steady_clock::now() + kLimit;
+    while (std::chrono::steady_clock::now() < end) {
+      const std::string text = FetchBlocking(call).response.body;
+      const std::string name = "log_lines_dropped_total ";
+      const size_t at = text.find(name);
+      if (at != std::string::npos && text[at + name.size()] != '0') return true;
+      ::usleep(5000);
+    }
+    return false;
+  }
   std::string End() { return DescribeWaitStatus(process_.AwaitExit(kLimit)); }
 
   EdgeFixture fixture_;
@@ -114,6 +131,61 @@
   EXPECT_EQ(End(), "exit code 0");
 }
 
+// Guards against a process that ends by SIGPIPE once the reader of its log has
+// ended.
+TEST_P(SignalTest, LogWithoutAReaderDoesNotEndTheProcess) {
+  int ends[2];
+  ASSERT_EQ(::pipe2(ends, O_CLOEXEC), 0);
+  process_.SetOutput(ends[1]);
+  process_.SetPendingSignal(SIGTERM);
+  ::close(ends[0]);
+  process_.Start();
+  EXPECT_EQ(End(), "exit code 0");
+  ::close(ends[1]);
+}
+
+// Guards against a process that ends by SIGXFSZ at its limit of file sizes.
+TEST_P(SignalTest, LogAtAFileLimitDoesNotEndTheProcess) {
+  process_.Limit(RLIMIT_FSIZE, 64);
+  process_.SetPendingSignal(SIGTERM);
+  process_.Start();
+  EXPECT_EQ(End(), "exit code 0");
+}
+
+// Guards against a full device of the log that ends the process.
+TEST_P(SignalTest, LogOnAFullDeviceDoesNotEndTheProcess) {
+  const int full = ::open("/dev/full", O_WRONLY | O_CLOEXEC);
+  ASSERT_GE(full, 0);
+  process_.SetOutput(full);
+  process_.SetPendingSignal(SIGTERM);
+  process_.Start();
+  EXPECT_EQ(End(), "exit code 0");
+  ::close(full);
+}
+
+// Guards against a log that stays empty, and lost lines that are not counted,
+// after standard output took nothing for a while.
+TEST_P(SignalTest, LogIsWrittenAgainWhenItsReaderIsBack) {
+  const std::string path = fixture_.folder() + "/log-fifo";
+  ASSERT_EQ(::mkfifo(path.c_str(), 0600), 0);
+  int reader = ::open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+  const int writer = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
+  ASSERT_GE(writer, 0);
+  ::close(reader);
+  process_.SetOutput(writer);
+  process_.Start();
+  ASSERT_TRUE(AwaitLostLines());
+  reader = ::open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+  process_.Signal(SIGTERM);
+  EXPECT_EQ(End(), "exit code 0");
+  std::string text(65536, '\0');
+  const ssize_t size = ::read(reader, text.data(), text.size());
+  text.resize(size > 0 ? static_cast<size_t>(size) : 0);
+  EXPECT_NE(text.find("event=stopped"), std::string::npos) << text;
+  ::close(reader);
+  ::close(writer);
+}
+
 }  // namespace
 
 INSTANTIATE_TEST_SUITE_P(Daemons, SignalTest,
