The log goes on after standard output took nothing

After one failed write (no reader, full device, file limit) nothing was logged until the end of the process, and no line was counted as lost: the stream kept its first error. An exception of the log thread, or of the memory for a line, ended the process. A planned stop never ended while a reader that had stopped reading kept the pipe full.

LogWriter writes each line by itself and separates it from one that was cut; the backend counts what is lost. LogEvent drops a line without memory. The stop waits half a second for the queue, and then ends without it. applehalld shows both counts on its metrics as well.

--- a/core/event_log.cc
+++ b/core/event_log.cc
@@ -1,17 +1,21 @@
 #include "core/event_log.h"
 
+#include <unistd.h>
+
 #include <atomic>
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <chrono>
-#include <cstdio>
-#include <iostream>
+#include <future>
+#include <system_error>
+#include <thread>
+
+#include "core/log_writer.h"
 
 namespace applehall {
 namespace {
@@ -38,8 +42,19 @@
   static void interrupt() {}
 };
 
+// A stream keeps its first error, and loses all later lines by it.
+class LineBackend : public sinks::basic_formatted_sink_backend<char> {
+ public:
+  void consume(const boost::log::record_view&, const string_type& line) {
+    if (!writer_.Write(line)) ++g_dropped_lines;
+  }
+
+ private:
+  LogWriter writer_{STDOUT_FILENO};
+};
+
 using LineSink = sinks::asynchronous_sink<
-    sinks::text_ostream_backend,
+    LineBackend,
     sinks::bounded_fifo_queue<kMaxQueuedLines, CountingDropOnOverflow>>;
 
 std::atomic<bool> g_started{false};
@@ -90,54 +105,81 @@
 void StartEventLog(LogLevel min_level, const std::string& host) {
   g_min_level = static_cast<int>(min_level);
   g_host = host;
-  auto backend = boost::make_shared<sinks::text_ostream_backend>();
-  backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-  backend->auto_flush(true);
-  g_sink = boost::make_shared<LineSink>(backend);
+  g_sink = boost::make_shared<LineSink>(boost::make_shared<LineBackend>());
+  g_sink->set_exception_handler([] { ++g_dropped_lines; });
   boost::log::core::get()->add_sink(g_sink);
   g_started = true;
 }
 
-void StopEventLog() {
-  if (!g_started.exchange(false)) return;
+bool StopEventLog(std::chrono::milliseconds max_wait) {
+  if (!g_started.exchange(false)) return true;
   boost::log::core::get()->remove_sink(g_sink);
-  g_sink->stop();
-  g_sink->flush();
-  g_sink.reset();
+  std::promise<void> written;
+  std::future<void> is_written = written.get_future();
+  const auto write_queued = [sink = std::move(g_sink)] {
+    sink->stop();
+    sink->flush();
+  };
+  // Another thread waits for the log thread, which stays in write() as long as
+  // its reader takes nothing.
+  try {
+    std::thread([write_queued, written = std::move(written)]() mutable {
+      write_queued();
+      written.set_value();
+    }).detach();
+  } catch (const std::system_error&) {
+    write_queued();
+    return true;
+  }
+  return is_written.wait_for(max_wait) == std::future_status::ready;
 }
 
 LogEvent::LogEvent(LogLevel level, std::string_view name)
-    : level_(level),
-      enabled_(g_started && static_cast<int>(level) >= g_min_level) {
+    : enabled_(g_started && static_cast<int>(level) >= g_min_level) {
   if (!enabled_) return;
   const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
-  line_ = "time_ms=" + std::to_string(now.count()) + " level=";
-  line_ += LevelName(level_);
-  line_ += " host=" + g_host + " event=";
-  line_ += name;
+  Build([&] {
+    line_ = "time_ms=" + std::to_string(now.count()) + " level=";
+    line_ += LevelName(level);
+    line_ += " host=" + g_host + " event=";
+    line_ += name;
+  });
 }
 
 LogEvent::~LogEvent() {
   if (!enabled_) return;
-  boost::log::sources::logger_mt logger;
-  BOOST_LOG(logger) << line_;
+  Build([this] {
+    boost::log::sources::logger_mt logger;
+    BOOST_LOG(logger) << line_;
+  });
 }
 
 LogEvent& LogEvent::With(std::string_view key, std::string_view value) {
   if (!enabled_ || line_.size() > kMaxLineBytes) return *this;
-  line_ += ' ';
-  line_ += key;
-  line_ += '=';
-  if (value.size() <= kMaxValueBytes) {
-    AppendLogValue(value, line_);
-    return *this;
-  }
-  std::string cut(value.substr(0, kMaxValueBytes));
-  cut += "...(" + std::to_string(value.size()) + " bytes)";
-  AppendLogValue(cut, line_);
+  Build([&] {
+    line_ += ' ';
+    line_ += key;
+    line_ += '=';
+    if (value.size() <= kMaxValueBytes) {
+      AppendLogValue(value, line_);
+      return;
+    }
+    std::string cut(value.substr(0, kMaxValueBytes));
+    cut += "...(" + std::to_string(value.size()) + " bytes)";
+    AppendLogValue(cut, line_);
+  });
   return *this;
 }
 
+template <typename Step>
+void LogEvent::Build(const Step& step) {
+  try {
+    step();
+  } catch (...) {
+    enabled_ = false;
+    ++g_dropped_lines;
+  }
+}
+
 }  // namespace applehall
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -1,6 +1,7 @@
 #ifndef APPLEHALL_CORE_EVENT_LOG_H_
 #define APPLEHALL_CORE_EVENT_LOG_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -16,10 +17,15 @@
 // once, before any other thread starts.
 void StartEventLog(LogLevel min_level, const std::string& host);
 
-// Writes the queued lines and stops the log thread. Not thread-safe.
-void StopEventLog();
+// Writes the queued lines and stops the log thread. Returns false if that takes
+// longer than `max_wait`, since nothing reads the log; the process must then
+// end without destructors of static objects, as by std::_Exit(). Not
+// thread-safe.
+bool StopEventLog(
+    std::chrono::milliseconds max_wait = std::chrono::milliseconds(500));
 
-// Number of lines that were dropped because the queue was full. Thread-safe.
+// Number of lines that were lost: the queue was full, there was no memory, or
+// standard output did not take them. Thread-safe.
 uint64_t DroppedLogLines();
 
 // Appends a value in log format: quoted and escaped if it has spaces, quotes,
@@ -27,7 +33,9 @@
 // Thread-safe.
 void AppendLogValue(std::string_view value, std::string& line);
 
-// One line of the log; it is queued when the object goes out of scope.
+// One line of the log; it is queued when the object goes out of scope. A line
+// without memory is dropped, so that events can be logged where an exception
+// must not occur.
 //   LogEvent(LogLevel::kInfo, "load_ordered").With("model", name);
 class LogEvent {
  public:
@@ -47,7 +55,10 @@
   }
 
  private:
-  LogLevel level_;
+  // Runs one step of the line; drops the line if it throws.
+  template <typename Step>
+  void Build(const Step& step);
+
   bool enabled_;
   std::string line_;
 };
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -465,11 +465,13 @@
   for (const auto& [name, value] : peers_->Counters()) {
     absl::StrAppend(&text, "applehall_peer_", name, " ", value, "\n");
   }
-  absl::StrAppend(&text, "applehall_decision_cpu_seconds ",
-                  ToSeconds(decisions_.cpu_time()), "\n",
-                  "applehall_open_requests ", node.flow().open_requests(),
-                  "\napplehall_refused_connections ",
-                  caller_server_->refused_connections(), "\n");
+  absl::StrAppend(
+      &text, "applehall_decision_cpu_seconds ",
+      ToSeconds(decisions_.cpu_time()), "\n", "applehall_open_requests ",
+      node.flow().open_requests(), "\napplehall_refused_connections ",
+      caller_server_->refused_connections(),
+      "\napplehall_log_lines_dropped_total ", DroppedLogLines(),
+      "\napplehall_background_failures_total ", BackgroundFailures(), "\n");
   return text;
 }
 
--- a/main/run_daemon.h
+++ b/main/run_daemon.h
@@ -3,6 +3,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 
@@ -41,7 +42,7 @@
     std::cerr << "cannot start: " << error.what() << "\n";
     exit_code = kExitCannotStart;
   }
-  StopEventLog();
+  if (!StopEventLog()) std::_Exit(exit_code);
   return exit_code;
 }
 
--- a/tests/core/event_log_test.cc
+++ b/tests/core/event_log_test.cc
@@ -31,7 +31,7 @@
     while (read(ends[0], buffer, sizeof(buffer)) > 0) {
     }
   });
-  StopEventLog();
+  EXPECT_TRUE(StopEventLog(std::chrono::seconds(20)));
   std::cout.flush();
   dup2(standard_output, STDOUT_FILENO);
   close(standard_output);
