A line in the log for an end by a fault or std::terminate

A process that ended by a signal of a fault, or by an exception that no code handled, left no line: the log did not tell it from SIGKILL or a lost machine. A handler on an alternate stack writes event=process_ended with one write() and ends by the same signal, so that the wait status stays true; a handler that exists already, such as a sanitizer's, is kept. An error at the start has a line in the log beside that on standard error, also if the log thread cannot start.

Evidence: three death tests, of a fault, an exhausted stack and an exception of a thread, look for the line and for the signal.

--- a/main/run_daemon.h
+++ b/main/run_daemon.h
@@ -8,6 +8,7 @@
 #include <iostream>
 
 #include "core/event_log.h"
+#include "core/last_words.h"
 #include "drivers/process_signals.h"
 
 namespace applehall {
@@ -34,12 +35,15 @@
     return kExitBadSettings;
   }
   if (check_only) return 0;
-  StartEventLog(settings->log_level, settings->node.self.host);
+  InstallLastWords(settings->node.self.host);
+  const AlternateSignalStack signal_stack;
   int exit_code = 0;
   try {
+    StartEventLog(settings->log_level, settings->node.self.host);
     run(*settings);
   } catch (const std::exception& error) {
     std::cerr << "cannot start: " << error.what() << "\n";
+    LogEvent(LogLevel::kError, "cannot_start").With("reason", error.what());
     exit_code = kExitCannotStart;
   }
   if (!StopEventLog()) std::_Exit(exit_code);
