--- a/core/event_log.cc
+++ b/core/event_log.cc
@@ -15,7 +15,7 @@
 #include <system_error>
 #include <thread>
 
-#include "core/log_writer.h"
+#include "core/line_writer.h"
 
 namespace applehall {
 namespace {
@@ -50,7 +50,7 @@
   }
 
  private:
-  LogWriter writer_{STDOUT_FILENO};
+  LineWriter writer_{STDOUT_FILENO};
 };
 
 using LineSink = sinks::asynchronous_sink<
--- a/core/log_writer.cc
+++ b/core/line_writer.cc
@@ -1,4 +1,4 @@
-#include "core/log_writer.h"
+#include "core/line_writer.h"
 
 #include <poll.h>
 #include <unistd.h>
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-bool LogWriter::Write(std::string_view line) {
+bool LineWriter::Write(std::string_view line) {
   buffer_.clear();
   // Separates the line from the rest of one that was cut.
   if (is_within_line_) buffer_ += '\n';
--- a/core/log_writer.h
+++ b/core/line_writer.h
@@ -1,5 +1,5 @@
-#ifndef APPLEHALL_CORE_LOG_WRITER_H_
-#define APPLEHALL_CORE_LOG_WRITER_H_
+#ifndef APPLEHALL_CORE_LINE_WRITER_H_
+#define APPLEHALL_CORE_LINE_WRITER_H_
 
 #include <cstdint>
 #include <string>
@@ -11,10 +11,10 @@
 // without a reader, loses the line and not the later ones: each line is tried,
 // so that lines appear again as soon as there is room. Requires: SIGPIPE and
 // SIGXFSZ are ignored. Not thread-safe.
-class LogWriter {
+class LineWriter {
  public:
   // The descriptor stays the caller's.
-  explicit LogWriter(int descriptor) : descriptor_(descriptor) {}
+  explicit LineWriter(int descriptor) : descriptor_(descriptor) {}
 
   // Waits as long as a pipe is full. Returns false if the line is lost, or
   // written in part.
@@ -28,4 +28,4 @@
 
 }  // namespace applehall
 
-#endif  // APPLEHALL_CORE_LOG_WRITER_H_
+#endif  // APPLEHALL_CORE_LINE_WRITER_H_
--- a/tests/core/log_writer_test.cc
+++ b/tests/core/line_writer_test.cc
@@ -1,4 +1,4 @@
-#include "core/log_writer.h"
+#include "core/line_writer.h"
 
 #include <fcntl.h>
 #include <gtest/gtest.h>
@@ -21,14 +21,14 @@
   return text.str();
 }
 
-class LogWriterTest : public testing::Test {
+class LineWriterTest : public testing::Test {
  protected:
-  LogWriterTest()
+  LineWriterTest()
       : pipe_action_(::signal(SIGPIPE, SIG_IGN)),
         size_action_(::signal(SIGXFSZ, SIG_IGN)) {
     ::getrlimit(RLIMIT_FSIZE, &file_limit_);
   }
-  ~LogWriterTest() override {
+  ~LineWriterTest() override {
     ::setrlimit(RLIMIT_FSIZE, &file_limit_);
     ::signal(SIGPIPE, pipe_action_);
     ::signal(SIGXFSZ, size_action_);
@@ -47,11 +47,11 @@
 };
 
 // Guards against a log that stays empty after its device was full once.
-TEST_F(LogWriterTest, FullDeviceLosesOnlyTheLinesWithoutRoom) {
-  const std::string path = testing::TempDir() + "applehall-log-writer";
+TEST_F(LineWriterTest, FullDeviceLosesOnlyTheLinesWithoutRoom) {
+  const std::string path = testing::TempDir() + "applehall-line-writer";
   const int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
   ASSERT_GE(file, 0);
-  LogWriter writer(file);
+  LineWriter writer(file);
   EXPECT_TRUE(writer.Write("first"));
   SetRoom(8);
   EXPECT_FALSE(writer.Write("second"));
@@ -65,7 +65,7 @@
 
 // Guards against lines that are lost without a count, and a log that ends, once
 // standard output has failed.
-TEST_F(LogWriterTest, LogCountsLostLinesAndWritesAgain) {
+TEST_F(LineWriterTest, LogCountsLostLinesAndWritesAgain) {
   const std::string path = testing::TempDir() + "applehall-event-log";
   const int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
   ASSERT_GE(file, 0);
@@ -92,7 +92,7 @@
 
 // Guards against a planned stop that never ends, because nothing reads the full
 // pipe of the log.
-TEST_F(LogWriterTest, StopDoesNotWaitForAStalledReader) {
+TEST_F(LineWriterTest, StopDoesNotWaitForAStalledReader) {
   const auto stop_stalled_log = [] {
     int ends[2];
     if (::pipe(ends) != 0) std::_Exit(2);
