An exception that leaves a handler does not end a daemon

An exception of a handler of an io_context, on any of the threads of both daemons, of an event or a query on the decision thread, or of the settings of its node, ended the process by std::terminate, and all open responses with it.

RunEventLoop() runs the loop of each thread, as StartTask() runs a coroutine: the exception is logged and counted, and the loop goes on. The decision thread records the exception of an event or a query; its node is made before the thread, so that an error there is one of the start. This holds for std::bad_alloc as well: its operation is unwound, and large blocks are those of single requests.

--- a/drivers/background_task.cc
+++ b/drivers/background_task.cc
@@ -46,18 +46,17 @@
 uint64_t BackgroundFailures() { return g_failures; }
 
 void RecordBackgroundFailure(const std::string& task,
-                             const std::exception_ptr& error) {
+                             const std::exception_ptr& error) noexcept {
   ++g_failures;
-  std::string reason = "unknown exception";
+  LogEvent line(LogLevel::kError, "background_task_failed");
+  line.With("task", task);
   try {
     std::rethrow_exception(error);
   } catch (const std::exception& exception) {
-    reason = exception.what();
+    line.With("reason", exception.what());
   } catch (...) {
+    line.With("reason", "unknown exception");
   }
-  LogEvent(LogLevel::kError, "background_task_failed")
-      .With("task", task)
-      .With("reason", reason);
 }
 
 void StartTask(asio::io_context& io, std::string name,
--- a/drivers/background_task.h
+++ b/drivers/background_task.h
@@ -17,10 +17,10 @@
 // Thread-safe.
 uint64_t BackgroundFailures();
 
-// Logs and counts an exception that ended `task`. Requires: `error` is set.
-// Thread-safe.
+// Logs and counts an exception that ended `task`. Without memory for the line,
+// it only counts. Requires: `error` is set. Thread-safe.
 void RecordBackgroundFailure(const std::string& task,
-                             const std::exception_ptr& error);
+                             const std::exception_ptr& error) noexcept;
 
 // Runs a coroutine in the background. An exception that ends it is logged and
 // counted, and `on_failure` is called on the thread of `io`, so that whoever
--- a/drivers/decision_thread.cc
+++ b/drivers/decision_thread.cc
@@ -5,6 +5,9 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include "core/last_words.h"
+#include "drivers/background_task.h"
+
 namespace applehall {
 namespace {
 
@@ -21,6 +24,7 @@
 DecisionThread::~DecisionThread() { Stop(); }
 
 void DecisionThread::Start() {
+  node_ = std::make_unique<Node>(settings_);
   thread_ = std::thread([this] { Run(); });
 }
 
@@ -40,13 +44,17 @@
 }
 
 void DecisionThread::HandleWork(Work work, std::vector<Action>& actions) {
-  if (const auto* query = std::get_if<Query>(&work)) {
-    (*query)(*node_);
-    return;
+  try {
+    if (const auto* query = std::get_if<Query>(&work)) {
+      (*query)(*node_);
+      return;
+    }
+    actions.clear();
+    node_->Handle(std::get<Event>(work), clock_.Now(), actions);
+    for (Action& action : actions) sink_(std::move(action));
+  } catch (...) {
+    RecordBackgroundFailure("handle_event", std::current_exception());
   }
-  actions.clear();
-  node_->Handle(std::get<Event>(work), clock_.Now(), actions);
-  for (Action& action : actions) sink_(std::move(action));
 }
 
 void DecisionThread::Publish() {
@@ -58,16 +66,18 @@
   cpu_time_us_ = used.tv_sec * 1000000LL + used.tv_nsec / 1000;
 }
 
+void DecisionThread::SendTicks() {
+  while (!inbox_.is_closed()) {
+    boost::this_fiber::sleep_for(kTickInterval);
+    // If the channel is full, this tick is skipped; the next one does its
+    // work.
+    (void)inbox_.try_push(Work(Event(Tick{})));
+  }
+}
+
 void DecisionThread::Run() {
-  node_ = std::make_unique<Node>(settings_);
-  boost::fibers::fiber ticker([this] {
-    while (!inbox_.is_closed()) {
-      boost::this_fiber::sleep_for(kTickInterval);
-      // If the channel is full, this tick is skipped; the next one does its
-      // work.
-      (void)inbox_.try_push(Work(Event(Tick{})));
-    }
-  });
+  const AlternateSignalStack signal_stack;
+  boost::fibers::fiber ticker([this] { SendTicks(); });
   std::vector<Action> actions;
   Work work;
   int events_since_publish = 0;
--- a/drivers/decision_thread.h
+++ b/drivers/decision_thread.h
@@ -24,7 +24,8 @@
   DecisionThread(NodeSettings settings, ActionSink sink);
   ~DecisionThread();
 
-  // Thread: the owner's.
+  // Throws std::exception if the node or the thread cannot be made. Thread: the
+  // owner's.
   void Start();
   void Stop();
 
@@ -45,7 +46,10 @@
   using Work = std::variant<Event, Query>;
 
   void Run();
+  // An exception of an event or a query is recorded as a background failure;
+  // later ones are handled.
   void HandleWork(Work work, std::vector<Action>& actions);
+  void SendTicks();
   void Publish();
 
   NodeSettings settings_;
@@ -57,7 +61,7 @@
   std::atomic<bool> wants_control_reads_{true};
   std::atomic<bool> is_ready_{false};
   std::atomic<int64_t> cpu_time_us_{0};
-  std::unique_ptr<Node> node_;  // Used only on thread_.
+  std::unique_ptr<Node> node_;  // Used only on thread_ once it runs.
 };
 
 }  // namespace applehall
--- a/drivers/io_thread.h
+++ b/drivers/io_thread.h
@@ -8,19 +8,22 @@
 #include <thread>
 #include <utility>
 
+#include "drivers/event_loop.h"
+
 namespace applehall {
 
-// A thread that runs one io_context, with a bounded queue of work from other
-// threads.
+// A thread that runs one io_context by RunEventLoop(), with a bounded queue of
+// work from other threads.
 class IoThread {
  public:
   explicit IoThread(size_t max_queued)
       : max_queued_(max_queued), guard_(boost::asio::make_work_guard(io_)) {}
   ~IoThread() { Stop(); }
 
-  // Requires: called once. Thread: the owner's.
+  // Throws std::system_error if there is no thread. Requires: called once.
+  // Thread: the owner's.
   void Start() {
-    thread_ = std::thread([this] { io_.run(); });
+    thread_ = std::thread([this] { RunEventLoop(io_, "io_thread"); });
   }
   // Stops the thread and drops queued work. Thread: the owner's.
   void Stop() {
--- a/drivers/websocket_link.cc
+++ b/drivers/websocket_link.cc
@@ -15,6 +15,7 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include "drivers/event_loop.h"
 #include "drivers/link_liveness.h"
 #include "drivers/socket_activity.h"
 
@@ -88,7 +89,7 @@
 
   void Start() {
     ScheduleChecks();
-    thread_ = std::thread([this] { io_.run(); });
+    thread_ = std::thread([this] { RunEventLoop(io_, "peer_links"); });
   }
 
   void Stop() {
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -10,6 +10,7 @@
 #include "core/request_fingerprint.h"
 #include "core/uuid.h"
 #include "drivers/background_task.h"
+#include "drivers/event_loop.h"
 #include "drivers/forward_proof.h"
 #include "drivers/process_signals.h"
 #include "drivers/sleep.h"
@@ -239,7 +240,7 @@
                       .With("in_force", "at the next start");
                 });
   const auto guard = asio::make_work_guard(main_io_);
-  main_io_.run();
+  RunEventLoop(main_io_, "main_loop");
   // Waits until the callers' thread has sent the last responses.
   for (int i = 0; i < 200; ++i) {
     {
