A listener whose address is in use is bound later

Operators saw hosts that did not start, or that a supervisor started over and over: each listener was bound once, and an address in use ended the process with exit code 3. So did a restart that overlapped the planned stop of the earlier process, and a port that the kernel had given to an outgoing connection.

PortBinder binds all listeners of both daemons. It tries again in the background with pauses of 20 to 500 ms while the address is in use or not there, or while descriptors or memory lack; the process serves with what it has. Without the callers' port a host is not ready, so that nobody is sent to it. Links are accepted by our own acceptor, as websocketpp's hides the reason; that loop also pauses after a failed accept. What can never be bound still ends the start, with setting, address and reason. Addresses stay reusable and are never shared.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -10,6 +10,7 @@
 #include "core/event_log.h"
 #include "drivers/background_task.h"
 #include "drivers/peer_close_watcher.h"
+#include "drivers/port_binder.h"
 #include "drivers/socket_options.h"
 
 namespace applehall {
@@ -234,31 +235,32 @@
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(asio::io_context& io, const Address& address, HttpHandler handler,
-       HttpServerLimits limits, HttpServerResources resources)
+       HttpServerLimits limits, HttpServerResources resources, std::string name)
       : io_(io),
-        acceptor_(io, asio::ip::tcp::endpoint(
-                          asio::ip::make_address(address.ip), address.port)),
+        binder_(io, std::move(name), address.ip, address.port),
         handler_(std::move(handler)),
         limits_(limits),
         budget_(std::move(resources.memory)),
         has_own_pool_(!resources.connections),
         pool_(has_own_pool_
                   ? std::make_shared<ConnectionPool>(limits.connections)
-                  : std::move(resources.connections)),
-        port_(acceptor_.local_endpoint().port()) {
-    // Inherited by the connections. Without it the kernel lets the buffer of a
-    // connection grow to megabytes, whatever the process may use.
-    error_code ignored;
-    acceptor_.set_option(
-        asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
-  }
+                  : std::move(resources.connections)) {}
 
   void Start() {
-    StartDuty(io_, "accept",
-              [self = shared_from_this()] { return Accept(self); });
+    binder_.Start([weak = weak_from_this()] {
+      const std::shared_ptr<Impl> self = weak.lock();
+      if (!self) return;
+      // Inherited by the connections. Without it the kernel lets the buffer of
+      // a connection grow to megabytes, whatever the process may use.
+      error_code ignored;
+      self->binder_.acceptor().set_option(
+          asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
+      StartDuty(self->io_, "accept", [self] { return Accept(self); });
+    });
   }
 
-  uint16_t port() const { return port_; }
+  uint16_t port() const { return binder_.port(); }
+  bool is_bound() const { return binder_.is_bound(); }
   uint64_t refused() const { return refused_; }
   void SetLimits(const HttpServerLimits& limits) {
     limits_ = limits;
@@ -266,10 +268,7 @@
   }
   void CloseAfterAnswers() { is_closing_ = true; }
   void SetOverloaded(bool is_overloaded) { is_overloaded_ = is_overloaded; }
-  void StopAccepting() {
-    error_code ignored;
-    acceptor_.close(ignored);
-  }
+  void StopAccepting() { binder_.Stop(); }
 
  private:
   struct Connection : PooledConnection {
@@ -286,8 +285,9 @@
   };
 
   static asio::awaitable<void> Accept(std::shared_ptr<Impl> self) {
-    while (self->acceptor_.is_open()) {
-      auto [error, socket] = co_await self->acceptor_.async_accept(kToken);
+    PortBinder::Acceptor& acceptor = self->binder_.acceptor();
+    while (acceptor.is_open()) {
+      auto [error, socket] = co_await acceptor.async_accept(kToken);
       if (error == asio::error::operation_aborted) co_return;
       if (error) {
         // For example out of file descriptors: retry after some were closed.
@@ -484,7 +484,7 @@
   }
 
   asio::io_context& io_;
-  asio::ip::tcp::acceptor acceptor_;
+  PortBinder binder_;
   HttpHandler handler_;
   HttpServerLimits limits_;
   std::shared_ptr<MemoryBudget> budget_;
@@ -493,20 +493,20 @@
   const SystemClock clock_{};
   bool is_closing_ = false;
   bool is_overloaded_ = false;
-  uint16_t port_;
   std::atomic<uint64_t> refused_{0};
 };
 
 HttpServer::HttpServer(asio::io_context& io, const Address& address,
                        HttpHandler handler, HttpServerLimits limits,
-                       HttpServerResources resources)
+                       HttpServerResources resources, std::string name)
     : impl_(std::make_shared<Impl>(io, address, std::move(handler), limits,
-                                   std::move(resources))) {
+                                   std::move(resources), std::move(name))) {
   impl_->Start();
 }
 
 HttpServer::~HttpServer() { impl_->StopAccepting(); }
 uint16_t HttpServer::port() const { return impl_->port(); }
+bool HttpServer::is_bound() const { return impl_->is_bound(); }
 void HttpServer::SetLimits(const HttpServerLimits& limits) {
   impl_->SetLimits(limits);
 }
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -80,15 +80,18 @@
 // `io`.
 class HttpServer {
  public:
-  // Binds immediately; with port 0 the kernel chooses the port. Throws
-  // boost::system::system_error if the address cannot be bound.
+  // Binds now, or later while that fails for a passing reason (PortBinder);
+  // with port 0 the kernel chooses the port. `name` stands in the log. Throws
+  // std::runtime_error if the address can never be bound.
   HttpServer(boost::asio::io_context& io, const Address& address,
              HttpHandler handler, HttpServerLimits limits,
-             HttpServerResources resources = {});
+             HttpServerResources resources = {}, std::string name = "http");
   ~HttpServer();
 
-  // The bound port. Thread-safe.
+  // The bound port; until is_bound() that of the address. Thread-safe.
   uint16_t port() const;
+  // True once callers can connect. Thread-safe.
+  bool is_bound() const;
   // Sets the limits for requests read from now on. Thread: the server's.
   void SetLimits(const HttpServerLimits& limits);
   // Sends "Connection: close" with all further responses. Thread: the server's.
--- a/drivers/websocket_link.cc
+++ b/drivers/websocket_link.cc
@@ -17,6 +17,7 @@
 
 #include "drivers/event_loop.h"
 #include "drivers/link_liveness.h"
+#include "drivers/port_binder.h"
 #include "drivers/socket_activity.h"
 
 namespace applehall {
@@ -33,6 +34,7 @@
 constexpr std::size_t kMaxHandshakeBytes = 512;
 // More unacknowledged bytes than this belong to a message that takes long.
 constexpr std::size_t kTransferBacklogBytes = 16 * 1024;
+constexpr std::chrono::milliseconds kAcceptPause{50};
 
 std::string ToHex(const unsigned char* bytes, std::size_t size) {
   static constexpr char kDigits[] = "0123456789abcdef";
@@ -76,15 +78,9 @@
         on_event_(std::move(on_event)) {
     ConfigureEndpoint(server_);
     ConfigureEndpoint(client_);
-    server_.set_reuse_addr(true);
     server_.set_open_handler([this](Handle h) { HandleOpen(h, "", false); });
     server_.set_tcp_post_init_handler([this](Handle h) { HandleAccept(h); });
-    server_.listen(boost::asio::ip::tcp::endpoint(
-        boost::asio::ip::make_address(settings_.listen_ip),
-        settings_.listen_port));
-    websocketpp::lib::asio::error_code error;
-    port_ = server_.get_local_endpoint(error).port();
-    server_.start_accept();
+    binder_.Start([this] { Accept(); });
   }
 
   void Start() {
@@ -95,14 +91,14 @@
   void Stop() {
     if (!thread_.joinable()) return;
     boost::asio::post(io_, [this] {
-      websocketpp::lib::error_code ignored;
-      server_.stop_listening(ignored);
+      binder_.Stop();
       io_.stop();
     });
     thread_.join();
   }
 
-  uint16_t port() const { return port_; }
+  uint16_t port() const { return binder_.port(); }
+  bool is_bound() const { return binder_.is_bound(); }
 
   void Send(const std::string& host, const std::string& address,
             std::vector<uint8_t> bytes) {
@@ -164,6 +160,28 @@
     endpoint.set_fail_handler([this](Handle h) { HandleClose(h); });
   }
 
+  // Accepts here rather than by server_.listen(), which hides why it failed.
+  void Accept() {
+    const Server::connection_ptr connection = server_.get_connection();
+    binder_.acceptor().async_accept(
+        connection->get_raw_socket(),
+        [this, connection](const boost::system::error_code& error) {
+          if (!error) {
+            connection->start();
+            Accept();
+            return;
+          }
+          connection->terminate(error);
+          if (error == boost::asio::error::operation_aborted) return;
+          // For example out of descriptors: others may be closed soon.
+          accept_timer_.expires_after(kAcceptPause);
+          accept_timer_.async_wait(
+              [this](const boost::system::error_code& cancelled) {
+                if (!cancelled) Accept();
+              });
+        });
+  }
+
   void ScheduleChecks() {
     check_timer_.expires_after(LinkLiveness::kCheckInterval);
     check_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -507,8 +525,9 @@
   boost::asio::steady_timer check_timer_{io_};
   Server server_;
   Client client_;
+  PortBinder binder_{io_, "peers", settings_.listen_ip, settings_.listen_port};
+  boost::asio::steady_timer accept_timer_{io_};
   std::thread thread_;
-  uint16_t port_ = 0;
   std::map<Handle, LinkPtr, std::owner_less<Handle>> links_;
   std::map<std::string, LinkPtr> links_by_host_;  // Authenticated links.
   std::map<std::string, LinkPtr> dialling_;       // Not authenticated yet.
@@ -537,6 +556,7 @@
   impl_->Send(host, address, std::move(bytes));
 }
 uint16_t WebsocketLink::port() const { return impl_->port(); }
+bool WebsocketLink::is_bound() const { return impl_->is_bound(); }
 std::map<std::string, uint64_t> WebsocketLink::Counters() const {
   return impl_->Counters();
 }
--- a/drivers/websocket_link.h
+++ b/drivers/websocket_link.h
@@ -42,8 +42,9 @@
       std::function<void(const std::string& event, const std::string& host,
                          const std::string& detail)>;
 
-  // Binds immediately; throws std::exception on failure. The callbacks run on
-  // the link's thread.
+  // Binds now, or later while that fails for a passing reason (PortBinder);
+  // other hosts can be dialled meanwhile. Throws std::exception if the address
+  // can never be bound. The callbacks run on the link's thread.
   WebsocketLink(WebsocketLinkSettings settings, OnMessage on_message,
                 OnEvent on_event);
   ~WebsocketLink();
@@ -55,8 +56,10 @@
   // link. The message is dropped and counted if the queue is full. Thread-safe.
   void Send(const std::string& host, const std::string& address,
             std::vector<uint8_t> bytes);
-  // The bound port. Thread-safe.
+  // The bound port; until is_bound() that of the settings. Thread-safe.
   uint16_t port() const;
+  // True once other hosts can connect. Thread-safe.
+  bool is_bound() const;
   // Counts of bytes and messages sent and received, dropped messages, malformed
   // messages, rejected links and silent links. Thread-safe.
   std::map<std::string, uint64_t> Counters() const;
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -188,11 +188,11 @@
   caller_server_ = std::make_unique<HttpServer>(
       callers_.io(), settings_.callers,
       [this](HttpExchange& exchange) { return HandleCaller(exchange); },
-      settings_.caller_limits);
+      settings_.caller_limits, HttpServerResources{}, "callers");
   operator_server_ = std::make_unique<HttpServer>(
       operators_.io(), settings_.operators,
       [this](HttpExchange& exchange) { return HandleOperator(exchange); },
-      HttpServerLimits{});
+      HttpServerLimits{}, HttpServerResources{}, "operators");
 }
 
 Daemon::~Daemon() {
@@ -473,6 +473,14 @@
       caller_server_->refused_connections(),
       "\napplehall_log_lines_dropped_total ", DroppedLogLines(),
       "\napplehall_background_failures_total ", BackgroundFailures(), "\n");
+  const std::pair<const char*, bool> listeners[] = {
+      {"callers", caller_server_->is_bound()},
+      {"operators", operator_server_->is_bound()},
+      {"peers", peers_->is_bound()}};
+  for (const auto& [listener, is_bound] : listeners) {
+    absl::StrAppend(&text, "applehall_listener_bound{listener=\"", listener,
+                    "\"} ", is_bound ? 1 : 0, "\n");
+  }
   return text;
 }
 
@@ -483,7 +491,7 @@
     co_return;
   }
   if (path == "/readyz") {
-    const bool is_ready = decisions_.is_ready();
+    const bool is_ready = decisions_.is_ready() && caller_server_->is_bound();
     HttpResponse answer =
         is_ready ? PlainText(200, "ready\n") : PlainText(503, "not ready\n");
     co_await exchange.Respond(std::move(answer));
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -22,7 +22,8 @@
 // backend servers, peers, platform, decisions and log lines.
 class Daemon {
  public:
-  // Binds all addresses; throws std::exception if one cannot be bound.
+  // Binds all addresses, or goes on trying while the process runs (PortBinder);
+  // throws std::exception if one can never be bound.
   explicit Daemon(DaemonSettings settings);
   ~Daemon();
 
