--- a/tests/processes/start_test.cc
+++ b/tests/processes/start_test.cc
@@ -10,7 +10,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <filesystem>
-#include <fstream>
+#include <map>
 #include <memory>
 #include <thread>
 
@@ -21,7 +21,6 @@
 namespace applehall {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 // Bounds for what takes milliseconds; only a process that hangs reaches them.
@@ -313,5 +312,107 @@
   EXPECT_EQ(DescribeWaitStatus(process.AwaitExit(kLimit)), "exit code 0");
 }
 
+// What of a settings file is there while it is being written.
+enum class Written { kAbsent, kNothing, kOneByte, kHalf, kAllButOneByte };
+
+void WritePart(const EdgeFixture& edge, Written part) {
+  std::filesystem::remove(edge.settings_path());
+  if (part == Written::kAbsent) return;
+  edge.WriteSettings();
+  const size_t size = std::filesystem::file_size(edge.settings_path());
+  const std::map<Written, size_t> sizes{{Written::kNothing, 0},
+                                        {Written::kOneByte, 1},
+                                        {Written::kHalf, size / 2},
+                                        {Written::kAllButOneByte, size - 1}};
+  std::filesystem::resize_file(edge.settings_path(), sizes.at(part));
+}
+
+constexpr char kReadAgain[] = "reading it again";
+
+class PartOfSettingsTest : public testing::TestWithParam<Written> {};
+
+// Guards against a start that fails because its settings are being written.
+TEST_P(PartOfSettingsTest, ProcessStartsOnceTheyAreWhole) {
+  EdgeFixture edge;
+  WritePart(edge, GetParam());
+  DaemonProcess process(APPLEHALL_EDGED, edge.arguments(), edge.log_path());
+  process.Start();
+  ASSERT_TRUE(process.AwaitLog(kReadAgain, seconds(3))) << process.Log();
+  edge.WriteSettings();
+  EXPECT_TRUE(process.AwaitLog("event=started", seconds(10))) << process.Log();
+  process.Signal(SIGTERM);
+  EXPECT_EQ(DescribeWaitStatus(process.AwaitExit(kLimit)), "exit code 0");
+}
+
+INSTANTIATE_TEST_SUITE_P(Start, PartOfSettingsTest,
+                         testing::Values(Written::kAbsent, Written::kNothing,
+                                         Written::kOneByte, Written::kHalf,
+                                         Written::kAllButOneByte));
+
+// Guards against a wait without end for settings that stay wrong.
+TEST(StartTest, SettingsThatStayCutEndTheStart) {
+  EdgeFixture edge;
+  WritePart(edge, Written::kHalf);
+  DaemonProcess process(APPLEHALL_EDGED, edge.arguments(), edge.log_path());
+  process.Start();
+  EXPECT_TRUE(process.AwaitLog(kReadAgain, seconds(3))) << process.Log();
+  EXPECT_EQ(DescribeWaitStatus(process.AwaitExit(kLimit)), "exit code 2");
+}
+
+// Guards against a check of settings that waits for others.
+TEST(StartTest, CheckOfCutSettingsDoesNotWait) {
+  EdgeFixture edge;
+  WritePart(edge, Written::kHalf);
+  DaemonProcess process(APPLEHALL_EDGED,
+                        {"--config", edge.settings_path(), "--check"},
+                        edge.log_path());
+  process.Start();
+  EXPECT_EQ(DescribeWaitStatus(process.AwaitExit(kLimit)), "exit code 2");
+  EXPECT_EQ(process.Log().find(kReadAgain), std::string::npos);
+}
+
+// Guards against a stop that is ignored, or that counts as a failure, while a
+// start waits for its settings.
+TEST(StartTest, StopEndsTheWaitForSettings) {
+  EdgeFixture edge;
+  WritePart(edge, Written::kAbsent);
+  for (const int signal : {SIGTERM, SIGINT}) {
+    DaemonProcess process(APPLEHALL_EDGED, edge.arguments(),
+                          absl::StrCat(edge.folder(), "/", signal, ".log"));
+    process.Start();
+    ASSERT_TRUE(process.AwaitLog(kReadAgain, seconds(3))) << process.Log();
+    process.Signal(signal);
+    EXPECT_EQ(DescribeWaitStatus(process.AwaitExit(kLimit)), "exit code 0");
+  }
+}
+
+// Guards against an applehalld that fails while its settings are written.
+TEST(StartTest, DaemonWaitsForItsSettings) {
+  EdgeFixture folder;
+  folder.settings() = DaemonSettingsJson();
+  WritePart(folder, Written::kHalf);
+  DaemonProcess process(APPLEHALLD, folder.arguments(), folder.log_path());
+  process.Start();
+  ASSERT_TRUE(process.AwaitLog(kReadAgain, seconds(3))) << process.Log();
+  folder.WriteSettings();
+  EXPECT_TRUE(process.AwaitLog("event=started", seconds(10))) << process.Log();
+  process.Signal(SIGTERM);
+  EXPECT_EQ(DescribeWaitStatus(process.AwaitExit(kLimit)), "exit code 0");
+}
+
+// Guards against a running process that ends because its settings are written.
+TEST(StartTest, SettingsThatAreCutWhileRunningAreReported) {
+  EdgeFixture edge;
+  DaemonProcess process(APPLEHALL_EDGED, edge.arguments(), edge.log_path());
+  process.Start();
+  ASSERT_TRUE(process.AwaitLog("event=started", kLimit)) << process.Log();
+  WritePart(edge, Written::kHalf);
+  EXPECT_TRUE(process.AwaitLog("event=settings_rejected", kLimit));
+  edge.WriteSettings();
+  EXPECT_TRUE(process.AwaitLog("event=settings_reloaded", kLimit));
+  process.Signal(SIGTERM);
+  EXPECT_EQ(DescribeWaitStatus(process.AwaitExit(kLimit)), "exit code 0");
+}
+
 }  // namespace
 }  // namespace applehall
