Settings that are being written are read again at the start

Operators saw a host end with exit code 2, for good, where its settings file was written while it started: the file was read once.

--- a/main/applehall_edged.cc
+++ b/main/applehall_edged.cc
@@ -3,6 +3,7 @@
 #include <CLI/CLI.hpp>
 
 #include "main/run_daemon.h"
+#include "main/settings_wait.h"
 #include "platform/edge_process.h"
 
 int main(int argc, char** argv) {
@@ -16,7 +17,9 @@
   app.add_flag("--check", check_only, "Check the settings and exit");
   CLI11_PARSE(app, argc, argv);
 
-  return applehall::RunDaemon(applehall::LoadEdgeSettings(path), check_only,
+  const auto settings = applehall::AwaitSettings(
+      check_only, [&path] { return applehall::LoadEdgeSettings(path); });
+  return applehall::RunDaemon(settings, check_only,
                               [&path](const applehall::EdgeSettings& settings) {
                                 applehall::EdgeProcess process(settings, path);
                                 process.Run();
--- a/main/applehalld.cc
+++ b/main/applehalld.cc
@@ -5,6 +5,7 @@
 #include "main/daemon.h"
 #include "main/daemon_settings.h"
 #include "main/run_daemon.h"
+#include "main/settings_wait.h"
 
 int main(int argc, char** argv) {
   applehall::PrepareSignals();
@@ -16,8 +17,10 @@
   app.add_flag("--check", check_only, "Check the settings and exit");
   CLI11_PARSE(app, argc, argv);
 
-  return applehall::RunDaemon(applehall::LoadDaemonSettings(config_path),
-                              check_only,
+  const auto settings = applehall::AwaitSettings(check_only, [&config_path] {
+    return applehall::LoadDaemonSettings(config_path);
+  });
+  return applehall::RunDaemon(settings, check_only,
                               [](const applehall::DaemonSettings& settings) {
                                 applehall::Daemon daemon(settings);
                                 daemon.Run();
--- a/main/run_daemon.h
+++ b/main/run_daemon.h
@@ -32,6 +32,7 @@
               const Run& run) {
   if (!settings.ok()) {
     std::cerr << settings.status().message() << "\n";
+    if (absl::IsCancelled(settings.status())) return 0;  // A planned stop.
     return kExitBadSettings;
   }
   if (check_only) return 0;
