Tests of the last line of a running daemon and of a held reload

A fault of a daemon that serves has its line and its wait status, and a SIGHUP of the start is delivered once the handlers stand.

--- a/tests/processes/signal_test.cc
+++ b/tests/processes/signal_test.cc
@@ -99,6 +99,7 @@
   process_.Signal(SIGHUP);
   Continue();
   EXPECT_TRUE(process_.AwaitLog("event=started", kLimit));
+  EXPECT_TRUE(process_.AwaitLog("event=signal_received signal=1", kLimit));
   process_.Signal(SIGTERM);
   EXPECT_EQ(End(), "exit code 0");
 }
@@ -131,6 +132,21 @@
   EXPECT_EQ(End(), "exit code 0");
 }
 
+// Guards against a fault of a running process that leaves no line, or that the
+// line hides from the parent process.
+TEST_P(SignalTest, FaultHasALineAndKeepsItsSignal) {
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+  GTEST_SKIP() << "the sanitizer handles faults itself";
+#endif
+  process_.Start();
+  ASSERT_TRUE(process_.AwaitLog("event=started", kLimit));
+  process_.Signal(SIGSEGV);
+  EXPECT_EQ(End(), "signal 11");
+  EXPECT_TRUE(process_.AwaitLog(
+      "event=process_ended cause=signal signal=11 thread=", kLimit))
+      << process_.Log();
+}
+
 // Guards against a process that ends by SIGPIPE once the reader of its log has
 // ended.
 TEST_P(SignalTest, LogWithoutAReaderDoesNotEndTheProcess) {
