--- a/main/daemon_settings.cc
+++ b/main/daemon_settings.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 
 #include "core/hash.h"
+#include "core/listen_addresses.h"
 
 namespace applehall {
 namespace {
@@ -117,6 +118,10 @@
   settings.callers = reader.AddressAt("callers");
   settings.operators = reader.AddressAt("operators");
   settings.peers = reader.AddressAt("peers");
+  RequireDistinctAddresses({{"callers", settings.callers},
+                            {"operators", settings.operators},
+                            {"peers", settings.peers}},
+                           reader);
   settings.shared_key = reader.Text("shared_key");
   if (settings.shared_key.size() < kMinKeyLength) {
     reader.Fail("shared_key",
--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -1,5 +1,6 @@
 #include "platform/edge_settings.h"
 
+#include <absl/strings/match.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -33,6 +34,28 @@
   EXPECT_LT(settings->max_stop_time, std::chrono::seconds(8));
 }
 
+// Guards against a process that waits for a port that it holds itself.
+TEST(EdgeSettings, AddressesOfTwoListenersMustDiffer) {
+  const std::pair<const char*, const char*> shared[] = {
+      {"\"callers\": \"10.0.0.1:80\"", "\"callers\": \"10.0.0.1:81\""},
+      {"\"callers\": \"10.0.0.1:80\"", "\"callers\": \"0.0.0.0:7001\""},
+      {"\"ip\"", "\"peers_offset\": 2, \"ip\""}};
+  const std::string keys[] = {"readiness", "operators", "forwards"};
+  for (size_t i = 0; i < std::size(shared); ++i) {
+    const auto settings = ParseEdgeSettings(
+        "node.json", ValidSettingsWith(shared[i].first, shared[i].second));
+    ASSERT_FALSE(settings.ok()) << i;
+    EXPECT_TRUE(absl::StrContains(settings.status().message(),
+                                  "key \"" + keys[i] + "\""))
+        << settings.status().message();
+  }
+  EXPECT_TRUE(
+      ParseEdgeSettings("node.json",
+                        ValidSettingsWith("\"callers\": \"10.0.0.1:80\"",
+                                          "\"callers\": \"10.0.0.3:81\""))
+          .ok());
+}
+
 // Each policy can be disabled on its own, to evaluate its benefit.
 TEST(EdgeSettings, PoliciesAreDisabledByName) {
   const auto settings = ParseEdgeSettings(
