Accepting links goes on after a connection could not be made

websocketpp returns no connection when its transport cannot be set up. The accept loop tries again after its pause, as after a failed accept. Seen by reading; the tests of links pass.

--- a/drivers/websocket_link.cc
+++ b/drivers/websocket_link.cc
@@ -163,6 +163,10 @@
   // Accepts here rather than by server_.listen(), which hides why it failed.
   void Accept() {
     const Server::connection_ptr connection = server_.get_connection();
+    if (!connection) {
+      AcceptLater();
+      return;
+    }
     binder_.acceptor().async_accept(
         connection->get_raw_socket(),
         [this, connection](const boost::system::error_code& error) {
@@ -172,16 +176,18 @@
             return;
           }
           connection->terminate(error);
-          if (error == boost::asio::error::operation_aborted) return;
-          // For example out of descriptors: others may be closed soon.
-          accept_timer_.expires_after(kAcceptPause);
-          accept_timer_.async_wait(
-              [this](const boost::system::error_code& cancelled) {
-                if (!cancelled) Accept();
-              });
+          if (error != boost::asio::error::operation_aborted) AcceptLater();
         });
   }
 
+  // After a lack of descriptors, for example: others may be closed soon.
+  void AcceptLater() {
+    accept_timer_.expires_after(kAcceptPause);
+    accept_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) Accept();
+    });
+  }
+
   void ScheduleChecks() {
     check_timer_.expires_after(LinkLiveness::kCheckInterval);
     check_timer_.async_wait([this](const boost::system::error_code& error) {
