No host forwards to an address that is not bound

While the port for forwarded requests belongs to another process, other hosts would send requests to that process: the address stood in each report from the start. The host now reports it only while it listens there, as during a stop none is reported.

The test failed without the condition in ReachManager::ForwardAddress(): 28 forwards to the host in question; now none, and some again once it is bound.

--- a/node/messages.h
+++ b/node/messages.h
@@ -280,17 +280,21 @@
 
 struct DrainRequested {};
 
+// Whether other hosts can connect to the address for forwarded requests.
+struct ForwardListenerChanged {
+  bool is_bound = true;
+};
+
 // Drives timers; sent at least every kTickInterval.
 struct Tick {};
 
-using Event =
-    std::variant<RequestArrived, CallerDisconnected, AttemptStarted,
-                 AttemptEnded, InventoryReceived, LogBatchRead, LogUnavailable,
-                 AppendEnded, HostListRead, HostListConfirmed, CatalogueRead,
-                 PeerMessageReceived, DrainRequested, Tick, RuleSetRead,
-                 ServerListRead, StoreReached, LeaseRead, LeaseAppendEnded,
-                 OrderAnswered, StoreUpdatesRead, ServerProbed, QuarantineRead,
-                 QuarantineAppendEnded, ServerConnection>;
+using Event = std::variant<
+    RequestArrived, CallerDisconnected, AttemptStarted, AttemptEnded,
+    InventoryReceived, LogBatchRead, LogUnavailable, AppendEnded, HostListRead,
+    HostListConfirmed, CatalogueRead, PeerMessageReceived, DrainRequested, Tick,
+    RuleSetRead, ServerListRead, StoreReached, LeaseRead, LeaseAppendEnded,
+    OrderAnswered, StoreUpdatesRead, ServerProbed, QuarantineRead,
+    QuarantineAppendEnded, ServerConnection, ForwardListenerChanged>;
 
 // ---- Actions: outputs of a node, carried out by its driver. ----
 
--- a/node/node.h
+++ b/node/node.h
@@ -103,6 +103,9 @@
     quarantine_.HandleAppendEnd(event);
   }
   void HandleEvent(const DrainRequested& event);
+  void HandleEvent(const ForwardListenerChanged& event) {
+    context_.accepts_forwards = event.is_bound;
+  }
   void HandleEvent(const Tick& event);
 
   bool IsFleet() const {
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -44,6 +44,8 @@
   DecisionLog decisions;
   TimePoint started_at;  // Time of the first event of this process.
   bool is_draining = false;
+  // Other hosts can connect to the address for forwarded requests.
+  bool accepts_forwards = true;
   TimePoint drain_began;
   // Number of entry hosts that share the placement owner. Until the owner
   // reports it, at least this many are assumed.
--- a/node/reach_manager.cc
+++ b/node/reach_manager.cc
@@ -223,7 +223,8 @@
 // ---- Messages between hosts ----
 
 std::string ReachManager::ForwardAddress() const {
-  return context_.is_draining ? "" : context_.settings.forward_address;
+  const bool accepts = context_.accepts_forwards && !context_.is_draining;
+  return accepts ? context_.settings.forward_address : "";
 }
 
 bool ReachManager::HasNewRows() const {
--- a/tests/node/cut_off_host_test.cc
+++ b/tests/node/cut_off_host_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "tests/node/cut_off_fixture.h"
 
 namespace applehall {
@@ -68,6 +70,27 @@
   }
 }
 
+// Guards against requests forwarded to a host whose port for them another
+// process has.
+TEST_F(CutOffHostTest, HostWithoutForwardListenerIsNoHelper) {
+  AddHosts();
+  const auto forwards_to_a3 = [this] {
+    return std::count_if(ids_.begin(), ids_.end(), [this](const auto& item) {
+      const auto& [host, handle] = item.first;
+      return host == "a3" && !calls_.contains(handle);
+    });
+  };
+  Handle("a3", ForwardListenerChanged{false});
+  RunCalls(seconds(2));
+  CutOff("a2", CutForm::kReset);
+  RunCalls(seconds(6));
+  EXPECT_GT(forwards_, 0);
+  EXPECT_EQ(forwards_to_a3(), 0);
+  Handle("a3", ForwardListenerChanged{true});
+  RunCalls(seconds(6));
+  EXPECT_GT(forwards_to_a3(), 0);
+}
+
 // Guards against help from hosts of the own data centre only.
 TEST_F(CutOffHostTest, CallersAreServedWhenTheWholeDataCentreIsCut) {
   AddHosts();
