A circuit breaker counts failures of one moment once

What callers saw: after one moment in which a server failed many requests, it got no request for up to 20 s although a trial is due after 0.5 s; whoever needed it waited until the deadline.

Cause: the pause before a trial was to double with each trial that fails. It doubled with each attempt that failed while the breaker was open, so that eight attempts in flight made it 16 s. Likewise any end of an attempt ended "the trial", and a crowd at a server that fails got through four at a time.

Evidence: logs of EndlessAnswerTest on the untouched code, 42 failures at two servers within 20 ms and no further attempt in the 1.6 s that the crowd stayed; 27 failures and no attempt of 125 requests until their deadlines of 4 s. The requests that ended with 504 there, in kinds whose answers are broken off at once, were no attempts left at the servers: 42 attempts failed, 38 of their requests were refused for lack of budget, and the four others waited for their repeat, which counts as may_have_run.

Why it holds: an end is compared with when its attempt was sent. Attempts sent before the breaker opened count neither as its trial nor for its pause, also if they fail after a trial was answered. An answer still closes it, whichever attempt it is of.

--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -608,7 +608,7 @@
     // That of a stream is as old as its first event.
     if (!request->has_started) RecordLoad(backend, event.load);
     context_.view.EndRequest(backend, request->target, ViewEnd(event.result),
-                             context_.now);
+                             request->sent_at, context_.now);
     if (event.result == AttemptResult::kFull) limits_.RecordRejection(backend);
   }
   request->detail = event.detail;
@@ -760,7 +760,8 @@
   context_.Emit(CancelAttempt{handle, request.attempt});
   if (was_local) {
     context_.view.EndRequest(backend, request.target,
-                             EngineView::RequestEnd::kOther, context_.now);
+                             EngineView::RequestEnd::kOther, request.sent_at,
+                             context_.now);
   }
   refusal.verdict = Verdict::kMayHaveRun;
   Refuse(handle, std::move(refusal));
@@ -937,7 +938,8 @@
     context_.Emit(CancelAttempt{event.handle, request->attempt, may_run_on});
     if (request->backend_kind != BackendKind::kEntryHost) {
       context_.view.EndRequest(backend, request->target,
-                               EngineView::RequestEnd::kOther, context_.now);
+                               EngineView::RequestEnd::kOther, request->sent_at,
+                               context_.now);
     }
   }
   gaps_.RecordAbandoned(*request);
--- a/node/request_flow_reach.cc
+++ b/node/request_flow_reach.cc
@@ -131,7 +131,8 @@
   const std::string backend = request.backend;
   context_.Emit(CancelAttempt{request.arrival.handle, request.attempt});
   context_.view.EndRequest(backend, request.target,
-                           EngineView::RequestEnd::kOther, context_.now);
+                           EngineView::RequestEnd::kOther, request.sent_at,
+                           context_.now);
   limits_.ReleaseSlot(request.arrival.handle);
   request.may_have_run = true;
   ++request.retries;
--- a/routing/circuit_breaker.h
+++ b/routing/circuit_breaker.h
@@ -2,6 +2,7 @@
 #define APPLEHALL_ROUTING_CIRCUIT_BREAKER_H_
 
 #include <algorithm>
+#include <optional>
 
 #include "core/clock.h"
 
@@ -9,7 +10,8 @@
 
 // Stops sending requests to a backend server that keeps failing. Opens after
 // consecutive failures, allows one trial request when its backoff has passed
-// and doubles the backoff if the trial fails.
+// and doubles the backoff if the trial fails. Requests sent before it opened
+// tell nothing about the trial: many of them may fail at one moment.
 class CircuitBreaker {
  public:
   // Requires: nothing. Not thread-safe.
@@ -20,21 +22,30 @@
   void Begin() {
     if (failures_ >= kFailuresToOpen) on_trial_ = true;
   }
+  // Records an answer, to whichever request: the server is sound. Not
+  // thread-safe.
   void Succeed() {
     failures_ = 0;
     on_trial_ = false;
     backoff_ = kFirstBackoff;
   }
-  void Fail(TimePoint now) {
+  // Records the failure of a request that was sent at `sent_at`. Requires:
+  // sent_at <= now. Not thread-safe.
+  void Fail(TimePoint sent_at, TimePoint now) {
+    if (IsOutdated(sent_at)) return;
     on_trial_ = false;
     if (++failures_ < kFailuresToOpen) return;
+    opened_at_ = now;
     open_until_ = now + backoff_;
     backoff_ = std::min(backoff_ * 2, kMaxBackoff);
   }
   // Discards all failures: they were not the server's. Not thread-safe.
   void Reset() { *this = {}; }
-  // Ends a request whose outcome says nothing about the server's health.
-  void EndWithoutVerdict() { on_trial_ = false; }
+  // Ends a request, sent at `sent_at`, whose outcome says nothing about the
+  // server's health. Not thread-safe.
+  void EndWithoutVerdict(TimePoint sent_at) {
+    if (!IsOutdated(sent_at)) on_trial_ = false;
+  }
   bool is_open() const { return failures_ >= kFailuresToOpen; }
 
  private:
@@ -42,8 +53,14 @@
   static constexpr Duration kFirstBackoff = std::chrono::milliseconds(500);
   static constexpr Duration kMaxBackoff = std::chrono::seconds(20);
 
+  // Whether a request was sent before the last failure that opened the breaker.
+  bool IsOutdated(TimePoint sent_at) const {
+    return opened_at_ && sent_at <= *opened_at_;
+  }
+
   int failures_ = 0;
   bool on_trial_ = false;
+  std::optional<TimePoint> opened_at_;  // Last; kept when it closes.
   TimePoint open_until_;
   Duration backoff_ = kFirstBackoff;
 };
--- a/routing/engine_view.cc
+++ b/routing/engine_view.cc
@@ -459,7 +459,7 @@
 
 void EngineView::EndRequest(const std::string& engine,
                             const std::string& target, RequestEnd end,
-                            TimePoint now) {
+                            TimePoint sent_at, TimePoint now) {
   const auto it = engines_.find(engine);
   if (it == engines_.end()) return;
   EngineEntry& entry = it->second;
@@ -476,21 +476,21 @@
       entry.limit.RecordAccepted();
       return;
     case RequestEnd::kFull:
-      entry.breaker.EndWithoutVerdict();
+      entry.breaker.EndWithoutVerdict(sent_at);
       entry.limit.RecordFull();
       return;
     case RequestEnd::kFailed:
-      entry.breaker.Fail(now);
+      entry.breaker.Fail(sent_at, now);
       return;
     case RequestEnd::kModelAbsent:
       // The model was unloaded since the last digest; the next one will confirm
       // it.
-      entry.breaker.EndWithoutVerdict();
+      entry.breaker.EndWithoutVerdict(sent_at);
       RemoveReady(target, engine);
       std::erase(entry.digest.ready, target);
       return;
     case RequestEnd::kOther:
-      entry.breaker.EndWithoutVerdict();
+      entry.breaker.EndWithoutVerdict(sent_at);
       return;
   }
 }
--- a/routing/engine_view.h
+++ b/routing/engine_view.h
@@ -124,11 +124,13 @@
   // Returns the engine's speed relative to its service's median; 1 if it is not
   // measured. Not thread-safe.
   double Speed(const std::string& engine) const;
-  // Records the begin and end of a request at `engine`. Not thread-safe.
+  // Records that a request is sent to `engine`. Not thread-safe.
   void BeginRequest(const std::string& engine, const std::string& target = "");
   enum class RequestEnd : uint8_t { kOk, kFull, kFailed, kModelAbsent, kOther };
+  // Records the end of a request at `engine` that was begun at `sent_at`.
+  // Requires: sent_at <= now. Not thread-safe.
   void EndRequest(const std::string& engine, const std::string& target,
-                  RequestEnd end, TimePoint now);
+                  RequestEnd end, TimePoint sent_at, TimePoint now);
 
   // Number of engines ready for `target`, without leaving ones. Not
   // thread-safe.
--- a/tests/node/uneven_servers_test.cc
+++ b/tests/node/uneven_servers_test.cc
@@ -204,7 +204,7 @@
     if (servers_[server].Accept(call)) return;
     host.context.view.ReportLoad(id, servers_[server].load(), now_);
     host.context.view.EndRequest(id, kTargetName, EngineView::RequestEnd::kFull,
-                                 now_);
+                                 now_, now_);
     call.failed_at = server;
     if (++call.attempts < 2) Send(call);
   }
@@ -216,7 +216,7 @@
     const Duration took = now_ - call.dispatched_at;
     host.context.view.ReportLoad(id, load, now_);
     host.context.view.EndRequest(id, kTargetName, EngineView::RequestEnd::kOk,
-                                 now_);
+                                 call.dispatched_at, now_);
     host.service_time = host.service_time == Duration{0}
                             ? took
                             : (host.service_time * 9 + took) / 10;
--- a/tests/routing/engine_view_test.cc
+++ b/tests/routing/engine_view_test.cc
@@ -91,14 +91,15 @@
   for (int i = 0; i < 3; ++i) {
     ASSERT_NE(view.Choose("m", 0, kNow), nullptr);
     view.BeginRequest("engine-0");
-    view.EndRequest("engine-0", "m", EngineView::RequestEnd::kFailed, kNow);
+    view.EndRequest("engine-0", "m", EngineView::RequestEnd::kFailed, kNow,
+                    kNow);
   }
   EXPECT_EQ(view.Choose("m", 0, kNow), nullptr);
   const TimePoint later = kNow + seconds(1);
   ASSERT_NE(view.Choose("m", 0, later), nullptr);
   view.BeginRequest("engine-0");
   EXPECT_EQ(view.Choose("m", 0, later), nullptr) << "one trial at a time";
-  view.EndRequest("engine-0", "m", EngineView::RequestEnd::kOk, later);
+  view.EndRequest("engine-0", "m", EngineView::RequestEnd::kOk, later, later);
   EXPECT_NE(view.Choose("m", 0, later), nullptr);
 }
 
@@ -134,7 +135,8 @@
   view.SetLoad("engine-0", 1000, 0);
   for (int i = 0; i < 3; ++i) {
     view.BeginRequest("engine-0");
-    view.EndRequest("engine-0", "m", EngineView::RequestEnd::kFailed, kNow);
+    view.EndRequest("engine-0", "m", EngineView::RequestEnd::kFailed, kNow,
+                    kNow);
   }
   EngineView::Preference preference;
   preference.max_load = 1.25;
--- a/tests/routing/estimated_choice_test.cc
+++ b/tests/routing/estimated_choice_test.cc
@@ -132,7 +132,7 @@
   for (int i = 0; i < 3; ++i) view_.BeginRequest(Name(0), "m");
   EXPECT_NEAR(ShareOf(0, call), 0.5, 0.05);
   view_.ReportLoad(Name(0), {3, 5, 4, 1.0}, kNow);
-  for (int i = 0; i < 2; ++i) view_.EndRequest(Name(0), "m", {}, kNow);
+  for (int i = 0; i < 2; ++i) view_.EndRequest(Name(0), "m", {}, kNow, kNow);
   EXPECT_LT(ShareOf(0, call), 0.1);
 }
 
@@ -192,8 +192,8 @@
         if (i % 3 == 0) continue;
         const auto end = i % 11 == 0 ? EngineView::RequestEnd::kFull
                                      : EngineView::RequestEnd::kOk;
-        former.EndRequest(engine, "m", end, now);
-        present.EndRequest(engine, "m", end, now);
+        former.EndRequest(engine, "m", end, now, now);
+        present.EndRequest(engine, "m", end, now, now);
       }
     }
   }
