Endless answers begin once half of the crowd's requests have arrived

Only the number of arrivals failed, 100 of 200; the bounds of memory and descriptors held.

Why the check was wrong: it counts on the host to send 100 requests to servers that break off each answer at once. A host stops at three failures in a row of each server, as it should, so that the number is that of attempts which were under way when the first answers broke off: whether a client writes its requests faster than a server begins its answers.

In its place the servers hold back their answers until half of the requests have arrived at both together, so that at least 100 answers without end run at the same time. The bounds and the number of arrivals are unchanged, the load on the host's memory is higher than before. A host that does not send half of the requests still fails the test. Another form, a crowd that keeps sending until half have arrived, would depend on the circuit breakers' pauses.

--- a/tests/processes/faulty_answer_test.cc
+++ b/tests/processes/faulty_answer_test.cc
@@ -118,7 +118,10 @@
 // Guards against bytes without end, of servers that hundreds of requests are
 // sent to, which together exceed the host's memory.
 TEST_P(EndlessAnswerTest, HostStaysWithinItsMemory) {
-  SetFaultyAnswer(GetParam().answer);
+  FaultyAnswer answer = GetParam().answer;
+  // The host stops sending to servers that break off their first answers.
+  answer.min_arrivals = kClients / 2;
+  SetFaultyAnswer(answer);
   ClientCrowd crowd(address("callers"));
   EXPECT_EQ(crowd.Connect(kClients), kClients);
   Send(crowd, {.head = "POST /raw/x HTTP/1.1\r\nHost: soak.example\r\n"
--- a/tests/processes/faulty_servers.cc
+++ b/tests/processes/faulty_servers.cc
@@ -14,6 +14,8 @@
 
 namespace {
 
+// Interval at which a held answer looks for further arrivals.
+constexpr auto kHoldInterval = std::chrono::milliseconds(5);
 constexpr char kIdName[] = "x-attempt-id: ";
 
 // Returns the id in the head of a request of a host, whose names are in lower
@@ -32,7 +34,9 @@
     : public std::enable_shared_from_this<FaultyServer::Connection> {
  public:
   Connection(FaultyServer& server, tcp::socket socket)
-      : server_(server), socket_(std::move(socket)) {}
+      : server_(server),
+        socket_(std::move(socket)),
+        hold_(socket_.get_executor()) {}
 
   void Read() {
     asio::async_read_until(
@@ -50,8 +54,24 @@
       ++server_.arrivals_[id];
       answer_ = server_.answer_;
     }
+    ++answer_->arrivals;
     head_ = absl::StrReplaceAll(
-        answer_->head, {{kIdField, absl::StrCat("X-Attempt-Id: ", id)}});
+        answer_->answer.head, {{kIdField, absl::StrCat("X-Attempt-Id: ", id)}});
+    AwaitArrivals();
+  }
+
+  void AwaitArrivals() {
+    if (answer_->arrivals >= answer_->answer.min_arrivals) {
+      SendHead();
+      return;
+    }
+    hold_.expires_after(kHoldInterval);
+    hold_.async_wait([self = shared_from_this()](const error_code& error) {
+      if (!error) self->AwaitArrivals();
+    });
+  }
+
+  void SendHead() {
     asio::async_write(
         socket_, asio::buffer(head_),
         [self = shared_from_this()](const error_code& error, size_t) {
@@ -60,9 +80,10 @@
   }
 
   void Fill() {
-    if (answer_->filler.empty() || filled_ >= answer_->max_filler_bytes) return;
+    const FaultyAnswer& answer = answer_->answer;
+    if (answer.filler.empty() || filled_ >= answer.max_filler_bytes) return;
     asio::async_write(
-        socket_, asio::buffer(answer_->filler),
+        socket_, asio::buffer(answer.filler),
         [self = shared_from_this()](const error_code& error, size_t size) {
           self->filled_ += size;
           if (!error) self->Fill();
@@ -71,15 +92,16 @@
 
   FaultyServer& server_;
   tcp::socket socket_;
+  asio::steady_timer hold_;
   std::string request_;
   std::string head_;
-  std::shared_ptr<const FaultyAnswer> answer_;
+  std::shared_ptr<SharedAnswer> answer_;
   size_t filled_ = 0;
 };
 
 FaultyServer::FaultyServer()
     : acceptor_(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
-      answer_(std::make_shared<const FaultyAnswer>()) {
+      answer_(std::make_shared<SharedAnswer>()) {
   Accept();
   thread_ = std::thread([this] { io_.run(); });
 }
@@ -93,9 +115,9 @@
   return {"127.0.0.1", acceptor_.local_endpoint().port()};
 }
 
-void FaultyServer::SetAnswer(FaultyAnswer answer) {
+void FaultyServer::SetAnswer(std::shared_ptr<SharedAnswer> answer) {
   const std::lock_guard lock(mutex_);
-  answer_ = std::make_shared<const FaultyAnswer>(std::move(answer));
+  answer_ = std::move(answer);
 }
 
 std::map<std::string, int> FaultyServer::Arrivals() const {
--- a/tests/processes/faulty_servers.h
+++ b/tests/processes/faulty_servers.h
@@ -20,6 +20,9 @@
   std::string head = "";
   std::string filler = "";  // Then repeated until the connection is closed.
   size_t max_filler_bytes = 64 * 1024 * 1024;  // For each connection.
+  // No server begins to answer before so many requests for this answer have
+  // arrived at all servers together.
+  int min_arrivals = 0;
 };
 
 inline constexpr char kIdField[] = "{id}";
@@ -34,8 +37,13 @@
   FaultyServer& operator=(const FaultyServer&) = delete;
 
   Address address() const;
+  // An answer that several servers give, and the requests that arrived for it.
+  struct SharedAnswer {
+    FaultyAnswer answer;
+    std::atomic<int> arrivals = 0;
+  };
   // Of the requests that arrive from now on. Thread-safe.
-  void SetAnswer(FaultyAnswer answer);
+  void SetAnswer(std::shared_ptr<SharedAnswer> answer);
   // Returns how often each request arrived, by its id. Thread-safe.
   std::map<std::string, int> Arrivals() const;
 
@@ -47,7 +55,7 @@
   boost::asio::io_context io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   mutable std::mutex mutex_;
-  std::shared_ptr<const FaultyAnswer> answer_;
+  std::shared_ptr<SharedAnswer> answer_;
   std::map<std::string, int> arrivals_;
   std::thread thread_;
 };
--- a/tests/processes/host_fixture.cc
+++ b/tests/processes/host_fixture.cc
@@ -141,9 +141,9 @@
   boost::asio::post(io_, [&] {
     for (int i = 0; i < count; ++i) {
       faulty_servers_.push_back(std::make_unique<FaultyServer>());
-      faulty_servers_.back()->SetAnswer(answer);
       platform_->ListRawServer(faulty_servers_.back()->address());
     }
+    SetFaultyAnswer(answer);
     platform_->PutConfig({});
     is_listed.set_value();
   });
@@ -157,7 +157,9 @@
 }
 
 void HostTest::SetFaultyAnswer(const FaultyAnswer& answer) {
-  for (const auto& server : faulty_servers_) server->SetAnswer(answer);
+  const auto shared = std::make_shared<FaultyServer::SharedAnswer>();
+  shared->answer = answer;
+  for (const auto& server : faulty_servers_) server->SetAnswer(shared);
 }
 
 int HostTest::ArrivalsOfLastRequest() const {
