Tests of odd records of other writers, failing for nested ones

A deeply nested configuration ends all hosts that read it, and a deeply nested body of one caller ends an applehalld.

The stand-in of the platform writes any bytes as another writer does.

--- a/soak/platform_standin.cc
+++ b/soak/platform_standin.cc
@@ -165,8 +165,10 @@
   std::string body = BigEndian(records.size(), 8) + BigEndian(0, 8);
   for (size_t i = from; i < records.size(); ++i) {
     const std::string content =
-        BigEndian(records[i].key.size(), 1) + records[i].key +
-        TranslateEntry(topic, records[i].value, translate);
+        records[i].is_malformed
+            ? records[i].value
+            : BigEndian(records[i].key.size(), 1) + records[i].key +
+                  TranslateEntry(topic, records[i].value, translate);
     body += BigEndian(content.size(), 4) + content;
   }
   HttpResponse response;
@@ -185,6 +187,7 @@
   std::map<std::string, Json> newest;
   for (size_t i = 0; i < topic->second.size(); ++i) {
     const Record& record = topic->second[i];
+    if (record.is_malformed) continue;
     newest.erase(record.key);
     if (record.value.empty()) continue;
     newest[record.key] =
@@ -197,7 +200,7 @@
             {"has_more", false},
             {"end", topic->second.size()}};
   for (const auto& [key, item] : newest) page["items"].push_back(item);
-  response = HttpResponse::JsonText(200, page.dump());
+  response = HttpResponse::JsonText(200, DumpJson(page));
 }
 
 void PlatformStandin::HandleAppend(const HttpRequest& request,
@@ -261,15 +264,15 @@
 
 std::string PlatformStandin::StartApp() { return Start(nullptr, "app"); }
 
-void PlatformStandin::PublishEntry(const std::string& id) {
-  Server& server = *servers_.at(id);
+std::string PlatformStandin::EntryText(const std::string& id) const {
+  const Server& server = *servers_.at(id);
   Json entry{{"service", server.service},
              {"address", absl::StrCat(kLoopback, ":", server.http->port())},
              {"zone", "hall"},
              {"version", server.version},
              {"capacity", capacity_},
              {"state", server.is_leaving ? "draining" : "ready"},
-             {"seq", ++server.entry_sequence}};
+             {"seq", server.entry_sequence}};
   if (server.engine) {
     entry["models"] = Json::array();
     entry["at_hand"] = Json{{"on_disk", Json::array()}};
@@ -281,7 +284,21 @@
       entry["at_hand"]["on_disk"].push_back(model);
     }
   }
-  AppendRecord("keyed.servers", id, entry.dump());
+  return entry.dump();
+}
+
+void PlatformStandin::PublishEntry(const std::string& id) {
+  ++servers_.at(id)->entry_sequence;
+  PutServerRecord(id, EntryText(id));
+}
+
+void PlatformStandin::PutServerRecord(const std::string& key,
+                                      const std::string& value) {
+  AppendRecord("keyed.servers", key, value);
+}
+
+void PlatformStandin::PutMalformedServerRecord(const std::string& content) {
+  topics_["keyed.servers"].push_back({"", content, /*is_malformed=*/true});
 }
 
 void PlatformStandin::Drain(const std::string& id) {
--- a/soak/platform_standin.h
+++ b/soak/platform_standin.h
@@ -104,6 +104,19 @@
   // whose requests may be repeated, and "/raw-once/", whose may not. The routes
   // are in the configurations that are put after it.
   void ListRawServer(const Address& address);
+  // Returns the entry of a server as it would be listed now.
+  std::string EntryText(const std::string& id) const;
+  // Lists a server again with its present state.
+  void PublishEntry(const std::string& id);
+  // Writes to the list of servers and the configuration as another writer: any
+  // bytes under any key.
+  void PutServerRecord(const std::string& key, const std::string& value);
+  void PutConfigText(const std::string& text);
+  // Appends a record to the list of servers whose bytes are `content`, with a
+  // key of any length that they state.
+  void PutMalformedServerRecord(const std::string& content);
+  // Returns the text of a new configuration, as for PutConfig().
+  std::string NextConfigText(const std::vector<std::string>& extra);
   // Lists the server as leaving; it serves until Stop().
   void Drain(const std::string& id);
   // Stops the server at once; also removes it from the list if `is_delisted`.
@@ -160,6 +173,7 @@
   struct Record {
     std::string key;
     std::string value;
+    bool is_malformed = false;  // `value` is the whole content.
   };
   struct Server {
     std::unique_ptr<HttpServer> http;
@@ -209,7 +223,6 @@
                    HttpResponse& response);
   void AppendRecord(const std::string& topic, const std::string& key,
                     const std::string& value);
-  void PublishEntry(const std::string& id);
   std::string Start(std::unique_ptr<FakeCountedEngine> engine,
                     const std::string& service);
 
--- a/soak/platform_standin_config.cc
+++ b/soak/platform_standin_config.cc
@@ -30,6 +30,11 @@
 }  // namespace
 
 void PlatformStandin::PutConfig(const std::vector<std::string>& extra) {
+  PutConfigText(NextConfigText(extra));
+}
+
+std::string PlatformStandin::NextConfigText(
+    const std::vector<std::string>& extra) {
   Json config{{"version", ++config_version_}, {"routes", Json::array()}};
   config["routes"].push_back(Route("once", "non_idempotent", "app"));
   config["routes"].push_back(Route("again", "idempotent", "app"));
@@ -64,7 +69,11 @@
         Route("raw-once", "non_idempotent", kRawService));
     config["services"].push_back(Json{{"name", kRawService}});
   }
-  AppendRecord("keyed.op", "config", config.dump());
+  return config.dump();
+}
+
+void PlatformStandin::PutConfigText(const std::string& text) {
+  AppendRecord("keyed.op", "config", text);
 }
 
 void PlatformStandin::ListRawServer(const Address& address) {
--- a/tests/main/daemon_test.cc
+++ b/tests/main/daemon_test.cc
@@ -361,6 +361,17 @@
   EXPECT_EQ(status("/services/unknown/x", "{}"), 503);
 }
 
+// Guards against a host that ends at one caller's deeply nested body.
+TEST_F(DaemonTest, DeeplyNestedBodyIsRefused) {
+  PublishAndAwaitReady();
+  constexpr int kNesting = 200000;
+  const std::string body = R"({"model": "llm-1", "messages": )" +
+                           std::string(kNesting, '[') +
+                           std::string(kNesting, ']') + "}";
+  EXPECT_EQ(SendToHost("entry-1", kChat, body).response.status, 400);
+  EXPECT_TRUE(OpenDoor("entry-1", NewKey()).is_ok());
+}
+
 // Responses name the rule that decided them, and the decision can be looked up
 // by the request id.
 TEST_F(DaemonTest, DecisionsNameTheirRule) {
--- a/tests/platform/config_selector_test.cc
+++ b/tests/platform/config_selector_test.cc
@@ -42,6 +42,21 @@
             11u);
 }
 
+// Guards against hosts that end again and again after one deeply nested
+// configuration.
+TEST(ConfigSelectorTest, DeeplyNestedOneIsRejected) {
+  constexpr int kNesting = 400000;
+  const std::string nested =
+      std::string(kNesting, '[') + std::string(kNesting, ']');
+  for (const char* key : {"services", "limits", "tenants", "routes", "extra"}) {
+    ConfigSelector selector;
+    const std::string text =
+        std::string("{\"routes\": [], \"version\": 5, \"") + key +
+        "\": " + nested + "}";
+    EXPECT_EQ(Taken(selector, {Version(1, 3), Record(2, text)}), 3u) << key;
+  }
+}
+
 // Records of a page are sorted by key, not by offset.
 TEST(ConfigSelectorTest, NewestHasHighestOffset) {
   ConfigSelector selector;
