Parsed values are nested at most 128 levels deep

What operators saw: one deeply nested configuration ended all hosts, and again after each start, until another one was written; one caller's nested body ended an applehalld.

Cause: the JSON library parses without recursion, but copies, dumps and comparisons of its values recurse and overflow the stack; its CBOR reader recurses too, also within nested strings of indefinite length.

Values that are written again replace bytes that are not UTF-8.

--- a/core/json.h
+++ b/core/json.h
@@ -10,15 +10,25 @@
 #include <string_view>
 #include <type_traits>
 #include <utility>
+#include <vector>
 
 namespace applehall {
 
 using Json = nlohmann::json;
 
+// Levels of lists and objects in a parsed value. Copies, dumps and comparisons
+// of a value recurse into its levels.
+inline constexpr size_t kMaxJsonDepth = 128;
+
 // Parses JSON with comments. Errors contain line and column. A number that no
-// field can hold is an error. Requires: nothing. Thread-safe.
+// field can hold is an error, and so are more than kMaxJsonDepth levels.
+// Requires: nothing. Thread-safe.
 absl::StatusOr<Json> ParseJson(std::string_view text);
 
+// Parses CBOR whose items all have definite lengths, with the same bound.
+// Requires: nothing. Thread-safe.
+absl::StatusOr<Json> ParseCbor(const std::vector<uint8_t>& bytes);
+
 // Writes JSON, on one line if `indent` is negative. Bytes that are not UTF-8
 // are replaced: they come from callers and peers. Requires: nothing.
 // Thread-safe.
--- a/core/peer_message.cc
+++ b/core/peer_message.cc
@@ -15,8 +15,9 @@
 
 std::optional<PeerMessage> PeerMessage::Decode(
     const std::vector<uint8_t>& bytes) {
-  const Json json = Json::from_cbor(bytes, /*strict=*/true,
-                                    /*allow_exceptions=*/false);
+  absl::StatusOr<Json> parsed = ParseCbor(bytes);
+  if (!parsed.ok()) return std::nullopt;
+  const Json json = *std::move(parsed);
   if (!json.is_object() || FieldOr<int>(json, "v", 0) != kPeerProtocolVersion) {
     return std::nullopt;
   }
--- a/rules/rule_registry.cc
+++ b/rules/rule_registry.cc
@@ -56,9 +56,9 @@
   CompiledRules rules;
   rules.version = version;
   rules.set = std::move(parsed.set);
-  rules.header_text = ExtractHeader(document).dump();
+  rules.header_text = DumpJson(ExtractHeader(document));
   for (const Json& rule : document["rules"]) {
-    rules.rule_texts.push_back(rule.dump());
+    rules.rule_texts.push_back(DumpJson(rule));
   }
   return rules;
 }
@@ -88,7 +88,7 @@
   CompiledRules rules;
   rules.version = version;
   rules.set = std::move(parsed.set);
-  rules.header_text = delta.header.dump();
+  rules.header_text = DumpJson(delta.header);
   std::vector<Rule> middle = std::move(rules.set.rules);
   const size_t last_from = old_count - delta.keep_last;
   const auto& old_rules = before.set.rules;
@@ -100,7 +100,8 @@
   const auto& old_texts = before.rule_texts;
   rules.rule_texts.assign(old_texts.begin(),
                           old_texts.begin() + delta.keep_first);
-  for (const Json& rule : delta.rules) rules.rule_texts.push_back(rule.dump());
+  for (const Json& rule : delta.rules)
+    rules.rule_texts.push_back(DumpJson(rule));
   rules.rule_texts.insert(rules.rule_texts.end(), old_texts.begin() + last_from,
                           old_texts.end());
   status = CheckInvariants(rules.set);
@@ -111,9 +112,10 @@
 }  // namespace
 
 Json CompiledRules::Document() const {
-  Json document = Json::parse(header_text);
+  // The texts are dumps of parsed values.
+  Json document = *ParseJson(header_text);
   Json& rules = document["rules"] = Json::array();
-  for (const std::string& text : rule_texts) rules.push_back(Json::parse(text));
+  for (const std::string& text : rule_texts) rules.push_back(*ParseJson(text));
   return document;
 }
 
