Numbers and counts of the configuration stay within bounds

By reading: doubles out of range became integers by a conversion that is undefined and differs between x86-64 and arm64; durations overflowed; "adapters" made as many entries of the catalogue as it said; routes with one name were named in time by the square of their number.

SaturatingCast() (core/saturating_cast.h) converts doubles; FromSeconds(), FromMillis() and FromUnixMillis() bound times so that they can be added up, also in the nanoseconds of timers. ReadOperatorConfig() bounds each number, 20,000 adapters in all and 10,000 routes, and logs config_cut where it cuts. A timeout that is not positive gives way to the default.

--- a/core/clock.h
+++ b/core/clock.h
@@ -3,16 +3,24 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <chrono>
 #include <concepts>
 #include <type_traits>
 
+#include "core/saturating_cast.h"
+
 namespace applehall {
 
 // Microseconds are precise enough for every decision and keep dumps readable.
 using Duration = std::chrono::microseconds;
 using TimePoint = std::chrono::sys_time<Duration>;
 
+// Bounds of what is read from numbers, so that times can be added to them, also
+// in nanoseconds, by which timers count.
+inline constexpr Duration kMaxDuration = std::chrono::hours(24 * 365 * 100);
+inline constexpr std::chrono::milliseconds kMaxUnixTime(253'402'300'799'999);
+
 // A source of the current time. Decision code never reads a clock; it receives
 // the time as an argument, so that tests can stop and advance it.
 template <typename C>
@@ -77,8 +85,11 @@
       .count();
 }
 
+// Times after the year 9999, and as long before 1970, become the nearest one
+// within.
 inline TimePoint FromUnixMillis(int64_t millis) {
-  return TimePoint(std::chrono::milliseconds(millis));
+  return TimePoint(std::chrono::milliseconds(std::clamp<int64_t>(
+      millis, -kMaxUnixTime.count(), kMaxUnixTime.count())));
 }
 
 inline int64_t ToMillis(Duration duration) {
@@ -90,9 +101,21 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+// Longer times than kMaxDuration become it; what is no number becomes zero.
 inline Duration FromSeconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
+  const Duration duration(SaturatingCast<int64_t>(
+      seconds *
+      std::chrono::duration<double, Duration::period>(std::chrono::seconds(1))
+          .count()));
+  return std::clamp(duration, -kMaxDuration, kMaxDuration);
+}
+
+// As FromSeconds().
+inline Duration FromMillis(double millis) {
+  const std::chrono::milliseconds max =
+      std::chrono::duration_cast<std::chrono::milliseconds>(kMaxDuration);
+  return std::chrono::milliseconds(std::clamp<int64_t>(
+      SaturatingCast<int64_t>(millis), -max.count(), max.count()));
 }
 
 }  // namespace applehall
--- a/tests/platform/operator_config_test.cc
+++ b/tests/platform/operator_config_test.cc
@@ -130,6 +130,80 @@
   EXPECT_EQ(config_.limits.idle_timeout, std::chrono::seconds(15));
 }
 
+// Guards against numbers of the configuration whose conversion is undefined, or
+// that make sums of them overflow.
+TEST(OperatorConfig, NumbersOutOfRangeBecomeTheNearest) {
+  for (const std::string number :
+       {"1e308", "-1e308", "1e19", "18446744073709551615", "-1"}) {
+    Json json = *ParseJson(kConfig);
+    const Json odd = *ParseJson(number);
+    for (Json& route : json["routes"]) {
+      for (const char* key : {"timeout_ms", "target_latency_ms",
+                              "target_gap_ms", "max_attempts", "priority"}) {
+        route[key] = odd;
+      }
+    }
+    json["routes"][1]["backends"][0]["weight"] = odd;
+    Json& engine = json["services"][1]["engine"];
+    for (const char* key : {"weights_mb", "adapter_slots", "loads_per_s"}) {
+      engine[key] = odd;
+    }
+    for (const char* key : {"weights_mb", "load_s", "warmup_s", "disk_s",
+                            "adapters", "adapter_mb"}) {
+      engine["models"][0][key] = odd;
+    }
+    for (const char* key : {"max_header_bytes", "max_body_bytes",
+                            "header_timeout_ms", "idle_timeout_ms"}) {
+      json["limits"][key] = odd;
+    }
+    const auto config = ReadOperatorConfig(json);
+    ASSERT_TRUE(config.ok()) << number;
+    RuleRegistry rules;
+    EXPECT_TRUE(
+        rules.Install(config->rules.version, config->rules.document).ok())
+        << number;
+    const EngineClass& llm = config->catalogue.engine_classes.at("llm");
+    EXPECT_LE(llm.memory_bytes, 1'000'000'000'000'000u);
+    EXPECT_GE(llm.adapter_slots, 0);
+    for (const CatalogueEntry& entry : config->catalogue.catalogue) {
+      EXPECT_LE(entry.bytes, 1'000'000'000'000'000u);
+      for (const Duration time : entry.load_times) {
+        EXPECT_GE(time, Duration::zero());
+        EXPECT_LE(time, kMaxDuration);
+      }
+    }
+    EXPECT_LE(config->limits.header_bytes, 1u << 20);
+    EXPECT_LE(config->limits.body_bytes, 1u << 30);
+    EXPECT_GT(config->limits.idle_timeout, Duration::zero());
+    EXPECT_LE(config->limits.idle_timeout, kMaxDuration);
+    EXPECT_GT(config->limits.header_timeout, Duration::zero());
+  }
+}
+
+// Guards against memory that one number of the configuration takes.
+TEST(OperatorConfig, AdaptersBeyondTheBoundAreCut) {
+  Json json = *ParseJson(kConfig);
+  Json& models = json["services"][1]["engine"]["models"];
+  models[0]["adapters"] = 1'000'000;
+  models.push_back({{"name", "m2"}, {"adapters", 5}});
+  const auto config = ReadOperatorConfig(json);
+  ASSERT_TRUE(config.ok());
+  EXPECT_EQ(config->catalogue.catalogue.size(), 20'002u);
+}
+
+// Guards against time by the square of the number of routes.
+TEST(OperatorConfig, RoutesBeyondTheBoundAreCut) {
+  Json json{{"version", 7}, {"routes", Json::array()}};
+  for (int i = 0; i < 100'000; ++i)
+    json["routes"].push_back(
+        {{"name", "r"}, {"host", "h"}, {"service", "app"}});
+  const auto config = ReadOperatorConfig(json);
+  ASSERT_TRUE(config.ok());
+  EXPECT_EQ(config->rules.document["rules"].size(), 10'001u);
+  const absl::Status status = RuleRegistry().Install(7, config->rules.document);
+  EXPECT_TRUE(status.ok()) << status.message();
+}
+
 TEST(OperatorConfig, MalformedConfigurationIsRejected) {
   for (const char* text :
        {"[]", "{}", R"({"version": 3})", R"({"version": 0, "routes": []})"}) {
--- a/tests/processes/odd_entry_test.cc
+++ b/tests/processes/odd_entry_test.cc
@@ -307,16 +307,24 @@
 }
 
 // Guards against hosts that end again and again until another configuration is
-// written, after one that is deeply nested or has numbers out of range.
-TEST_F(OddEntryTest, HostsTakeTheNextConfigurationAfterAnOddOne) {
+// written, after one that is deeply nested.
+TEST_F(OddEntryTest, HostsTakeTheNextConfigurationAfterANestedOne) {
   for (const char* key : {"services", "limits", "routes", "tenants", "extra"}) {
     ExpectConfigReturns(key, NestedLists(4 * kNesting));
     ExpectConfigReturns(key, NestedObjects(kNesting));
   }
+  StartHost();
+  ExpectSameProcesses();
+}
+
+// Guards against hosts that end, use up their memory or refuse all requests
+// after a configuration with numbers out of range.
+TEST_F(OddEntryTest, HostsTakeTheNextConfigurationAfterOddNumbers) {
   ExpectConfigReturns("version", "1e999");
   ExpectConfigReturns("version", "-1");
   ExpectConfigReturns("limits", R"({"idle_timeout_ms":1e308,
-      "header_timeout_ms":-1e308,"max_body_bytes":1e308})");
+      "header_timeout_ms":-1e308,"max_body_bytes":1e308,
+      "max_header_bytes":4294967296})");
   ExpectConfigReturns("services", R"([{"name":"llm","engine":{
       "weights_mb":1e308,"models":[{"name":"m0","weights_mb":-1e308,
       "load_s":1e308,"adapters":2000000000,"adapter_mb":1e308}]}}])");
