Odd ports and counts of servers are not taken over

A listed server with the port 0 cannot be reached; its entry counts as unusable, as one with 65536. "queued" and "in_flight" of an engine's report are clamped to 0 to 1,000,000 as "capacity" is bounded, so that sums do not overflow.

--- a/tests/platform/server_entry_test.cc
+++ b/tests/platform/server_entry_test.cc
@@ -86,6 +86,11 @@
   }
   EXPECT_FALSE(ReadServer("i-1", entry_with("state", "\"resting\"")).ok());
   EXPECT_FALSE(ReadServer("i-1", entry_with("address", "\"elsewhere\"")).ok());
+  for (const char* port : {"0", "65536", "-1", "1e999", "text", ""}) {
+    const std::string address = std::string("\"10.0.0.1:") + port + "\"";
+    EXPECT_FALSE(ReadServer("i-1", entry_with("address", address.c_str())).ok())
+        << address;
+  }
   EXPECT_FALSE(ReadServer("i-1", entry_with("capacity", "0")).ok());
   EXPECT_FALSE(ReadServer("i-1", entry_with("born", "\"noon\"")).ok());
   EXPECT_FALSE(ReadServer("i-1", entry_with("born", "-3")).ok());
@@ -93,6 +98,24 @@
   EXPECT_FALSE(ReadServer("i-1", entry_with("models", "[3]")).ok());
 }
 
+// Guards against sums of counts that overflow.
+TEST(ServerEntry, CountsOfAReportStayWithinBounds) {
+  const auto read = [](const std::string& number) {
+    return ReadReport(
+        "i-1", "llm",
+        *ParseJson(R"({"models": [], "busy": true, "seq": 1, "queued": )" +
+                   number + R"(, "in_flight": )" + number + "}"));
+  };
+  for (const char* number : {"2147483647", "9223372036854775807"}) {
+    EXPECT_EQ(read(number)->queued, 1'000'000) << number;
+    EXPECT_EQ(read(number)->running, 1'000'000) << number;
+  }
+  for (const char* number : {"-1", "-9223372036854775808", "1e300"}) {
+    EXPECT_EQ(read(number)->queued, 0) << number;
+  }
+  EXPECT_EQ(read("7")->running, 7);
+}
+
 // A missing order count must not be read as zero: orders would be repeated.
 TEST(ServerEntry, UnusableReportsAreRejected) {
   for (const char* text :
