--- a/soak/host_processes.cc
+++ b/soak/host_processes.cc
@@ -121,7 +121,10 @@
 
 void HostProcesses::StartBeside(int index) {
   Host& host = hosts_[index];
-  if (IsRunning(index)) host.earlier.push_back(host.process);
+  if (IsRunning(index)) {
+    if (!host.process.is_stop_requested) return;
+    host.earlier.push_back(host.process);
+  }
   host.process = {};
   Start(index);
 }
--- a/soak/host_processes.h
+++ b/soak/host_processes.h
@@ -29,7 +29,7 @@
           const Json& limits);
   void Start(int host);
   // Starts a new process of the host while the present one, if any, still
-  // stops. Requires: the present one was asked to stop.
+  // stops. Does nothing if the present one was not asked to stop.
   void StartBeside(int host);
   // Sends a signal if the host runs.
   void Signal(int host, int signal);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -220,6 +220,7 @@
   std::map<int, std::vector<std::pair<TimePoint, TimePoint>>> stands_;
   int cuts_running_ = 0;
   int callers_running_ = 0;
+  int restarts_running_ = 0;  // Hosts that RunRestarts() still restarts.
 };
 
 }  // namespace applehall
--- a/soak/soak_restarts.cc
+++ b/soak/soak_restarts.cc
@@ -47,6 +47,7 @@
 asio::awaitable<void> Soak::RunRestarts(int host) {
   // A separate generator keeps the faults of a seed the same without restarts.
   Random random(options_.seed * 1000 + static_cast<uint64_t>(host));
+  ++restarts_running_;
   // Hosts are signalled as soon as they start, some before the store is known.
   while (clock_.Now() + kQuietTime < ends_at_) {
     Excuse(host, seconds(6));
@@ -56,6 +57,7 @@
     co_await Sleep(io_, milliseconds(random.Below(3) == 0 ? random.Below(900)
                                                           : random.Below(40)));
   }
+  --restarts_running_;
 }
 
 asio::awaitable<void> Soak::RestartInSomeWay(int host, Random& random) {
@@ -136,6 +138,11 @@
 }
 
 void Soak::StopAll(std::vector<std::string>& broken) {
+  // A restart that goes on would start a host again.
+  while (restarts_running_ > 0) {
+    io_.run_for(milliseconds(20));
+    io_.restart();
+  }
   for (int host = 0; host < hosts_.count(); ++host) {
     if (hosts_.IsRunning(host)) hosts_.Signal(host, SIGTERM);
   }
