--- a/core/last_words.cc
+++ b/core/last_words.cc
@@ -43,7 +43,7 @@
     const auto end = std::to_chars(digits, digits + sizeof(digits), number);
     Append(std::string_view(digits, static_cast<size_t>(end.ptr - digits)));
   }
-  const char *data() const { return buffer_.data(); }
+  const char* data() const { return buffer_.data(); }
   size_t size() const { return size_; }
 
  private:
@@ -53,7 +53,7 @@
 };
 
 // A full pipe must not keep a process that is to end.
-bool TryWrite(int descriptor, const FixedLine &line) {
+bool TryWrite(int descriptor, const FixedLine& line) {
   pollfd writable{descriptor, POLLOUT, 0};
   if (::poll(&writable, 1, 0) != 1 || (writable.revents & POLLOUT) == 0) {
     return false;
@@ -100,7 +100,7 @@
   if (!error) return "no exception";
   try {
     std::rethrow_exception(error);
-  } catch (const std::exception &exception) {
+  } catch (const std::exception& exception) {
     return exception.what();
   } catch (...) {
     return "unknown exception";
@@ -122,7 +122,7 @@
 
 }  // namespace
 
-void InstallLastWords(const std::string &host) {
+void InstallLastWords(const std::string& host) {
   const size_t size = std::min(host.size(), kMaxHostBytes);
   std::memcpy(g_host, host.data(), size);
   g_host[size] = '\0';
--- a/core/last_words.h
+++ b/core/last_words.h
@@ -12,7 +12,7 @@
 // The line goes to standard output, or to standard error if standard output
 // takes nothing. Signals that are handled already, such as by a sanitizer, stay
 // as they are. Requires: called once, before other threads start.
-void InstallLastWords(const std::string &host);
+void InstallLastWords(const std::string& host);
 
 // A signal stack of the thread that makes it, so that a fault by an exhausted
 // stack has its line. A thread that has one already keeps it.
@@ -20,8 +20,8 @@
  public:
   AlternateSignalStack();
   ~AlternateSignalStack();
-  AlternateSignalStack(const AlternateSignalStack &) = delete;
-  AlternateSignalStack &operator=(const AlternateSignalStack &) = delete;
+  AlternateSignalStack(const AlternateSignalStack&) = delete;
+  AlternateSignalStack& operator=(const AlternateSignalStack&) = delete;
 
  private:
   std::unique_ptr<std::byte[]> memory_;
--- a/drivers/event_loop.cc
+++ b/drivers/event_loop.cc
@@ -18,7 +18,7 @@
 constexpr Duration kFailurePause = std::chrono::milliseconds(10);
 
 // True if the loop has run to its end.
-bool RunUntilFailure(boost::asio::io_context &io, const std::string &name) {
+bool RunUntilFailure(boost::asio::io_context& io, const std::string& name) {
   // Memory that an operation did not get is no reason to end the process: the
   // stack is unwound, the operation's memory is free again, and large blocks
   // are those of single requests.
@@ -33,7 +33,7 @@
 
 }  // namespace
 
-void RunEventLoop(boost::asio::io_context &io, const std::string &name) {
+void RunEventLoop(boost::asio::io_context& io, const std::string& name) {
   const AlternateSignalStack signal_stack;
   const SystemClock clock{};
   TimePoint period_start = clock.Now();
--- a/drivers/event_loop.h
+++ b/drivers/event_loop.h
@@ -12,7 +12,7 @@
 // after each, so that neither the processor nor the log is used up. A fault
 // signal on this thread has a last line also if its stack is exhausted.
 // Throws nothing. Thread: any; one for each io_context.
-void RunEventLoop(boost::asio::io_context &io, const std::string &name);
+void RunEventLoop(boost::asio::io_context& io, const std::string& name);
 
 }  // namespace applehall
 
--- a/main/early_signals.cc
+++ b/main/early_signals.cc
@@ -8,9 +8,9 @@
 
 // ThreadSanitizer instruments functions, and is not initialised yet.
 #ifndef __SANITIZE_THREAD__
-using Initializer = void (*)(int, char **, char **);
+using Initializer = void (*)(int, char**, char**);
 
-void HoldAtStart(int, char **, char **) { HoldSignals(); }
+void HoldAtStart(int, char**, char**) { HoldSignals(); }
 
 [[gnu::section(".preinit_array"), gnu::used]] const Initializer kHoldAtStart =
     HoldAtStart;
