Signals in the last moments of a process do not end it

Cause: the handlers are removed before the process ends, which restores the default action. They are now blocked and then ignored when the handlers go.

--- a/drivers/process_signals.cc
+++ b/drivers/process_signals.cc
@@ -63,8 +63,17 @@
   Unblock(kIgnoredSignals);
 }
 
-ProcessSignals::ProcessSignals(boost::asio::io_context &io) : signals_(io) {
-  for (const int signal : kHandledSignals) signals_.add(signal);
+ProcessSignals::ProcessSignals(boost::asio::io_context& io) {
+  signals_.emplace(io);
+  for (const int signal : kHandledSignals) signals_->add(signal);
+}
+
+// Removing the handlers restores the default action, which would end the
+// process with the status of a signal in its last moments.
+ProcessSignals::~ProcessSignals() {
+  HoldSignals();
+  signals_.reset();
+  for (const int number : kHandledSignals) signal(number, SIG_IGN);
 }
 
 void ProcessSignals::Start(Handler on_stop, Handler on_hangup) {
@@ -75,8 +84,8 @@
 }
 
 void ProcessSignals::Await() {
-  signals_.async_wait(
-      [this](const boost::system::error_code &error, int signal) {
+  signals_->async_wait(
+      [this](const boost::system::error_code& error, int signal) {
         if (error) return;
         // First, so that an exception of a handler does not end the waiting.
         Await();
--- a/drivers/process_signals.h
+++ b/drivers/process_signals.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <functional>
+#include <optional>
 
 namespace applehall {
 
@@ -25,9 +26,11 @@
   using Handler = std::function<void()>;
 
   // Makes the handlers; signals stay held until Start().
-  explicit ProcessSignals(boost::asio::io_context &io);
-  ProcessSignals(const ProcessSignals &) = delete;
-  ProcessSignals &operator=(const ProcessSignals &) = delete;
+  explicit ProcessSignals(boost::asio::io_context& io);
+  // From now on the signals are ignored: the process is about to end.
+  ~ProcessSignals();
+  ProcessSignals(const ProcessSignals&) = delete;
+  ProcessSignals& operator=(const ProcessSignals&) = delete;
 
   // Releases the signals, also those that the parent process had blocked. From
   // now on `on_stop` is called for each stop signal and `on_hangup` for
@@ -38,7 +41,7 @@
  private:
   void Await();
 
-  boost::asio::signal_set signals_;
+  std::optional<boost::asio::signal_set> signals_;
   Handler on_stop_;
   Handler on_hangup_;
 };
