--- a/main/applehall_edged.cc
+++ b/main/applehall_edged.cc
@@ -7,7 +7,7 @@
 #include "platform/edge_process.h"
 
 int main(int argc, char** argv) {
-  applehall::PrepareSignals();
+  applehall::PrepareProcess();
   CLI::App app{"applehall entry host on a platform with a store of its own"};
   std::string path;
   bool check_only = false;
--- a/main/applehalld.cc
+++ b/main/applehalld.cc
@@ -8,7 +8,7 @@
 #include "main/settings_wait.h"
 
 int main(int argc, char** argv) {
-  applehall::PrepareSignals();
+  applehall::PrepareProcess();
   CLI::App app{"applehall entry host: routes requests for rarely used models"};
   std::string config_path;
   bool check_only = false;
--- a/main/run_daemon.h
+++ b/main/run_daemon.h
@@ -9,6 +9,7 @@
 
 #include "core/event_log.h"
 #include "core/last_words.h"
+#include "core/standard_streams.h"
 #include "drivers/process_signals.h"
 
 namespace applehall {
@@ -16,11 +17,12 @@
 inline constexpr int kExitBadSettings = 2;
 inline constexpr int kExitCannotStart = 3;
 
-// Signals of a daemon's start. Thread: the main one, as the first call of
-// main().
-inline void PrepareSignals() {
+// Signals and standard streams of a daemon's start. Thread: the main one, as
+// the first call of main().
+inline void PrepareProcess() {
   HoldSignals();
   IgnoreUnusedSignals();
+  OpenMissingStandardStreams();
 }
 
 // Runs a daemon with its event log until it stops, or only checks its settings;
