A process acts as its host only while it has the callers' address

A start that waits for its ports brought a new hazard: two processes of one host. The lease counts an earlier process of the same host as dead and claims at once, so that orders of both would reach engines; before, exit code 3 prevented that by itself. The callers' address is held until the exit, also during a planned stop; a process without it now starts neither links, store nor node, and applehalld no decisions. A stop of a process that waits ends at once, with code 0.

--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -24,6 +24,7 @@
 constexpr size_t kMaxQueued = 32768;
 constexpr size_t kPrefixBytes = 256;
 constexpr size_t kMaxIdLength = 128;
+constexpr Duration kBoundCheckInterval = std::chrono::milliseconds(25);
 constexpr Duration kFullChannelWait = std::chrono::milliseconds(1);
 constexpr Duration kQueryTimeout = std::chrono::seconds(5);
 constexpr char kServicesPath[] = "/services/";
@@ -221,24 +222,15 @@
 }
 
 void Daemon::Run() {
-  decisions_.Start();
-  platform_.Start();
-  backends_.Start();
-  peers_->Start();
   callers_.Start();
   operators_.Start();
-  WriteAddresses();
-  LogEvent(LogLevel::kInfo, "started")
-      .With("data_centre", settings_.node.data_centre)
-      .With("callers_port", caller_server_->port())
-      .With("operators_port", operator_server_->port())
-      .With("peers_port", peers_->port());
   ProcessSignals signals(main_io_);
-  signals.Start([this] { Drain(); },
+  signals.Start([this] { HandleStopSignal(); },
                 [] {
                   LogEvent(LogLevel::kInfo, "settings_kept")
                       .With("in_force", "at the next start");
                 });
+  ServeWhenBound();
   const auto guard = asio::make_work_guard(main_io_);
   RunEventLoop(main_io_, "main_loop");
   // Waits until the callers' thread has sent the last responses.
@@ -252,6 +244,37 @@
   LogEvent(LogLevel::kInfo, "stopped");
 }
 
+// A process has the callers' address until it exits. Another one of the same
+// host that acted meanwhile would count as its successor.
+void Daemon::ServeWhenBound() {
+  if (!caller_server_->is_bound()) {
+    bound_check_.expires_after(kBoundCheckInterval);
+    bound_check_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) ServeWhenBound();
+    });
+    return;
+  }
+  is_serving_ = true;
+  decisions_.Start();
+  platform_.Start();
+  backends_.Start();
+  peers_->Start();
+  WriteAddresses();
+  LogEvent(LogLevel::kInfo, "started")
+      .With("data_centre", settings_.node.data_centre)
+      .With("callers_port", caller_server_->port())
+      .With("operators_port", operator_server_->port())
+      .With("peers_port", peers_->port());
+}
+
+void Daemon::HandleStopSignal() {
+  if (is_serving_) {
+    Drain();
+  } else {
+    main_io_.stop();  // Nothing has begun that a drain would end.
+  }
+}
+
 void Daemon::Drain() {
   StartDuty(main_io_, "drain", [this]() -> Task {
     while (!decisions_.TryPush(DrainRequested{})) {
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -2,6 +2,8 @@
 #define APPLEHALL_MAIN_DAEMON_H_
 
 #include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -40,6 +42,11 @@
  private:
   using Task = boost::asio::awaitable<void>;
 
+  // Main thread.
+  // Starts to act as the host once callers can connect.
+  void ServeWhenBound();
+  void HandleStopSignal();
+
   // Callers' thread.
   Task HandleCaller(HttpExchange& exchange);
   Task ListModels(HttpExchange& exchange);
@@ -87,6 +94,8 @@
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> operator_server_;
   boost::asio::io_context main_io_;
+  boost::asio::steady_timer bound_check_{main_io_};
+  bool is_serving_ = false;  // Main thread.
   std::atomic<uint64_t> next_handle_{1};
   std::mutex sessions_mutex_;
   std::map<RequestHandle, std::shared_ptr<CallerSession>> sessions_;
--- a/tests/processes/daemon_process.h
+++ b/tests/processes/daemon_process.h
@@ -30,6 +30,8 @@
   // Makes `descriptor` the standard output of the next start; it stays open
   // here. Standard error goes on to the log.
   void SetOutput(int descriptor) { output_ = descriptor; }
+  // Starts without standard input, output and error.
+  void CloseStandardStreams() { has_streams_ = false; }
   // Limits a resource, such as RLIMIT_FSIZE, of the next start.
   void Limit(int resource, rlim_t limit) { limits_[resource] = limit; }
   // Makes `signal` pending and blocked at the next starts.
@@ -56,6 +58,7 @@
   std::vector<std::string> arguments_;
   std::string log_path_;
   int output_ = -1;
+  bool has_streams_ = true;
   std::map<int, rlim_t> limits_;
   int pending_signal_ = 0;
   pid_t process_ = 0;
