A host without its port for links takes no placement lease

A restart may now overlap the planned stop of the earlier process of the host. The new one took a lease that its own name held at once, on the premise that the earlier process is dead, so that two processes could place models. The port for links shows it: while another process has it, the host claims nothing, and other hosts do.

FleetTest.HostWithoutLinkListenerClaimsNoLease failed without the condition in PlacementLease::ReadOrClaim() and passes with it.

--- a/node/messages.h
+++ b/node/messages.h
@@ -288,13 +288,20 @@
 // Drives timers; sent at least every kTickInterval.
 struct Tick {};
 
-using Event = std::variant<
-    RequestArrived, CallerDisconnected, AttemptStarted, AttemptEnded,
-    InventoryReceived, LogBatchRead, LogUnavailable, AppendEnded, HostListRead,
-    HostListConfirmed, CatalogueRead, PeerMessageReceived, DrainRequested, Tick,
-    RuleSetRead, ServerListRead, StoreReached, LeaseRead, LeaseAppendEnded,
-    OrderAnswered, StoreUpdatesRead, ServerProbed, QuarantineRead,
-    QuarantineAppendEnded, ServerConnection, ForwardListenerChanged>;
+// Whether other hosts can connect to the address for links.
+struct LinkListenerChanged {
+  bool is_bound = true;
+};
+
+using Event =
+    std::variant<RequestArrived, CallerDisconnected, AttemptStarted,
+                 AttemptEnded, InventoryReceived, LogBatchRead, LogUnavailable,
+                 AppendEnded, HostListRead, HostListConfirmed, CatalogueRead,
+                 PeerMessageReceived, DrainRequested, Tick, RuleSetRead,
+                 ServerListRead, StoreReached, LeaseRead, LeaseAppendEnded,
+                 OrderAnswered, StoreUpdatesRead, ServerProbed, QuarantineRead,
+                 QuarantineAppendEnded, ServerConnection,
+                 ForwardListenerChanged, LinkListenerChanged>;
 
 // ---- Actions: outputs of a node, carried out by its driver. ----
 
--- a/node/node.h
+++ b/node/node.h
@@ -106,6 +106,9 @@
   void HandleEvent(const ForwardListenerChanged& event) {
     context_.accepts_forwards = event.is_bound;
   }
+  void HandleEvent(const LinkListenerChanged& event) {
+    context_.accepts_links = event.is_bound;
+  }
   void HandleEvent(const Tick& event);
 
   bool IsFleet() const {
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -46,6 +46,9 @@
   bool is_draining = false;
   // Other hosts can connect to the address for forwarded requests.
   bool accepts_forwards = true;
+  // The same for links. Until then the port may be that of an earlier process
+  // of this host, which is still stopping.
+  bool accepts_links = true;
   TimePoint drain_began;
   // Number of entry hosts that share the placement owner. Until the owner
   // reports it, at least this many are assumed.
--- a/node/placement_lease.cc
+++ b/node/placement_lease.cc
@@ -244,7 +244,10 @@
     context_.Emit(ReadLease{context_.now});
     return;
   }
-  if (!is_held_ && !context_.is_draining) TryClaim(can_place);
+  // Without its port this host cannot know that its earlier incarnation, whose
+  // lease it would take over at once, is dead.
+  const bool may_claim = context_.accepts_links && !context_.is_draining;
+  if (!is_held_ && may_claim) TryClaim(can_place);
 }
 
 void PlacementLease::TryClaim(bool can_place) {
--- a/tests/node/fleet_test.cc
+++ b/tests/node/fleet_test.cc
@@ -757,6 +757,18 @@
   EXPECT_NE(Holders()[0], holder);
 }
 
+// Guards against two processes of one host that both place models: a restart
+// that overlaps a stop took the lease of the earlier one as that of a dead one.
+TEST_F(FleetTest, HostWithoutLinkListenerClaimsNoLease) {
+  Add("a");
+  Handle("a", LinkListenerChanged{false});
+  Run(seconds(10));
+  EXPECT_TRUE(Holders().empty());
+  Handle("a", LinkListenerChanged{true});
+  Run(seconds(5));
+  EXPECT_EQ(Holders().size(), 1u);
+}
+
 // Rule sets of the platform's store have versions. One that arrives late, from
 // a reader that was paused, must not replace a newer one.
 TEST_F(FleetTest, OlderRuleSetsAreIgnored) {
