--- a/soak/soak_restarts.cc
+++ b/soak/soak_restarts.cc
@@ -25,6 +25,7 @@
 constexpr Duration kMaxProgramStart = seconds(5);
 // Of a planned stop: the grace period of the hosts and some more.
 constexpr Duration kMaxStop = seconds(8);
+constexpr Duration kMaxRestart = seconds(30);
 constexpr int kMaxSeries = 5;
 constexpr const char* kPorts[] = {"callers", "readiness", "operators", "peers",
                                   "forwards"};
@@ -101,8 +102,10 @@
       co_await StartBesideTakenPort(host, random);
       break;
     case RestartForm::kCutSettings:
-      hosts_.Signal(host, SIGKILL);
-      while (hosts_.IsRunning(host)) co_await Sleep(io_, kPollInterval);
+      while (hosts_.IsRunning(host)) {
+        hosts_.Signal(host, SIGKILL);
+        co_await Sleep(io_, kPollInterval);
+      }
       hosts_.CutSettings(host);
       hosts_.Start(host);
       co_await Sleep(io_, milliseconds(random.Below(100)));
@@ -113,8 +116,11 @@
 
 asio::awaitable<void> Soak::StartBesideTakenPort(int host, Random& random) {
   using asio::ip::tcp;
-  hosts_.Signal(host, SIGKILL);
-  while (hosts_.HasProcess(host)) co_await Sleep(io_, kPollInterval);
+  // Other faults may start the host meanwhile.
+  while (hosts_.HasProcess(host)) {
+    hosts_.Signal(host, SIGKILL);
+    co_await Sleep(io_, kPollInterval);
+  }
   const Address address =
       hosts_.address(host, kPorts[random.Below(std::size(kPorts))]);
   boost::system::error_code error;
@@ -139,10 +145,12 @@
 
 void Soak::StopAll(std::vector<std::string>& broken) {
   // A restart that goes on would start a host again.
-  while (restarts_running_ > 0) {
+  const TimePoint given_up = clock_.Now() + kMaxRestart;
+  while (restarts_running_ > 0 && clock_.Now() < given_up) {
     io_.run_for(milliseconds(20));
     io_.restart();
   }
+  if (restarts_running_ > 0) broken.push_back("HANG a restart does not end");
   for (int host = 0; host < hosts_.count(); ++host) {
     if (hosts_.IsRunning(host)) hosts_.Signal(host, SIGTERM);
   }
