Ticks, checks and accepts go on after an exception

A reviewer who had not seen the work found, by reading, that an exception which leaves the tick's handler, now logged in place of ending the process, also ends the ticks: such a process serves, reports ready and cannot be stopped but by force. The same held for the checks of links and for accepting them, and a node or daemon that could not start all its parts counted as serving. The next tick is scheduled in any case, the next check and accept before the work, and a process serves once all its parts run. applehalld keeps its signal handlers until its threads have ended, as one of them could get a signal in between. No test throws in these handlers yet. SignalTest, StartTest and ProcessEndTest hold (49 tests).

--- a/drivers/port_binder.cc
+++ b/drivers/port_binder.cc
@@ -95,7 +95,6 @@
   }
 
   void HandleBound() {
-    is_bound_ = true;
     if (has_failed_) {
       LogEvent(LogLevel::kInfo, "listener_bound")
           .With("listener", listener_)
@@ -104,6 +103,7 @@
     }
     const std::function<void()> on_bound = std::move(on_bound_);
     on_bound();
+    is_bound_ = true;
   }
 
   void HandleFailure(const error_code& error) {
--- a/drivers/websocket_link.cc
+++ b/drivers/websocket_link.cc
@@ -171,8 +171,9 @@
         connection->get_raw_socket(),
         [this, connection](const boost::system::error_code& error) {
           if (!error) {
-            connection->start();
+            // First, so that an exception of one connection does not end it.
             Accept();
+            connection->start();
             return;
           }
           connection->terminate(error);
@@ -192,8 +193,9 @@
     check_timer_.expires_after(LinkLiveness::kCheckInterval);
     check_timer_.async_wait([this](const boost::system::error_code& error) {
       if (error) return;
-      CheckLinks();
+      // First, so that an exception of one check does not end them.
       ScheduleChecks();
+      CheckLinks();
     });
   }
 
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -224,12 +224,12 @@
 void Daemon::Run() {
   callers_.Start();
   operators_.Start();
-  ProcessSignals signals(main_io_);
-  signals.Start([this] { HandleStopSignal(); },
-                [] {
-                  LogEvent(LogLevel::kInfo, "settings_kept")
-                      .With("in_force", "at the next start");
-                });
+  signals_.emplace(main_io_);
+  signals_->Start([this] { HandleStopSignal(); },
+                  [] {
+                    LogEvent(LogLevel::kInfo, "settings_kept")
+                        .With("in_force", "at the next start");
+                  });
   ServeWhenBound();
   const auto guard = asio::make_work_guard(main_io_);
   RunEventLoop(main_io_, "main_loop");
@@ -247,18 +247,19 @@
 // A process has the callers' address until it exits. Another one of the same
 // host that acted meanwhile would count as its successor.
 void Daemon::ServeWhenBound() {
-  if (!caller_server_->is_bound()) {
-    bound_check_.expires_after(kBoundCheckInterval);
-    bound_check_.async_wait([this](const boost::system::error_code& error) {
-      if (!error) ServeWhenBound();
-    });
-    return;
-  }
-  is_serving_ = true;
+  if (is_serving_) return;
+  // Tried again also if a part cannot be started.
+  bound_check_.expires_after(kBoundCheckInterval);
+  bound_check_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) ServeWhenBound();
+  });
+  if (!caller_server_->is_bound()) return;
   decisions_.Start();
   platform_.Start();
   backends_.Start();
   peers_->Start();
+  is_serving_ = true;
+  bound_check_.cancel();
   WriteAddresses();
   LogEvent(LogLevel::kInfo, "started")
       .With("data_centre", settings_.node.data_centre)
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "drivers/backend_client.h"
@@ -15,6 +16,7 @@
 #include "drivers/http_server.h"
 #include "drivers/io_thread.h"
 #include "drivers/platform_client.h"
+#include "drivers/process_signals.h"
 #include "drivers/websocket_link.h"
 #include "main/daemon_settings.h"
 
@@ -96,6 +98,8 @@
   boost::asio::io_context main_io_;
   boost::asio::steady_timer bound_check_{main_io_};
   bool is_serving_ = false;  // Main thread.
+  // Ends after all threads, to which a signal could be delivered.
+  std::optional<ProcessSignals> signals_;
   std::atomic<uint64_t> next_handle_{1};
   std::mutex sessions_mutex_;
   std::map<RequestHandle, std::shared_ptr<CallerSession>> sessions_;
