--- a/soak/host_processes.cc
+++ b/soak/host_processes.cc
@@ -131,6 +131,10 @@
 
 void HostProcesses::Signal(int index, int signal) {
   Process& process = hosts_[index].process;
+  // It may have been frozen before the next process was started beside it.
+  for (const Process& earlier : hosts_[index].earlier) {
+    if (signal == SIGCONT && earlier.id != 0) ::kill(earlier.id, signal);
+  }
   if (!IsRunning(index)) return;
   if (signal == SIGKILL) process.is_killed = true;
   if (signal == SIGTERM) process.is_stop_requested = true;
--- a/soak/soak_restarts.cc
+++ b/soak/soak_restarts.cc
@@ -26,6 +26,7 @@
 // Of a planned stop: the grace period of the hosts and some more.
 constexpr Duration kMaxStop = seconds(8);
 constexpr Duration kMaxRestart = seconds(30);
+constexpr Duration kLastStartPause = milliseconds(500);
 constexpr int kMaxSeries = 5;
 constexpr const char* kPorts[] = {"callers", "readiness", "operators", "peers",
                                   "forwards"};
@@ -58,6 +59,9 @@
     co_await Sleep(io_, milliseconds(random.Below(3) == 0 ? random.Below(900)
                                                           : random.Below(40)));
   }
+  // A process that was killed last may not have ended yet.
+  co_await Sleep(io_, kLastStartPause);
+  if (!hosts_.IsRunning(host)) hosts_.Start(host);
   --restarts_running_;
 }
 
