--- a/tests/processes/start_test.cc
+++ b/tests/processes/start_test.cc
@@ -244,8 +244,7 @@
                                              PortHolder::Kind::kListener);
   DaemonProcess process(APPLEHALL_EDGED, edge.arguments(), edge.log_path());
   process.Start();
-  EXPECT_TRUE(
-      process.AwaitLog(Line("listener_unavailable", "callers"), kLimit))
+  EXPECT_TRUE(process.AwaitLog(Line("listener_unavailable", "callers"), kLimit))
       << process.Log();
   EXPECT_TRUE(AwaitStatus(edge.address("readiness"), "GET", "/", 503));
   EXPECT_TRUE(process.IsRunning());
