Hosts say what they wait for while they are not ready

What operators saw: a host that was not ready logged store_lost, of a store that answered each call, and neither log, probe nor state said what was missing.

IsReady() is derived from the same list. "unknown" no longer names state that this kind of host never gets.

--- a/node/node.cc
+++ b/node/node.cc
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 
@@ -71,21 +72,38 @@
   if (context_.started_at == TimePoint{}) {
     context_.started_at = now;
     context_.log_answered_at = now;
+    gaps_changed_at_ = now;
   }
   std::visit([this](const auto& e) { HandleEvent(e); }, event);
   if (IsFleet()) flow_.RunPermits();
   context_.actions = nullptr;
 }
 
-bool Node::IsReady() const {
+std::vector<std::string> Node::ReadinessGaps() const {
+  const bool has_rules = context_.control.rules().current() != nullptr;
+  std::vector<std::string> gaps;
+  if (!has_rules) gaps.emplace_back("rule set");
   if (IsFleet()) {
-    return context_.control.rules().current() != nullptr && fleet_.is_known() &&
-           !context_.is_draining && !reach_.IsIsolated();
+    if (!fleet_.is_known()) gaps.emplace_back("server list");
+    if (reach_.IsIsolated()) gaps.emplace_back("links to servers");
+  } else {
+    if (!context_.hosts.is_known()) gaps.emplace_back("host list");
+    if (context_.catalogue.empty()) gaps.emplace_back("catalogue");
+    const bool has_claims = flow_.has_read_claims() || context_.IsLogDown();
+    if (!has_claims) gaps.emplace_back("claims");
   }
-  return context_.control.rules().current() != nullptr &&
-         context_.hosts.is_known() && !context_.catalogue.empty() &&
-         !context_.is_draining &&
-         (flow_.has_read_claims() || context_.IsLogDown());
+  if (context_.is_draining) gaps.emplace_back("end of the drain");
+  return gaps;
+}
+
+void Node::LogReadiness() {
+  const std::string gaps = absl::StrJoin(ReadinessGaps(), ", ");
+  if (gaps == logged_gaps_) return;
+  LogEvent(LogLevel::kInfo, gaps.empty() ? "ready" : "not_ready")
+      .With("waiting_for", gaps)
+      .With("before_ms", ToMillis(context_.now - gaps_changed_at_));
+  logged_gaps_ = gaps;
+  gaps_changed_at_ = context_.now;
 }
 
 void Node::HandleEvent(const InventoryReceived& event) {
@@ -109,10 +127,14 @@
 }
 
 void Node::HandleEvent(const LogUnavailable& event) {
-  if (!context_.log_failed) LogEvent(LogLevel::kWarning, "store_lost");
+  const bool is_unanswered = event.unanswered_since != TimePoint{};
+  if (!context_.log_failed) {
+    LogEvent(LogLevel::kWarning, "store_lost")
+        .With("cause", is_unanswered ? "unanswered" : "refused");
+  }
   context_.log_failed = true;
   context_.log_failed_at = context_.now;
-  if (event.unanswered_since != TimePoint{}) {
+  if (is_unanswered) {
     context_.store_outage.RecordLostCall(event.unanswered_since);
   } else {
     context_.store_outage.RecordRejection(context_.now);
@@ -299,6 +321,7 @@
 
 void Node::HandleEvent(const Tick&) {
   last_tick_ = context_.now;
+  LogReadiness();
   if (IsFleet()) {
     reach_.RunTick();
     streams_.RunTick();
@@ -423,9 +446,14 @@
                                        {"leaving", entry.is_leaving}};
   }
   json["catalogue_size"] = context_.catalogue.size();
-  // State that this host has not received yet.
+  // What this host waits for, and state that it has not received.
+  json["waiting_for"] = ReadinessGaps();
   json["unknown"] = Json::array();
   if (!rules) json["unknown"].push_back("rule set");
+  if (IsFleet()) {
+    if (!fleet_.is_known()) json["unknown"].push_back("server list");
+    return json;
+  }
   if (!context_.control.has_base()) json["unknown"].push_back("control state");
   if (!context_.hosts.is_known()) json["unknown"].push_back("host list");
   if (context_.catalogue.empty()) json["unknown"].push_back("catalogue");
--- a/node/node.h
+++ b/node/node.h
@@ -34,10 +34,12 @@
 
   // ---- Queries ----
 
-  // Returns whether callers may be routed here: a rule set is in force, the
-  // hosts are known, the claims were read unless the log is unavailable, and no
-  // drain has begun. Not thread-safe.
-  bool IsReady() const;
+  // Returns whether callers may be routed here. Not thread-safe.
+  bool IsReady() const { return ReadinessGaps().empty(); }
+  // Returns what must come first: a rule set in force, the servers or hosts,
+  // the claims unless the log is unavailable, links to servers; or that a drain
+  // has begun. Not thread-safe.
+  std::vector<std::string> ReadinessGaps() const;
   // Returns whether this host should read the control stream from the log.
   bool WantsControlReads() const { return gossip_.IsControlReader(); }
   // Returns the offset at which the next read of the control stream starts. Not
@@ -76,6 +78,7 @@
   void HandleEvent(const InventoryReceived& event);
   void HandleEvent(const LogBatchRead& event);
   void HandleEvent(const LogUnavailable& event);
+  void LogReadiness();
   void HandleEvent(const AppendEnded& event);
   void HandleEvent(const HostListRead& event);
   void HandleEvent(const HostListConfirmed& event) {
@@ -135,6 +138,8 @@
   uint64_t service_sequence_ = 0;
   bool is_drained_ = false;
   TimePoint last_tick_;
+  std::optional<std::string> logged_gaps_;  // As in ReadinessGaps().
+  TimePoint gaps_changed_at_;
   TimePoint snapshot_renewed_at_;
 };
 
