--- a/drivers/http_message.h
+++ b/drivers/http_message.h
@@ -32,8 +32,6 @@
   HttpRequest Head() const { return {method, target, headers, ""}; }
   // The path without its query. Requires: nothing. Thread-safe.
   std::string Path() const { return target.substr(0, target.find('?')); }
-  // A query parameter; empty if absent. No percent-decoding. Thread-safe.
-  std::string QueryParameter(const std::string& name) const;
   // A header; empty if absent. Thread-safe.
   std::string Header(const std::string& name) const {
     const auto it = headers.find(name);
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -20,17 +20,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-std::string HttpRequest::QueryParameter(const std::string& name) const {
-  const auto question = target.find('?');
-  if (question == std::string::npos) return "";
-  const std::string query = "&" + target.substr(question + 1);
-  const std::string needle = "&" + name + "=";
-  const auto start = query.find(needle);
-  if (start == std::string::npos) return "";
-  const auto from = start + needle.size();
-  return query.substr(from, query.find('&', from) - from);
-}
-
 namespace {
 
 constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -12,6 +12,7 @@
 #include "drivers/background_task.h"
 #include "drivers/event_loop.h"
 #include "drivers/forward_proof.h"
+#include "drivers/http_query.h"
 #include "drivers/process_signals.h"
 #include "drivers/sleep.h"
 
@@ -529,8 +530,15 @@
   } else if (path == "/state") {
     query = [](const Node& node) { return DumpJson(node.StateDump(), 2); };
   } else if (path == "/decisions") {
-    const std::string request = exchange.request().QueryParameter("request");
-    query = [request](const Node& node) {
+    const absl::StatusOr<HttpQuery> parameters =
+        HttpQuery::Parse(exchange.request());
+    if (!parameters.ok()) {
+      HttpResponse answer =
+          PlainText(400, absl::StrCat(parameters.status().message(), "\n"));
+      co_await exchange.Respond(std::move(answer));
+      co_return;
+    }
+    query = [request = parameters->Value("request")](const Node& node) {
       return DumpJson(node.Decisions(request), 2);
     };
   } else {
--- a/soak/platform_standin.cc
+++ b/soak/platform_standin.cc
@@ -20,6 +20,8 @@
 using std::chrono::milliseconds;
 
 constexpr char kLoopback[] = "127.0.0.1";
+constexpr char kServersTopic[] = "keyed.servers";
+constexpr uint64_t kMaxReadKilobytes = 1024;
 constexpr uint64_t kBytesPerMegabyte = 1000000;
 constexpr int kEvents = 12;
 constexpr Duration kEventGap = milliseconds(8);
@@ -40,14 +42,6 @@
 // Brittle servers accept fewer requests this long after they announce it.
 constexpr Duration kBrittleNotice = std::chrono::seconds(3);
 
-std::string BigEndian(uint64_t value, int bytes) {
-  std::string text;
-  for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
-    text += static_cast<char>(value >> shift & 0xff);
-  }
-  return text;
-}
-
 HttpResponse StampedResponse(const std::string& attempt, std::string body) {
   HttpResponse response;
   response.headers["x-attempt-id"] = attempt;
@@ -107,26 +101,21 @@
   return {kLoopback, store_views_.back()->port()};
 }
 
-std::string PlatformStandin::TranslateEntry(const std::string& topic,
-                                            const std::string& value,
-                                            const Translate& translate) {
-  if (!translate || topic != "keyed.servers" || value.empty()) return value;
-  absl::StatusOr<Json> entry = ParseJson(value);
-  if (!entry.ok()) return value;
-  const absl::StatusOr<Address> address =
-      ParseAddress(FieldOr<std::string>(*entry, "address", ""));
-  if (address.ok()) (*entry)["address"] = translate(*address).ToString();
-  return entry->dump();
+FakeKeyedLog::Translate PlatformStandin::EntryTranslation(
+    const std::string& topic, const Translate& translate) {
+  if (!translate || topic != kServersTopic) return nullptr;
+  return [translate](const std::string& value) {
+    absl::StatusOr<Json> entry = ParseJson(value);
+    if (value.empty() || !entry.ok()) return value;
+    const absl::StatusOr<Address> address =
+        ParseAddress(FieldOr<std::string>(*entry, "address", ""));
+    if (address.ok()) (*entry)["address"] = translate(*address).ToString();
+    return DumpJson(*entry);
+  };
 }
 
 // ---- The store ----
 
-void PlatformStandin::AppendRecord(const std::string& topic,
-                                   const std::string& key,
-                                   const std::string& value) {
-  topics_[topic].push_back({key, value});
-}
-
 asio::awaitable<void> PlatformStandin::ServeStore(HttpExchange& exchange,
                                                   Translate translate) {
   const HttpRequest& request = exchange.request();
@@ -135,83 +124,71 @@
     exchange.Abort();
     co_return;
   }
+  const absl::StatusOr<HttpQuery> query = HttpQuery::Parse(request);
   HttpResponse response;
   if (store_mode_ == StoreMode::kRefusing) {
     response.status = 503;
+  } else if (!query.ok()) {
+    ++refused_queries_;
+    response.status = 400;
   } else if (request.Path() == "/v1/log-read") {
-    co_await HandleLogRead(exchange, translate);
+    co_await HandleLogRead(exchange, *query, translate);
     co_return;
   } else if (request.Path() == "/v1/log-newest") {
-    HandleNewestRead(request, response, translate);
+    HandleNewestRead(*query, response, translate);
   } else {
-    HandleAppend(request, response);
+    HandleAppend(request, *query, response);
   }
   co_await exchange.Respond(std::move(response));
 }
 
 asio::awaitable<void> PlatformStandin::HandleLogRead(HttpExchange& exchange,
+                                                     HttpQuery query,
                                                      Translate translate) {
-  const std::string topic = exchange.request().QueryParameter("topic");
-  uint64_t from = 0;
-  int64_t wait_ms = 0;
-  (void)absl::SimpleAtoi(exchange.request().QueryParameter("from"), &from);
-  (void)absl::SimpleAtoi(exchange.request().QueryParameter("wait_ms"),
-                         &wait_ms);
-  const TimePoint until = clock_.Now() + milliseconds(wait_ms);
-  while (topics_[topic].size() <= from && clock_.Now() < until) {
+  const std::string topic = query.Value("topic");
+  const uint64_t from = query.Number("from", 0);
+  const size_t max_bytes = query.Number("max_kb", kMaxReadKilobytes) * 1024;
+  const TimePoint until =
+      clock_.Now() + milliseconds(query.Number("wait_ms", 0));
+  while (log_.End(topic) <= from && clock_.Now() < until) {
     co_await Sleep(io_, kPoll);
   }
-  const std::vector<Record>& records = topics_[topic];
-  std::string body = BigEndian(records.size(), 8) + BigEndian(0, 8);
-  for (size_t i = from; i < records.size(); ++i) {
-    const std::string content =
-        records[i].is_malformed
-            ? records[i].value
-            : BigEndian(records[i].key.size(), 1) + records[i].key +
-                  TranslateEntry(topic, records[i].value, translate);
-    body += BigEndian(content.size(), 4) + content;
-  }
+  std::optional<std::string> records =
+      log_.Read(topic, from, max_bytes, EntryTranslation(topic, translate));
   HttpResponse response;
-  response.body = std::move(body);
+  if (records) {
+    response.body = *std::move(records);
+  } else {
+    response = HttpResponse::JsonText(410, log_.DeletedText(topic));
+  }
   co_await exchange.Respond(std::move(response));
 }
 
-void PlatformStandin::HandleNewestRead(const HttpRequest& request,
+void PlatformStandin::HandleNewestRead(const HttpQuery& query,
                                        HttpResponse& response,
                                        const Translate& translate) const {
-  const auto topic = topics_.find(request.QueryParameter("topic"));
-  if (topic == topics_.end()) {
+  const std::string topic = query.Value("topic");
+  if (!log_.Contains(topic)) {
     response.status = 404;
     return;
   }
-  std::map<std::string, Json> newest;
-  for (size_t i = 0; i < topic->second.size(); ++i) {
-    const Record& record = topic->second[i];
-    if (record.is_malformed) continue;
-    newest.erase(record.key);
-    if (record.value.empty()) continue;
-    newest[record.key] =
-        Json{{"key", record.key},
-             {"value", absl::Base64Escape(TranslateEntry(
-                           topic->first, record.value, translate))},
-             {"offset", i}};
-  }
-  Json page{{"items", Json::array()},
-            {"has_more", false},
-            {"end", topic->second.size()}};
-  for (const auto& [key, item] : newest) page["items"].push_back(item);
-  response = HttpResponse::JsonText(200, DumpJson(page));
+  std::optional<std::string> after;
+  if (query.Contains("after")) after = query.Value("after");
+  response = HttpResponse::JsonText(
+      200, log_.NewestPage(topic, after, EntryTranslation(topic, translate)));
 }
 
 void PlatformStandin::HandleAppend(const HttpRequest& request,
+                                   const HttpQuery& query,
                                    HttpResponse& response) {
-  std::vector<Record>& records = topics_[request.QueryParameter("topic")];
-  uint64_t at = 0;
-  const bool is_conditional =
-      absl::SimpleAtoi(request.QueryParameter("at"), &at);
-  const Json end{{"end", records.size()}};
-  if (is_conditional && at != records.size()) {
-    response = HttpResponse::JsonText(412, end.dump());
+  const std::string topic = query.Value("topic");
+  if (topic == kServersTopic || topic == kConfigTopic) {
+    response.status = 403;
+    return;
+  }
+  const uint64_t end = log_.End(topic);
+  if (query.Number("at", end) != end) {
+    response = HttpResponse::JsonText(412, DumpJson({{"end", end}}));
     return;
   }
   const std::string& body = request.body;
@@ -220,10 +197,9 @@
     response.status = 400;
     return;
   }
-  records.push_back({body.substr(5, key_size), body.substr(5 + key_size)});
+  log_.Append(topic, body.substr(5, key_size), body.substr(5 + key_size));
   response = HttpResponse::JsonText(
-      200,
-      Json{{"offset", records.size() - 1}, {"end", records.size()}}.dump());
+      200, DumpJson({{"offset", end}, {"end", end + 1}}));
 }
 
 // ---- Backend servers ----
@@ -284,7 +260,7 @@
       entry["at_hand"]["on_disk"].push_back(model);
     }
   }
-  return entry.dump();
+  return DumpJson(entry);
 }
 
 void PlatformStandin::PublishEntry(const std::string& id) {
@@ -294,11 +270,17 @@
 
 void PlatformStandin::PutServerRecord(const std::string& key,
                                       const std::string& value) {
-  AppendRecord("keyed.servers", key, value);
+  log_.Append(kServersTopic, key, value);
+}
+
+void PlatformStandin::PutRecord(const std::string& topic,
+                                const std::string& key,
+                                const std::string& value) {
+  log_.Append(topic, key, value);
 }
 
 void PlatformStandin::PutMalformedServerRecord(const std::string& content) {
-  topics_["keyed.servers"].push_back({"", content, /*is_malformed=*/true});
+  log_.AppendMalformed(kServersTopic, content);
 }
 
 void PlatformStandin::Drain(const std::string& id) {
@@ -313,7 +295,7 @@
   server.http->StopAccepting();
   if (!is_delisted) return;
   if (!withdrawn_at_.contains(id)) withdrawn_at_[id] = clock_.Now();
-  AppendRecord("keyed.servers", id, "");
+  log_.Append(kServersTopic, id, "");
 }
 
 std::vector<std::string> PlatformStandin::Servers(bool engines) const {
--- a/soak/platform_standin.h
+++ b/soak/platform_standin.h
@@ -12,8 +12,10 @@
 
 #include "core/json.h"
 #include "core/settings_reader.h"
+#include "drivers/http_query.h"
 #include "drivers/http_server.h"
 #include "standins/fake_counted_engine.h"
+#include "standins/fake_keyed_log.h"
 
 namespace applehall {
 
@@ -27,6 +29,8 @@
 // Requests whose body starts with this crash the server that executes them. The
 // complete body identifies the poison message.
 inline constexpr char kPoisonBody[] = "poison";
+// The topic of the operator's configuration.
+inline constexpr char kConfigTopic[] = "keyed.op";
 // Header of a request with the time in milliseconds that a server works on it
 // before its answer begins; a server stops when its connection closes.
 inline constexpr char kWorkHeader[] = "x-soak-work-ms";
@@ -93,6 +97,10 @@
   // `translate` of each server's address. Returns it.
   Address AddStoreView(std::function<Address(const Address&)> translate);
   void SetStoreMode(StoreMode mode) { store_mode_ = mode; }
+  // The store's topics, their pages and their history.
+  FakeKeyedLog& log() { return log_; }
+  // Calls to the store whose query is malformed.
+  int refused_queries() const { return refused_queries_; }
   // Publishes a new configuration, with an additional route for each `extra`.
   void PutConfig(const std::vector<std::string>& extra);
   // Sets the software version of engines that start from now on.
@@ -111,6 +119,8 @@
   // Writes to the list of servers and the configuration as another writer: any
   // bytes under any key.
   void PutServerRecord(const std::string& key, const std::string& value);
+  void PutRecord(const std::string& topic, const std::string& key,
+                 const std::string& value);
   void PutConfigText(const std::string& text);
   // Appends a record to the list of servers whose bytes are `content`, with a
   // key of any length that they state.
@@ -170,11 +180,6 @@
   std::vector<std::string> Servers(bool engines) const;
 
  private:
-  struct Record {
-    std::string key;
-    std::string value;
-    bool is_malformed = false;  // `value` is the whole content.
-  };
   struct Server {
     std::unique_ptr<HttpServer> http;
     std::unique_ptr<FakeCountedEngine> engine;  // Null: a plain service.
@@ -195,12 +200,12 @@
 
   // `translate` may be empty.
   Awaitable<void> ServeStore(HttpExchange& exchange, Translate translate);
-  Awaitable<void> HandleLogRead(HttpExchange& exchange, Translate translate);
-  void HandleNewestRead(const HttpRequest& request, HttpResponse& response,
+  Awaitable<void> HandleLogRead(HttpExchange& exchange, HttpQuery query,
+                                Translate translate);
+  void HandleNewestRead(const HttpQuery& query, HttpResponse& response,
                         const Translate& translate) const;
-  static std::string TranslateEntry(const std::string& topic,
-                                    const std::string& value,
-                                    const Translate& translate);
+  static FakeKeyedLog::Translate EntryTranslation(const std::string& topic,
+                                                  const Translate& translate);
   bool IsBrittle(const Server& server) const;
   // Rejects a request for lack of room; the server may crash.
   void RejectForRoom(const std::string& id);
@@ -210,7 +215,8 @@
   double SlowdownOf(const std::string& id) const;
   // Works on a call to a plain service.
   Awaitable<void> Work(const std::string& id, Server& server);
-  void HandleAppend(const HttpRequest& request, HttpResponse& response);
+  void HandleAppend(const HttpRequest& request, const HttpQuery& query,
+                    HttpResponse& response);
   Awaitable<void> ServeServer(std::string id, HttpExchange& exchange);
   // Stops the server; later starts another one at another address.
   Awaitable<void> CrashOnPoison(std::string id, std::string attempt,
@@ -221,8 +227,6 @@
   Awaitable<void> ServeStream(std::string id, HttpExchange& exchange);
   void HandleOrder(Server& server, const HttpRequest& request,
                    HttpResponse& response);
-  void AppendRecord(const std::string& topic, const std::string& key,
-                    const std::string& value);
   std::string Start(std::unique_ptr<FakeCountedEngine> engine,
                     const std::string& service);
 
@@ -237,7 +241,8 @@
   HttpServer store_;
   std::vector<std::unique_ptr<HttpServer>> store_views_;
   StoreMode store_mode_ = StoreMode::kUp;
-  std::map<std::string, std::vector<Record>> topics_;
+  FakeKeyedLog log_;
+  int refused_queries_ = 0;
   std::map<std::string, std::shared_ptr<Server>> servers_;
   std::map<std::string, std::vector<ServedRun>> runs_;
   std::map<std::string, std::vector<AttemptArrival>> poison_runs_;
--- a/soak/platform_standin_config.cc
+++ b/soak/platform_standin_config.cc
@@ -69,11 +69,11 @@
         Route("raw-once", "non_idempotent", kRawService));
     config["services"].push_back(Json{{"name", kRawService}});
   }
-  return config.dump();
+  return DumpJson(config);
 }
 
 void PlatformStandin::PutConfigText(const std::string& text) {
-  AppendRecord("keyed.op", "config", text);
+  log_.Append(kConfigTopic, "config", text);
 }
 
 void PlatformStandin::ListRawServer(const Address& address) {
@@ -84,8 +84,8 @@
                    {"capacity", capacity_},
                    {"state", "ready"},
                    {"seq", 1}};
-  AppendRecord("keyed.servers", absl::StrCat(NextId(), "-raw-", ++raw_servers_),
-               entry.dump());
+  PutServerRecord(absl::StrCat(NextId(), "-raw-", ++raw_servers_),
+                  DumpJson(entry));
 }
 
 }  // namespace applehall
--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -257,7 +257,11 @@
 asio::awaitable<void> StandinServer::HandlePlatform(HttpExchange& exchange) {
   const HttpRequest& request = exchange.request();
   const std::string path = request.Path();
-  if (path == "/fault") {
+  const absl::StatusOr<HttpQuery> query = HttpQuery::Parse(request);
+  if (!query.ok()) {
+    co_await exchange.Respond(
+        ErrorResponse(400, std::string(query.status().message())));
+  } else if (path == "/fault") {
     co_await HandleFault(exchange);
   } else if (path == "/truth") {
     co_await HandleTruth(exchange);
@@ -265,7 +269,7 @@
     co_await HandleHostChange(exchange);
   } else if (path == "/hosts") {
     if (!co_await ApplyFaults("hosts", exchange)) co_return;
-    HttpResponse answer = HostListResponse(request);
+    HttpResponse answer = HostListResponse(request, *query);
     co_await SendResponse("hosts", exchange, std::move(answer));
   } else if (path == "/catalogue") {
     if (!co_await ApplyFaults("store", exchange)) co_return;
@@ -278,7 +282,7 @@
     if (rest.ends_with("/append")) {
       co_await HandleLogAppend(exchange, stream);
     } else {
-      co_await HandleLogRead(exchange, stream);
+      co_await HandleLogRead(exchange, stream, *query);
     }
   } else {
     co_await exchange.Respond(ErrorResponse(404, "no such path"));
@@ -297,15 +301,12 @@
 }
 
 asio::awaitable<void> StandinServer::HandleLogRead(HttpExchange& exchange,
-                                                   const std::string& stream) {
-  const HttpRequest& request = exchange.request();
-  uint64_t from = 1;
-  int64_t wait_ms = 0;
-  (void)absl::SimpleAtoi(request.QueryParameter("from"), &from);
-  (void)absl::SimpleAtoi(request.QueryParameter("wait_ms"), &wait_ms);
-  const TimePoint until =
-      Now() +
-      std::min<Duration>(std::chrono::milliseconds(wait_ms), kMaxLogWait);
+                                                   const std::string& stream,
+                                                   const HttpQuery& query) {
+  const LogOffset from = query.Number("from", 1);
+  const std::chrono::milliseconds wait(
+      std::min<uint64_t>(query.Number("wait_ms", 0), ToMillis(kMaxLogWait)));
+  const TimePoint until = Now() + wait;
   LogBatch batch = log_.Read(stream, from, kMaxRecordsPerRead, Now());
   while (batch.records.empty() && Now() < until &&
          !exchange.is_peer_disconnected()) {
@@ -333,9 +334,10 @@
   return list;
 }
 
-HttpResponse StandinServer::HostListResponse(const HttpRequest& request) {
+HttpResponse StandinServer::HostListResponse(const HttpRequest& request,
+                                             const HttpQuery& query) {
   HostList list = VisibleHostList();
-  const std::string near = request.QueryParameter("near");
+  const std::string near = query.Value("near");
   if (!near.empty()) {
     // Engines of other data centres are left out.
     std::erase_if(list.hosts, [&near](const HostEntry& entry) {
--- a/standins/standin_server.h
+++ b/standins/standin_server.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/json.h"
+#include "drivers/http_query.h"
 #include "drivers/http_server.h"
 #include "membership/host_list.h"
 #include "standins/fake_engine.h"
@@ -40,7 +41,8 @@
   Reply HandleService(Service& service, HttpExchange& exchange);
 
   Reply HandleLogAppend(HttpExchange& exchange, const std::string& stream);
-  Reply HandleLogRead(HttpExchange& exchange, const std::string& stream);
+  Reply HandleLogRead(HttpExchange& exchange, const std::string& stream,
+                      const HttpQuery& query);
   Reply HandleHostChange(HttpExchange& exchange);
   Reply HandleFault(HttpExchange& exchange);
   Reply HandleTruth(HttpExchange& exchange);
@@ -58,7 +60,8 @@
                      HttpResponse&& response);
   HostList VisibleHostList();
   // Returns the host list for one data centre; status 304 if the client has it.
-  HttpResponse HostListResponse(const HttpRequest& request);
+  HttpResponse HostListResponse(const HttpRequest& request,
+                                const HttpQuery& query);
   TimePoint Now() const { return clock_.Now(); }
   Json TruthJson();
   void CountReplicas();
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -3,13 +3,14 @@
 #include "platform/store_client.h"
 
 #include <absl/strings/escaping.h>
-#include <absl/strings/numbers.h>
 #include <gtest/gtest.h>
 
 #include <boost/asio.hpp>
 #include <deque>
 
+#include "drivers/http_query.h"
 #include "drivers/sleep.h"
+#include "standins/fake_keyed_log.h"
 
 namespace applehall {
 namespace {
@@ -20,6 +21,7 @@
 
 constexpr char kConfig[] = "keyed.op";
 constexpr char kServers[] = "keyed.servers";
+constexpr size_t kMaxReadBytes = 1024 * 1024;
 constexpr FreshnessBudget kBudget = FreshnessBudget::Within(seconds(1));
 
 // Serves a log of configurations and one of server entries.
@@ -35,58 +37,33 @@
   Address address() const { return {"127.0.0.1", server_.port()}; }
 
   void Append(const std::string& value) {
-    topics_[kConfig].emplace_back("config", value);
+    log.Append(kConfig, "config", value);
   }
   void AppendServer(const std::string& id, const std::string& value) {
-    topics_[kServers].emplace_back(id, value);
+    log.Append(kServers, id, value);
   }
 
+  FakeKeyedLog log;
   // Answers to the next reads of the newest server entries.
   std::deque<HttpResponse> server_pages;
   int unanswered_config_reads = 0;  // The next reads never answered.
   int config_reads = 0;
 
  private:
-  static std::string Record(const std::string& key, const std::string& value) {
-    const size_t size = 1 + key.size() + value.size();
-    std::string bytes;
-    for (int shift = 24; shift >= 0; shift -= 8) {
-      bytes += static_cast<char>(size >> shift & 0xff);
-    }
-    return bytes + static_cast<char>(key.size()) + key + value;
-  }
-
-  HttpResponse NewestResponse(const std::string& topic) const {
-    const auto log = topics_.find(topic);
-    std::map<std::string, Json> newest;
-    for (size_t i = 0; log != topics_.end() && i < log->second.size(); ++i) {
-      const auto& [key, value] = log->second[i];
-      newest[key] = {
-          {"key", key}, {"value", absl::Base64Escape(value)}, {"offset", i}};
-    }
-    Json items = Json::array();
-    for (const auto& [key, item] : newest) items.push_back(item);
-    const size_t end = log == topics_.end() ? 0 : log->second.size();
-    return HttpResponse::JsonText(
-        200, Json{{"items", items}, {"has_more", false}, {"end", end}}.dump());
-  }
-
-  HttpResponse UpdatesResponse(const std::string& topic, uint64_t from) const {
+  asio::awaitable<void> HandleRequest(HttpExchange& exchange) {
+    const absl::StatusOr<HttpQuery> query =
+        HttpQuery::Parse(exchange.request());
     HttpResponse response;
-    response.status = 200;
-    response.body = std::string(16, '\0');
-    const auto log = topics_.find(topic);
-    for (size_t i = from; log != topics_.end() && i < log->second.size(); ++i) {
-      response.body += Record(log->second[i].first, log->second[i].second);
+    if (!query.ok()) {
+      response.status = 400;
+      co_await exchange.Respond(std::move(response));
+      co_return;
     }
-    return response;
-  }
-
-  asio::awaitable<void> HandleRequest(HttpExchange& exchange) {
-    const HttpRequest& request = exchange.request();
-    const std::string topic = request.QueryParameter("topic");
-    if (request.Path() == "/v1/log-newest") {
-      HttpResponse response = NewestResponse(topic);
+    const std::string topic = query->Value("topic");
+    if (exchange.request().Path() == "/v1/log-newest") {
+      std::optional<std::string> after;
+      if (query->Contains("after")) after = query->Value("after");
+      response = HttpResponse::JsonText(200, log.NewestPage(topic, after));
       if (topic == kServers && !server_pages.empty()) {
         response = server_pages.front();
         server_pages.pop_front();
@@ -94,10 +71,9 @@
       co_await exchange.Respond(std::move(response));
       co_return;
     }
-    uint64_t from = 0;
-    uint64_t wait_ms = 0;
-    EXPECT_TRUE(absl::SimpleAtoi(request.QueryParameter("from"), &from));
-    EXPECT_TRUE(absl::SimpleAtoi(request.QueryParameter("wait_ms"), &wait_ms));
+    EXPECT_TRUE(query->Contains("from"));
+    EXPECT_TRUE(query->Contains("wait_ms"));
+    const uint64_t from = query->Number("from", 0);
     if (topic == kConfig) {
       ++config_reads;
       if (unanswered_config_reads > 0) {
@@ -106,18 +82,20 @@
         co_return;
       }
     }
-    const auto log = topics_.find(topic);
-    const bool has_updates = log != topics_.end() && from < log->second.size();
-    if (!has_updates) co_await Sleep(io_, milliseconds(wait_ms));
-    HttpResponse response = UpdatesResponse(topic, from);
+    if (from >= log.End(topic)) {
+      co_await Sleep(io_, milliseconds(query->Number("wait_ms", 0)));
+    }
+    std::optional<std::string> records = log.Read(topic, from, kMaxReadBytes);
+    if (records) {
+      response.body = *std::move(records);
+    } else {
+      response = HttpResponse::JsonText(410, log.DeletedText(topic));
+    }
     co_await exchange.Respond(std::move(response));
   }
 
   asio::io_context& io_;
   HttpServer server_;
-  // Keys and values.
-  std::map<std::string, std::vector<std::pair<std::string, std::string>>>
-      topics_;
 };
 
 std::string Entry(const std::string& state, const std::string& capacity) {
