Queries are written by an encoder

TargetWithQuery() (Boost.URL) escapes all but unreserved characters, a space as %20, which strict and lenient readers decode alike.

--- a/drivers/platform_client.cc
+++ b/drivers/platform_client.cc
@@ -7,6 +7,7 @@
 #include <boost/asio.hpp>
 
 #include "drivers/background_task.h"
+#include "drivers/http_query.h"
 #include "drivers/sleep.h"
 
 namespace applehall {
@@ -119,9 +120,11 @@
       // Skips records that this host has already received from peers.
       from = std::max(from, decisions_.control_offset());
     }
+    std::vector<std::pair<std::string, std::string>> query;
+    query.emplace_back("from", absl::StrCat(from));
+    query.emplace_back("wait_ms", absl::StrCat(ToMillis(kLongPollWait)));
     const std::string target =
-        absl::StrCat("/log/", stream, "/read?from=", from,
-                     "&wait_ms=", ToMillis(kLongPollWait));
+        TargetWithQuery(absl::StrCat("/log/", stream, "/read"), query);
     const HttpCall call =
         MakeCall(addresses_.log, "GET", target, "", kReadTimeout);
     const HttpResult result = co_await client_.Fetch(call);
@@ -141,7 +144,9 @@
 }
 
 asio::awaitable<void> PlatformClient::PollHosts() {
-  const std::string target = "/hosts?near=" + data_centre_;
+  std::vector<std::pair<std::string, std::string>> query;
+  query.emplace_back("near", data_centre_);
+  const std::string target = TargetWithQuery("/hosts", query);
   std::string list_etag;
   while (true) {
     HttpCall call = MakeCall(addresses_.hosts, "GET", target, "", kReadTimeout);
--- a/main/operator_commands.cc
+++ b/main/operator_commands.cc
@@ -13,6 +13,7 @@
 #include "core/json.h"
 #include "core/uuid.h"
 #include "drivers/http_client.h"
+#include "drivers/http_query.h"
 #include "drivers/platform_client.h"
 #include "main/request_timeline.h"
 #include "node/control_fold.h"
@@ -109,8 +110,8 @@
   while (true) {
     const HttpResult result =
         Call(log, "GET",
-             absl::StrCat("/log/", kControlStream,
-                          "/read?from=", fold.next_offset()));
+             TargetWithQuery(absl::StrCat("/log/", kControlStream, "/read"),
+                             {{"from", absl::StrCat(fold.next_offset())}}));
     if (!result.is_ok()) {
       return absl::UnavailableError(
           absl::StrCat("log service ", log.ToString(),
@@ -375,8 +376,10 @@
 
 CommandExit ShowDecisions(const std::string& host, const std::string& request,
                           OutputFormat format) {
-  const absl::StatusOr<Json> list = FetchJson(
-      host, request.empty() ? "/decisions" : "/decisions?request=" + request);
+  std::vector<std::pair<std::string, std::string>> query;
+  if (!request.empty()) query.emplace_back("request", request);
+  const absl::StatusOr<Json> list =
+      FetchJson(host, TargetWithQuery("/decisions", query));
   if (!list.ok()) return FailWithStatus(list.status());
   if (format == OutputFormat::kJson) {
     std::cout << list->dump(2) << "\n";
