What a starting host can read of a topic is used

What callers saw: hosts that start were not ready while one page of the server list or the configuration could not be read, though others could.

Cause: a read of a topic was all or nothing. A page that was refused, malformed or made no progress discarded the pages before it; an item without a usable key or one byte that is not JSON discarded its page. The hosts that ran follow the log and went on.

Otherwise it is a part: servers that are not in it are kept, versions are not taken for the only ones, changes are followed, and all is read again after 1 s to 5 min, also by followers of a reader.

--- a/drivers/http_query.cc
+++ b/drivers/http_query.cc
@@ -50,9 +50,8 @@
   return absl::SimpleAtoi(Value(name), &number) ? number : fallback;
 }
 
-std::string TargetWithQuery(
-    std::string_view path,
-    const std::vector<std::pair<std::string, std::string>>& parameters) {
+std::string TargetWithQuery(std::string_view path,
+                            const QueryParameters& parameters) {
   std::string target(path);
   char separator = '?';
   for (const auto& [name, value] : parameters) {
--- a/drivers/http_query.h
+++ b/drivers/http_query.h
@@ -13,8 +13,11 @@
 
 namespace applehall {
 
-// Names and values of a query, decoded; of a name that occurs more than once,
-// the first value.
+// Names and values of a query, in their order.
+using QueryParameters = std::vector<std::pair<std::string, std::string>>;
+
+// Names and values of a received query, decoded; of a name that occurs more
+// than once, the first value.
 class HttpQuery {
  public:
   // Reads the query of a request's target as that of a form: a plus sign is a
@@ -39,9 +42,8 @@
 // is not unreserved (RFC 3986, section 2.3) is escaped, so that a reader which
 // takes a plus sign for a space reads the same. Requires: `path` is encoded and
 // has no query. Thread-safe.
-std::string TargetWithQuery(
-    std::string_view path,
-    const std::vector<std::pair<std::string, std::string>>& parameters);
+std::string TargetWithQuery(std::string_view path,
+                            const QueryParameters& parameters);
 
 }  // namespace applehall
 
--- a/drivers/platform_client.cc
+++ b/drivers/platform_client.cc
@@ -120,7 +120,7 @@
       // Skips records that this host has already received from peers.
       from = std::max(from, decisions_.control_offset());
     }
-    std::vector<std::pair<std::string, std::string>> query;
+    QueryParameters query;
     query.emplace_back("from", absl::StrCat(from));
     query.emplace_back("wait_ms", absl::StrCat(ToMillis(kLongPollWait)));
     const std::string target =
@@ -144,7 +144,7 @@
 }
 
 asio::awaitable<void> PlatformClient::PollHosts() {
-  std::vector<std::pair<std::string, std::string>> query;
+  QueryParameters query;
   query.emplace_back("near", data_centre_);
   const std::string target = TargetWithQuery("/hosts", query);
   std::string list_etag;
--- a/main/operator_commands.cc
+++ b/main/operator_commands.cc
@@ -376,7 +376,7 @@
 
 CommandExit ShowDecisions(const std::string& host, const std::string& request,
                           OutputFormat format) {
-  std::vector<std::pair<std::string, std::string>> query;
+  QueryParameters query;
   if (!request.empty()) query.emplace_back("request", request);
   const absl::StatusOr<Json> list =
       FetchJson(host, TargetWithQuery("/decisions", query));
--- a/membership/version_history.cc
+++ b/membership/version_history.cc
@@ -51,6 +51,10 @@
   if (is_first && is_first_start_) known_since_ = now - kMaxStreamAge;
 }
 
+void VersionHistory::RecordPartialListing(TimePoint now) {
+  if (known_since_ != TimePoint{}) RecordListing(/*is_contiguous=*/false, now);
+}
+
 void VersionHistory::SettleCommonVersions(TimePoint now) {
   for (auto& [service, versions] : services_) {
     const auto common = std::max_element(
@@ -110,6 +114,7 @@
 
 std::optional<std::string> VersionHistory::OnlySeenVersion(
     const std::string& service, Duration listing_age, TimePoint now) const {
+  if (known_since_ == TimePoint{}) return std::nullopt;
   const bool has_gap = gap_at_ != TimePoint{} && known_since_ >= gap_at_ &&
                        now - gap_at_ < kMaxStreamAge;
   if (has_gap || listing_age > max_listing_age_) return std::nullopt;
--- a/membership/version_history.h
+++ b/membership/version_history.h
@@ -49,6 +49,9 @@
   // Records that a listing was applied. `is_contiguous` is false if versions
   // may have come and gone unseen since the one before.
   void RecordListing(bool is_contiguous, TimePoint now);
+  // Records that a part of a listing was applied; versions that are not in it
+  // may be listed as well.
+  void RecordPartialListing(TimePoint now);
   // Merges the history of the placement owner.
   void MergeRows(const Json& rows, TimePoint now);
 
--- a/node/fleet_manager.cc
+++ b/node/fleet_manager.cc
@@ -108,6 +108,9 @@
   const bool is_first = servers_.empty();
   listing_topic_ = event.topic;
   listing_next_ = event.next;
+  if (event.is_whole || event.is_partial) {
+    is_listing_partial_ = event.is_partial;
+  }
   if (is_first && !event.listed.empty()) lease_.RecordFirstListing();
   std::vector<std::string> gone = event.gone;
   if (event.is_whole) {
@@ -169,7 +172,7 @@
       RemoveServer(id, "unlisted");
     }
   }
-  streams_.RecordListing(event.topic, event.is_whole, previous_age);
+  streams_.RecordListing(event, previous_age);
   // Which versions take new streams shows with the complete first listing.
   for (const ListedServer& server : event.listed) {
     if (is_first) UpdateView(server.id);
@@ -978,6 +981,7 @@
   Json json = lease_.ToJson();
   json["servers"] = Json::object();
   json["departing"] = departing_.size();
+  json["listing_partial"] = is_listing_partial_;
   for (const auto& [id, server] : servers_) {
     json["servers"][id] = Json{{"service", server.service},
                                {"address", server.address},
--- a/node/fleet_manager.h
+++ b/node/fleet_manager.h
@@ -180,6 +180,7 @@
   EngineList servers_;
   std::string listing_topic_;
   LogOffset listing_next_ = 0;
+  bool is_listing_partial_ = false;  // The rest could not be read.
   // Servers whose listings lapsed during an outage of the store; they may be
   // listed again soon.
   std::set<std::string> departing_;
--- a/node/messages.h
+++ b/node/messages.h
@@ -201,6 +201,9 @@
 // The platform's listing of backend servers changed or was read completely.
 struct ServerListRead {
   bool is_whole = false;  // `listed` is the complete listing.
+  // `listed` is a part of the listing; the rest cannot be read. Neither this
+  // nor `is_whole`: all changes since the last read.
+  bool is_partial = false;
   std::vector<ListedServer> listed;
   std::vector<std::string> gone;  // No longer listed.
   // Servers whose entries are malformed or invalid; they receive no requests.
--- a/node/stream_manager.cc
+++ b/node/stream_manager.cc
@@ -50,12 +50,21 @@
   return context_.now - listing->as_of;
 }
 
-void StreamManager::RecordListing(const std::string& topic, bool is_whole,
+void StreamManager::RecordListing(const ServerListRead& listing,
                                   Duration previous_age) {
-  listing_topic_ = topic;
+  listing_topic_ = listing.topic;
+  if (listing.is_whole || listing.is_partial) {
+    is_listing_partial_ = listing.is_partial;
+  }
+  // Versions may be missing until the whole listing is read.
+  if (is_listing_partial_) {
+    versions_.RecordPartialListing(context_.now);
+    return;
+  }
   // All changes name each version; a whole listing names those of the moment.
   const bool is_contiguous =
-      !is_whole || previous_age <= context_.settings.freshness.max_staleness;
+      !listing.is_whole ||
+      previous_age <= context_.settings.freshness.max_staleness;
   versions_.RecordListing(is_contiguous, context_.now);
 }
 
--- a/node/stream_manager.h
+++ b/node/stream_manager.h
@@ -29,10 +29,9 @@
   // ---- Commands ----
 
   VersionHistory& versions() { return versions_; }
-  // Records that the listing of `topic` was applied: `is_whole`, or all of its
-  // changes since the last. `previous_age` is its age just before.
-  void RecordListing(const std::string& topic, bool is_whole,
-                     Duration previous_age);
+  // Records that `listing` was applied. `previous_age` is the age of the
+  // listing just before.
+  void RecordListing(const ServerListRead& listing, Duration previous_age);
   // Records that this host has sent events of a stream to its caller.
   void RecordBegun(uint64_t key, const StreamOrigin& origin);
   // Records that the caller has the whole stream.
@@ -119,6 +118,7 @@
   NodeContext& context_;
   VersionHistory versions_;
   std::string listing_topic_;
+  bool is_listing_partial_ = false;
   StreamTable table_;
   std::map<std::string, std::vector<uint64_t>> untold_;  // By service.
   RegistrarList registrars_;
--- a/node/topic_reader.cc
+++ b/node/topic_reader.cc
@@ -1,6 +1,7 @@
 #include "node/topic_reader.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace applehall {
 namespace {
@@ -10,10 +11,18 @@
 // not retry several times per second each, but all must notice soon that the
 // store has recovered.
 constexpr int kMaxRetryHeartbeats = 2;
+// Between reads of all records while some cannot be read. Thousands of hosts
+// may do so, each with megabytes, and follow the updates meanwhile.
+constexpr Duration kMinWholeReadPause = std::chrono::seconds(1);
+constexpr Duration kMaxWholeReadPause = std::chrono::seconds(300);
 
 }  // namespace
 
 std::optional<TopicReader::Read> TopicReader::NextRead(TimePoint now) {
+  if (next_ && next_whole_read_ && now >= *next_whole_read_) {
+    resume_at_ = std::exchange(next_, std::nullopt);
+    next_whole_read_ = now + whole_read_pause_;
+  }
   if (!next_) return Read{.is_whole = true};
   if (!is_polling_) return std::nullopt;
   // After a disconnection with many changes, a host would otherwise read all of
@@ -32,6 +41,17 @@
   retry_pause_ = Duration{0};
   as_of_ = as_of;
   next_ = end;
+  resume_at_.reset();
+  next_whole_read_.reset();
+  whole_read_pause_ = Duration{0};
+}
+
+void TopicReader::HandlePartOfNewest(LogOffset end, TimePoint as_of) {
+  const Duration pause =
+      std::clamp(2 * whole_read_pause_, kMinWholeReadPause, kMaxWholeReadPause);
+  HandleNewest(end, as_of);
+  whole_read_pause_ = pause;
+  next_whole_read_ = as_of + pause;
 }
 
 bool TopicReader::HandleUpdates(LogOffset next, TimePoint as_of) {
@@ -43,6 +63,7 @@
 }
 
 Duration TopicReader::HandleFailure() {
+  if (resume_at_) next_ = std::exchange(resume_at_, std::nullopt);
   retry_pause_ = std::clamp(2 * retry_pause_, budget_.retry_pause,
                             kMaxRetryHeartbeats * budget_.heartbeat_interval);
   return retry_pause_;
--- a/node/topic_reader.h
+++ b/node/topic_reader.h
@@ -32,12 +32,19 @@
   // Handles the newest record of every key, of a topic that ended at `end` at
   // the time `as_of`. Not thread-safe.
   void HandleNewest(LogOffset end, TimePoint as_of);
+  // Handles the newest records of some keys; the others could not be read.
+  // Updates are followed from `end` on, and all is read again after a pause
+  // that doubles each time. Not thread-safe.
+  void HandlePartOfNewest(LogOffset end, TimePoint as_of);
   // Handles the answer to a read of updates, which end at `next`. Returns
   // whether they must be applied: relayed ones may be newer meanwhile, and
   // older records would revert servers to an older state. Not thread-safe.
   bool HandleUpdates(LogOffset next, TimePoint as_of);
   // Handles an answer that the store has deleted the records. Not thread-safe.
-  void HandleHistoryDeleted() { next_.reset(); }
+  void HandleHistoryDeleted() {
+    next_.reset();
+    resume_at_.reset();
+  }
   // Handles a read without a usable answer. Returns the pause before the next.
   // Not thread-safe.
   Duration HandleFailure();
@@ -54,6 +61,11 @@
   // The end of the applied records; nothing while all are read anew. Not
   // thread-safe.
   const std::optional<LogOffset>& next() const { return next_; }
+  // The time at which all is read again; nothing if no record is missing. Not
+  // thread-safe.
+  const std::optional<TimePoint>& next_whole_read() const {
+    return next_whole_read_;
+  }
 
  private:
   Duration TimeUntilRenewal(TimePoint now) const;
@@ -65,6 +77,10 @@
   std::optional<LogOffset> next_;
   TimePoint as_of_;          // All records up to this time were read.
   Duration retry_pause_{0};  // After the last failure; 0: no failure.
+  std::optional<TimePoint> next_whole_read_;
+  Duration whole_read_pause_{0};
+  // `next_` while all is read again.
+  std::optional<LogOffset> resume_at_;
 };
 
 }  // namespace applehall
--- a/tests/membership/version_history_test.cc
+++ b/tests/membership/version_history_test.cc
@@ -180,5 +180,18 @@
   EXPECT_EQ(Settled(), "v1");
 }
 
+// Guards against streams of two versions that are joined because one version
+// stands in a part of the listing that could not be read.
+TEST_F(VersionHistoryTest, PartOfAListingNamesNoOnlyVersion) {
+  history_.Add("llm", "v1", now_);
+  history_.RecordPartialListing(now_);
+  EXPECT_FALSE(history_.OnlySeenVersion("llm", Duration{0}, now_));
+  history_.RecordListing(/*is_contiguous=*/true, now_);
+  EXPECT_EQ(history_.OnlySeenVersion("llm", Duration{0}, now_), "v1");
+  history_.RecordPartialListing(now_ + Duration{1});
+  EXPECT_FALSE(
+      history_.OnlySeenVersion("llm", Duration{0}, now_ + Duration{1}));
+}
+
 }  // namespace
 }  // namespace applehall
--- a/tests/node/readiness_test.cc
+++ b/tests/node/readiness_test.cc
@@ -55,5 +55,23 @@
   EXPECT_EQ(log.find("event=ready", is_ready + 1), std::string::npos);
 }
 
+// Guards against servers that are dropped because a part of the listing could
+// not be read, and against a host that is not ready with that part.
+TEST_F(ReadinessTest, PartOfAListingIsServedAndRemovesNoServer) {
+  Start("a");
+  Handle("a", RuleSetRead{1, *ParseJson(kRules)});
+  ServerListRead part;
+  part.is_partial = true;
+  part.listed = {Server("app-1", "app")};
+  Handle("a", part);
+  EXPECT_TRUE(hosts_.at("a").node->IsReady());
+  EXPECT_TRUE(hosts_.at("a").node->StateDump()["fleet"]["listing_partial"]);
+  LoadConfiguration("a");
+  EXPECT_FALSE(hosts_.at("a").node->StateDump()["fleet"]["listing_partial"]);
+  Handle("a", part);
+  const Json servers = hosts_.at("a").node->StateDump()["fleet"]["servers"];
+  EXPECT_EQ(servers.size(), 4u);
+}
+
 }  // namespace
 }  // namespace applehall
