Names of others end no line, of a request's head or of the log

Cause: a header value or target went out as it was; a line break in it, such as in the id of a listed server, begins a field or a request of its own. Log lines had NUL, control bytes and bytes that are not UTF-8, so that tools take the file for binary.

HttpClient sends no head with control characters; the call is not sent, and its error says so. AppendLogValue writes values with such bytes by absl::CHexEscape.

--- a/core/event_log.cc
+++ b/core/event_log.cc
@@ -1,7 +1,10 @@
 #include "core/event_log.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/escaping.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
@@ -15,6 +18,7 @@
 #include <system_error>
 #include <thread>
 
+#include "core/json.h"
 #include "core/line_writer.h"
 
 namespace applehall {
@@ -76,6 +80,19 @@
   return "error";
 }
 
+// Returns whether the value has bytes other than printable ASCII and UTF-8; a
+// line with them is not text.
+bool HasUnprintableBytes(std::string_view value) {
+  const bool has_control = std::any_of(value.begin(), value.end(), [](char c) {
+    return absl::ascii_iscntrl(static_cast<unsigned char>(c)) && c != '\t' &&
+           c != '\n' && c != '\r';
+  });
+  const bool is_ascii = std::all_of(value.begin(), value.end(), [](char c) {
+    return absl::ascii_isascii(static_cast<unsigned char>(c));
+  });
+  return has_control || !(is_ascii || IsUtf8(value));
+}
+
 bool NeedsQuotes(std::string_view value) {
   return value.empty() ||
          value.find_first_of(" \t\r\n\"=\\") != std::string_view::npos;
@@ -86,6 +103,11 @@
 uint64_t DroppedLogLines() { return g_dropped_lines; }
 
 void AppendLogValue(std::string_view value, std::string& line) {
+  if (HasUnprintableBytes(value)) {
+    AppendLogValue(
+        absl::CHexEscape(absl::string_view(value.data(), value.size())), line);
+    return;
+  }
   if (!NeedsQuotes(value)) {
     line += value;
     return;
--- a/core/json.cc
+++ b/core/json.cc
@@ -191,6 +191,15 @@
   }
 }
 
+bool IsUtf8(std::string_view text) {
+  try {
+    (void)Json(text).dump();
+    return true;
+  } catch (const Json::exception&) {
+    return false;
+  }
+}
+
 absl::StatusOr<Json> ParseCbor(const std::vector<uint8_t>& bytes) {
   if (!HasDefiniteLengths(bytes)) {
     return absl::InvalidArgumentError(
--- a/core/json.h
+++ b/core/json.h
@@ -25,6 +25,9 @@
 // Requires: nothing. Thread-safe.
 absl::StatusOr<Json> ParseJson(std::string_view text);
 
+// Returns whether JSON can hold the text as it is. Thread-safe.
+bool IsUtf8(std::string_view text);
+
 // Parses CBOR whose items all have definite lengths, with the same bound.
 // Requires: nothing. Thread-safe.
 absl::StatusOr<Json> ParseCbor(const std::vector<uint8_t>& bytes);
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/ascii.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <boost/beast/core/buffer_ref.hpp>
@@ -42,6 +43,27 @@
 
 using StreamPtr = std::unique_ptr<beast::tcp_stream>;
 
+// Returns whether a text can stand in the head of a request: a byte that ends a
+// line would begin a field or a request of its own.
+bool IsOneLine(std::string_view text, bool allows_spaces) {
+  return std::all_of(text.begin(), text.end(), [allows_spaces](char c) {
+    if (c == ' ' || c == '\t') return allows_spaces;
+    return !absl::ascii_iscntrl(static_cast<unsigned char>(c));
+  });
+}
+
+bool HasSoundHead(const HttpRequest& request) {
+  if (!IsOneLine(request.method, /*allows_spaces=*/false) ||
+      !IsOneLine(request.target, /*allows_spaces=*/false)) {
+    return false;
+  }
+  return std::all_of(request.headers.begin(), request.headers.end(),
+                     [](const auto& field) {
+                       return IsOneLine(field.first, /*allows_spaces=*/false) &&
+                              IsOneLine(field.second, /*allows_spaces=*/true);
+                     });
+}
+
 // For servers that do not send a keep-alive timeout.
 constexpr Duration kDefaultReuseTime = std::chrono::seconds(1);
 // Part of the server's keep-alive timeout in which a connection is reused: the
@@ -174,6 +196,10 @@
     }
     // Saves the connection; Send() decides.
     if (!IsWanted()) co_return;
+    if (!HasSoundHead(call.request)) {
+      error_ = "the request has control characters in its head";
+      co_return;
+    }
     if (!call.fresh_connection) stream_ = idle_->Acquire(address_);
     if (!stream_) {
       const bool is_connected = co_await Connect(io_, call);
--- a/tests/core/event_log_test.cc
+++ b/tests/core/event_log_test.cc
@@ -43,6 +43,19 @@
       << "the queue must keep some lines";
 }
 
+// Guards against log files that tools take for binary because of a name.
+TEST(EventLogTest, LinesAreTextWhateverTheValueIs) {
+  std::string line;
+  AppendLogValue(std::string("a\0z\x01\x7f\xff\r\n", 8), line);
+  EXPECT_EQ(line, "\"a\\\\x00z\\\\x01\\\\x7f\\\\xff\\\\r\\\\n\"");
+  line.clear();
+  AppendLogValue("\xEC\x88\x98", line);
+  EXPECT_EQ(line, "\xEC\x88\x98");
+  line.clear();
+  AppendLogValue("a b", line);
+  EXPECT_EQ(line, "\"a b\"");
+}
+
 // Guards against names of callers that fill the queue with long lines.
 TEST(EventLogTest, LongValuesAreCut) {
   testing::internal::CaptureStdout();
--- a/tests/drivers/http_test.cc
+++ b/tests/drivers/http_test.cc
@@ -219,6 +219,25 @@
   EXPECT_EQ(FetchBlocking(call).state, SendState::kNotSent);
 }
 
+// Guards against names of others that begin a field or a request of their own.
+TEST(HttpClientTest, NothingIsSentWithControlCharactersInItsHead) {
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  HttpCall call;
+  call.address = {"127.0.0.1", acceptor.local_endpoint().port()};
+  for (const char* text : {"a\r\nx-other: b", "a\nb", "a\x01", "a\x7f"}) {
+    call.request.target = "/";
+    call.request.headers = {{"x-name", text}};
+    EXPECT_EQ(FetchBlocking(call).state, SendState::kNotSent);
+    call.request.headers.clear();
+    call.request.target = text;
+    EXPECT_EQ(FetchBlocking(call).state, SendState::kNotSent);
+  }
+  call.request.target = "/a b";
+  EXPECT_EQ(FetchBlocking(call).state, SendState::kNotSent);
+}
+
 // Guards against a caller that holds a connection for ever by never completing
 // its header.
 TEST_F(HttpTest, ConnectionWithIncompleteHeaderIsClosed) {
