A record that cannot be read keeps its place in the log

Cause: in answers of the log service, a record without an offset was taken for the one at 0: readers began at 1 again, without a pause, and the fold of the control stream stopped at the gap, so that a host that starts has no rules. The operator's commands read the same batch without end. An answer without engines or hosts was undefined behaviour in the operator's commands.

Unreadable records get the offset after the one before, are logged, and have no effect. A log that sends the same records again is an error.

--- a/drivers/platform_client.cc
+++ b/drivers/platform_client.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 
+#include "core/event_log.h"
 #include "drivers/background_task.h"
 #include "drivers/http_query.h"
 #include "drivers/sleep.h"
@@ -36,21 +37,29 @@
 
 }  // namespace
 
-std::optional<LogBatch> ParseLogBatch(const std::string& stream,
+std::optional<LogBatch> ParseLogBatch(const std::string& stream, LogOffset from,
                                       const std::string& body) {
   const absl::StatusOr<Json> json = ParseJson(body);
-  if (!json.ok() || !json->is_object() || !json->contains("records")) {
-    return std::nullopt;
-  }
+  if (!json.ok() || !json->is_object()) return std::nullopt;
+  const auto records = json->find("records");
+  if (records == json->end() || !records->is_array()) return std::nullopt;
   LogBatch batch;
   batch.stream = stream;
   batch.first_offset = FieldOr<uint64_t>(*json, "first_offset", 1);
   batch.next_offset = FieldOr<uint64_t>(*json, "next_offset", 1);
-  for (const Json& item : (*json)["records"]) {
-    batch.records.push_back(
-        {FieldOr<uint64_t>(item, "offset", 0),
-         FromUnixMillis(FieldOr<int64_t>(item, "time_ms", 0)),
-         FieldOr<std::string>(item, "payload", "")});
+  LogOffset expected = std::max(from, batch.first_offset);
+  for (const Json& item : *records) {
+    LogRecord record{FieldOr<uint64_t>(item, "offset", expected),
+                     FromUnixMillis(FieldOr<int64_t>(item, "time_ms", 0)),
+                     FieldOr<std::string>(item, "payload", "")};
+    // Readers stop at a gap; a record without a payload has no effect.
+    if (record.payload.empty()) {
+      LogEvent(LogLevel::kWarning, "record_skipped")
+          .With("stream", stream)
+          .With("offset", record.offset);
+    }
+    expected = record.offset + 1;
+    batch.records.push_back(std::move(record));
   }
   return batch;
 }
@@ -129,8 +138,12 @@
         MakeCall(addresses_.log, "GET", target, "", kReadTimeout);
     const HttpResult result = co_await client_.Fetch(call);
     std::optional<LogBatch> batch;
-    if (result.is_ok()) batch = ParseLogBatch(stream, result.response.body);
-    if (!batch) {
+    if (result.is_ok()) {
+      batch = ParseLogBatch(stream, from, result.response.body);
+    }
+    const bool is_stuck =
+        batch && !batch->records.empty() && batch->records.back().offset < from;
+    if (!batch || is_stuck) {
       const Event failed = LogUnavailable{};
       co_await Deliver(failed);
       co_await Sleep(thread_.io(), kRetryInterval);
--- a/drivers/platform_client.h
+++ b/drivers/platform_client.h
@@ -49,9 +49,10 @@
   HttpClient client_;
 };
 
-// Parses a response of the log service; nothing if it is malformed.
-// Thread-safe.
-std::optional<LogBatch> ParseLogBatch(const std::string& stream,
+// Parses a response of the log service to a read from the offset `from`;
+// nothing if it is malformed. A record that cannot be read keeps its place and
+// has no payload. Thread-safe.
+std::optional<LogBatch> ParseLogBatch(const std::string& stream, LogOffset from,
                                       const std::string& body);
 // Parses the store's catalogue. Thread-safe.
 Catalogue ParseCatalogue(const std::string& body);
--- a/main/operator_commands.cc
+++ b/main/operator_commands.cc
@@ -117,12 +117,17 @@
           absl::StrCat("log service ", log.ToString(),
                        ": could not read the control stream"));
     }
-    const auto batch = ParseLogBatch(kControlStream, result.response.body);
+    const LogOffset from = fold.next_offset();
+    const auto batch =
+        ParseLogBatch(kControlStream, from, result.response.body);
     if (!batch) return absl::DataLossError("malformed batch of log records");
     const bool is_last = batch->records.empty() ||
                          batch->records.back().offset + 1 >= batch->next_offset;
     fold.Apply(*batch);
     if (is_last) return fold;
+    if (fold.next_offset() <= from) {
+      return absl::DataLossError("the log sends the same records again");
+    }
   }
 }
 
@@ -191,6 +196,11 @@
   return ParseJson(result.response.body);
 }
 
+// Returns a member of an object; null if there is none.
+Json Member(const Json& object, const char* key) {
+  return object.is_object() ? object.value(key, Json()) : Json();
+}
+
 CommandExit FailWithStatus(const absl::Status& status) {
   return Fail(absl::IsUnavailable(status) ? CommandExit::kUnreachable
                                           : CommandExit::kBadInput,
@@ -424,12 +434,11 @@
   for (const LogLine& line : timeline) {
     const int64_t before_end_ms = ToMillis(end - line.time);
     if (format == OutputFormat::kJson) {
-      std::cout << Json{{"time_ms", ToUnixMillis(line.time)},
-                        {"before_end_ms", before_end_ms},
-                        {"host", line.host},
-                        {"event", line.event},
-                        {"keys", line.keys}}
-                       .dump()
+      std::cout << DumpJson(Json{{"time_ms", ToUnixMillis(line.time)},
+                                 {"before_end_ms", before_end_ms},
+                                 {"host", line.host},
+                                 {"event", line.event},
+                                 {"keys", line.keys}})
                 << "\n";
     } else {
       std::cout << "-" << before_end_ms << " ms  " << line.host << "  "
@@ -442,7 +451,7 @@
 CommandExit ShowLoads(const std::string& host, OutputFormat format) {
   const absl::StatusOr<Json> state = FetchJson(host, "/state");
   if (!state.ok()) return FailWithStatus(state.status());
-  const Json& engines = (*state)["engines"];
+  const Json engines = Member(*state, "engines");
   if (format == OutputFormat::kJson) {
     std::cout << engines.dump(2) << "\n";
     return CommandExit::kOk;
@@ -450,7 +459,7 @@
   for (const auto& [name, engine] : engines.items()) {
     std::cout << name << " running=" << FieldOr<int>(engine, "running", 0)
               << "/" << FieldOr<int>(engine, "slots", 0)
-              << " ready=" << engine["ready"].dump() << "\n";
+              << " ready=" << Member(engine, "ready").dump() << "\n";
   }
   return CommandExit::kOk;
 }
@@ -458,7 +467,7 @@
 CommandExit ShowHosts(const std::string& host, OutputFormat format) {
   const absl::StatusOr<Json> state = FetchJson(host, "/state");
   if (!state.ok()) return FailWithStatus(state.status());
-  const Json& hosts = (*state)["hosts"]["list"];
+  const Json hosts = Member(Member(*state, "hosts"), "list");
   if (format == OutputFormat::kJson) {
     std::cout << hosts.dump(2) << "\n";
     return CommandExit::kOk;
