--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -150,6 +150,10 @@
   std::vector<std::string> broken = platform_.violations();
   if (callers_running_ > 0) broken.push_back("HANG a request has no answer");
   if (options_.has_restarts) StopAll(broken);
+  if (platform_.refused_queries() > 0) {
+    broken.push_back(absl::StrCat("QUERY ", platform_.refused_queries(),
+                                  " malformed calls to the store"));
+  }
   for (const std::string& end : hosts_.unexpected_ends()) {
     broken.push_back("CRASH " + end);
   }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -134,6 +134,8 @@
   // Sends signals to a host and restarts it, in series.
   Awaitable<void> RunRestarts(int host);
   Awaitable<void> RestartInSomeWay(int host, Random& random);
+  // Writes a key of any bytes into the store, which sends small pages.
+  void PutOddKey(Random& random);
   // Starts a host while one of its ports is taken for a while.
   Awaitable<void> StartBesideTakenPort(int host, Random& random);
   Awaitable<void> AwaitSignalsTaken(int host);
--- a/soak/soak_restarts.cc
+++ b/soak/soak_restarts.cc
@@ -28,6 +28,8 @@
 constexpr Duration kMaxRestart = seconds(30);
 constexpr Duration kLastStartPause = milliseconds(500);
 constexpr int kMaxSeries = 5;
+constexpr uint64_t kMaxOddKey = 6;      // Bytes.
+constexpr uint64_t kMaxOddKeyPage = 5;  // Records of a page.
 constexpr const char* kPorts[] = {"callers", "readiness", "operators", "peers",
                                   "forwards"};
 
@@ -49,10 +51,12 @@
 asio::awaitable<void> Soak::RunRestarts(int host) {
   // A separate generator keeps the faults of a seed the same without restarts.
   Random random(options_.seed * 1000 + static_cast<uint64_t>(host));
+  Random keys(options_.seed * 7000 + static_cast<uint64_t>(host));
   ++restarts_running_;
   // Hosts are signalled as soon as they start, some before the store is known.
   while (clock_.Now() + kQuietTime < ends_at_) {
     Excuse(host, seconds(6));
+    PutOddKey(keys);
     co_await RestartInSomeWay(host, random);
     if (!hosts_.IsRunning(host)) hosts_.Start(host);
     MarkDisturbed();
@@ -65,6 +69,20 @@
   --restarts_running_;
 }
 
+// The store's pages end at these keys, among others.
+void Soak::PutOddKey(Random& random) {
+  std::string key;
+  for (uint64_t size = random.Below(kMaxOddKey + 1); size > 0; --size) {
+    key += static_cast<char>(random.Below(256));
+  }
+  constexpr const char* kTopics[] = {"keyed.servers", kConfigTopic,
+                                     "keyed.applehall-lease"};
+  const char* topic = kTopics[random.Below(std::size(kTopics))];
+  platform_.log().max_page_records = 1 + random.Below(kMaxOddKeyPage);
+  // Some are dropped again.
+  platform_.PutRecord(topic, key, random.Below(4) == 0 ? "" : "[no entry");
+}
+
 asio::awaitable<void> Soak::RestartInSomeWay(int host, Random& random) {
   const auto form = static_cast<RestartForm>(random.Below(kRestartForms));
   faults_.push_back(
