--- a/membership/version_history.cc
+++ b/membership/version_history.cc
@@ -157,8 +157,7 @@
 }
 
 Json VersionHistory::ToJson(TimePoint now) const {
-  Json json{{"known_for_ms",
-             known_since_ == TimePoint{} ? 0 : ToMillis(now - known_since_)},
+  Json json{{"known_for_ms", ToMillis(KnownFor(now))},
             {"services", Json::object()}};
   for (const auto& [service, versions] : services_) {
     for (const auto& [version, state] : versions) {
--- a/membership/version_history.h
+++ b/membership/version_history.h
@@ -72,6 +72,11 @@
                  TimePoint now) const {
     return SettledVersion(service, listing_age, now).has_value();
   }
+  // Returns for how long all versions have been known; zero before the first
+  // listing.
+  Duration KnownFor(TimePoint now) const {
+    return known_since_ == TimePoint{} ? Duration{0} : now - known_since_;
+  }
   // Returns from when new streams may begin at a version.
   TimePoint StreamsFrom(const std::string& service,
                         const std::string& version) const;
--- a/node/node.cc
+++ b/node/node.cc
@@ -155,6 +155,7 @@
   const absl::Status status =
       context_.control.InstallRules(event.version, event.document);
   if (status.ok() && is_newer) {
+    context_.has_list_of_teams = event.teams != nullptr;
     context_.teams =
         event.teams ? event.teams : std::make_shared<TeamRegistry>();
   }
@@ -355,6 +356,7 @@
         .With("version", rules->version)
         .With("name", rules->set.name)
         .With("rules", rules->set.rules.size())
+        .With("has_list_of_teams", context_.has_list_of_teams ? "yes" : "no")
         .With("teams", context_.teams->teams().size());
   }
   if (IsFleet()) return;
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -39,6 +39,7 @@
   ReplicaBoundsTable bounds;  // Of the rule set in force.
   // Of the same version; never null.
   std::shared_ptr<const TeamRegistry> teams = std::make_shared<TeamRegistry>();
+  bool has_list_of_teams = false;  // In the configuration in force.
   Metrics metrics;
   Random random;
   DecisionLog decisions;
--- a/node/request_flow_streams.cc
+++ b/node/request_flow_streams.cc
@@ -82,7 +82,11 @@
       .With("source", finding.origin ? SourceName(finding.source) : "none")
       .With("listing_age_ms",
             ToMillis(std::min(streams_.ListingAge(), kMaxStreamAge)))
-      .With("took_ms", ToMillis(finding.took));
+      .With("took_ms", ToMillis(finding.took))
+      .With("asked", finding.asked)
+      .With("without_record", finding.without_record)
+      .With("versions_known_for_ms",
+            ToMillis(streams_.versions().KnownFor(context_.now)));
   if (!finding.origin) {
     Refuse(handle, NotRun(RefusalReason::kStreamUnknown,
                           absl::StrCat("no record was found of the software "
--- a/node/stream_manager.cc
+++ b/node/stream_manager.cc
@@ -237,8 +237,12 @@
   if (question == questions_.end()) return;
   const Duration took = context_.now - question->second.asked_at;
   context_.metrics.Observe("stream_origin_lookup", took);
+  const auto asked = static_cast<int>(question->second.asked.size());
+  const auto without_record =
+      static_cast<int>(question->second.without_record.size());
   for (const RequestHandle handle : question->second.requests) {
-    findings_.push_back({handle, origin, Source::kOtherHost, took});
+    findings_.push_back(
+        {handle, origin, Source::kOtherHost, took, asked, without_record});
   }
   questions_.erase(question);
 }
--- a/node/stream_manager.h
+++ b/node/stream_manager.h
@@ -44,6 +44,8 @@
     std::optional<StreamOrigin> origin;
     Source source = Source::kRecord;
     Duration took{0};
+    int asked = 0;           // Other hosts.
+    int without_record = 0;  // Of them, those that answered without an origin.
   };
   // Returns the origin of the stream with `key`, which the request `handle` for
   // `service` resumes. If it is not known here, asks other hosts and returns
