A configuration whose list of teams is empty admits nobody

Cause: whether keys are in use was read from TeamRegistry::is_empty(), and Node put an empty registry in the place of a missing one, so that a configuration without a list of teams and one with an empty list were the same.

Change: no registry means no list, a registry may be empty, and nothing asks any more whether it is.

--- a/node/messages.h
+++ b/node/messages.h
@@ -194,7 +194,7 @@
 struct RuleSetRead {
   LogOffset version = 0;
   Json document;
-  // The teams of the same version; null if none are configured.
+  // The teams of the same version; null if it has no list of teams.
   std::shared_ptr<const TeamRegistry> teams = nullptr;
 };
 
@@ -325,8 +325,8 @@
   bool resume = false;      // Resume the stream of the previous attempt.
   bool is_claimed = false;  // The receiver must not claim the key again.
   TimePoint deadline;
-  // The caller's team, empty for none. Unset if no teams are configured; what
-  // the caller states about itself is then passed on.
+  // The caller's team, empty for none. Unset if requests need no key; what the
+  // caller states about itself is then passed on.
   std::optional<std::string> team;
   // Of the backend server; for another host, where the stream that it continues
   // began, if it began.
--- a/node/node.cc
+++ b/node/node.cc
@@ -155,9 +155,7 @@
   const absl::Status status =
       context_.control.InstallRules(event.version, event.document);
   if (status.ok() && is_newer) {
-    context_.has_list_of_teams = event.teams != nullptr;
-    context_.teams =
-        event.teams ? event.teams : std::make_shared<TeamRegistry>();
+    context_.teams = event.teams;
   }
   if (!status.ok()) {
     context_.metrics.Count("rule_sets_rejected_total");
@@ -356,8 +354,9 @@
         .With("version", rules->version)
         .With("name", rules->set.name)
         .With("rules", rules->set.rules.size())
-        .With("has_list_of_teams", context_.has_list_of_teams ? "yes" : "no")
-        .With("teams", context_.teams->teams().size());
+        .With("has_list_of_teams", context_.teams ? "yes" : "no")
+        .With("requires_keys", context_.RequiresKeys() ? "yes" : "no")
+        .With("teams", context_.ListedTeams()->teams().size());
   }
   if (IsFleet()) return;
   quarantine_.HandleControl();
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -37,9 +37,9 @@
   std::map<std::string, CatalogueEntry> catalogue;
   std::map<std::string, EngineClass> engine_classes;  // By service.
   ReplicaBoundsTable bounds;  // Of the rule set in force.
-  // Of the same version; never null.
-  std::shared_ptr<const TeamRegistry> teams = std::make_shared<TeamRegistry>();
-  bool has_list_of_teams = false;  // In the configuration in force.
+  // Of the same version; null if it has no list of teams, which is not the same
+  // as an empty one.
+  std::shared_ptr<const TeamRegistry> teams;
   Metrics metrics;
   Random random;
   DecisionLog decisions;
@@ -70,6 +70,16 @@
   TimePoint now;
   std::vector<Action>* actions = nullptr;
 
+  // Returns whether requests need a key of a team. Not thread-safe.
+  bool RequiresKeys() const { return teams != nullptr || settings.has_teams; }
+  // Returns the teams of the configuration in force, none if it has no list.
+  // Not thread-safe.
+  const std::shared_ptr<const TeamRegistry>& ListedTeams() const {
+    static const auto* const kNone =
+        new std::shared_ptr<const TeamRegistry>(new TeamRegistry);
+    return teams ? teams : *kNone;
+  }
+
   void Emit(Action action) { actions->push_back(std::move(action)); }
 
   // Records that the log service or the store was available at `when`, which
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -77,6 +77,9 @@
   // Whether all hosts of the deployment start for the first time, so that no
   // stream began before.
   bool is_first_start = false;
+  // The deployment has teams: requests need a key, also under a configuration
+  // without a list of teams.
+  bool has_teams = false;
   // Minimum duration of a drain. The platform takes some time to route callers
   // elsewhere; until then a draining host still serves them.
   Duration min_drain{0};
--- a/node/quota_manager.cc
+++ b/node/quota_manager.cc
@@ -78,7 +78,7 @@
 }  // namespace
 
 bool QuotaManager::HasQuotas() const {
-  const auto& teams = context_.teams->teams();
+  const auto& teams = context_.ListedTeams()->teams();
   return std::any_of(teams.begin(), teams.end(), [](const auto& item) {
     return item.second.quota.is_limited();
   });
@@ -109,7 +109,7 @@
   ledger_ = std::make_unique<QuotaLedger>(
       QuotaLedger::Settings{.tolerance = context_.settings.quota_tolerance,
                             .expected_hosts = known_hosts_});
-  ledger_->SetTeams(context_.teams, context_.now);
+  ledger_->SetTeams(context_.ListedTeams(), context_.now);
   centre_ledger_.reset();
 }
 
@@ -157,7 +157,7 @@
 void QuotaManager::RunOwner() {
   if (context_.now - computed_at_ < kComputeInterval) return;
   computed_at_ = context_.now;
-  QuotaShares shares = ComputeShares(*ledger_, context_.teams);
+  QuotaShares shares = ComputeShares(*ledger_, context_.ListedTeams());
   if (!ledger_->IsReady(context_.now)) return;
   LogThrottled(shares);
   shares_ = std::move(shares);
@@ -204,7 +204,7 @@
 // Returns the teams with their quotas reduced to this data centre's part.
 std::shared_ptr<const TeamRegistry> QuotaManager::CentreTeams() const {
   auto teams = std::make_shared<TeamRegistry>();
-  for (const auto& [name, whole] : context_.teams->teams()) {
+  for (const auto& [name, whole] : context_.ListedTeams()->teams()) {
     Team team = whole;
     const auto part = centre_parts_.find(name);
     if (team.quota.is_limited() && part != centre_parts_.end()) {
--- a/node/request_decider.cc
+++ b/node/request_decider.cc
@@ -64,10 +64,11 @@
 
 // Guards against requests that run without a team or for another team than the
 // one that pays: a key that no team holds, or no longer holds, is refused
-// before the request waits, counts or costs anything.
+// before the request waits, counts or costs anything. Also if no team is left:
+// then nobody holds a key.
 std::optional<Refusal> RequestDecider::Authenticate(OpenRequest& request) {
-  const TeamRegistry& teams = *context_.teams;
-  if (teams.is_empty()) return std::nullopt;
+  if (!context_.RequiresKeys()) return std::nullopt;
+  const TeamRegistry& teams = *context_.ListedTeams();
   RequestArrived& arrival = request.arrival;
   const Team* team =
       arrival.api_key ? teams.FindByKey(*arrival.api_key) : nullptr;
@@ -90,7 +91,7 @@
 
 std::optional<Refusal> RequestDecider::CheckQuota(OpenRequest& request) {
   const Team* team =
-      request.team ? context_.teams->Find(*request.team) : nullptr;
+      request.team ? context_.ListedTeams()->Find(*request.team) : nullptr;
   if (team == nullptr || !team->quota.is_limited()) return std::nullopt;
   const double cost = team->QuotaCost(request.arrival.declared_tokens);
   if (auto refusal = quotas_.Charge(*team, cost)) return refusal;
--- a/node/request_flow.cc
+++ b/node/request_flow.cc
@@ -514,6 +514,9 @@
   dispatch.is_claimed = request.is_granted || request.arrival.is_forwarded;
   dispatch.deadline = request.deadline;
   dispatch.team = request.team;
+  // It was admitted under a configuration without keys; a server is shown none
+  // under one with keys.
+  if (!dispatch.team && context_.RequiresKeys()) dispatch.team = "";
   request.may_resume = false;
   context_.Emit(std::move(dispatch));
 }
--- a/node/wait_policy.cc
+++ b/node/wait_policy.cc
@@ -189,7 +189,7 @@
       !context_.settings.policies.Has(Policy::kReturnSchedule)) {
     return false;
   }
-  const auto& teams = context_.teams->teams();
+  const auto& teams = context_.ListedTeams()->teams();
   const bool has_open_team = std::any_of(
       teams.begin(), teams.end(),
       [](const auto& item) { return !item.second.quota.is_limited(); });
--- a/rules/team_registry.h
+++ b/rules/team_registry.h
@@ -37,12 +37,12 @@
   double QuotaCost(std::optional<double> declared) const;
 };
 
-// The teams of one version of the configuration and their keys. Immutable after
-// construction.
+// The teams of one version of the configuration and their keys. Without teams
+// nobody holds a key; a configuration that uses none has no registry. Immutable
+// after construction.
 class TeamRegistry {
  public:
-  // Adds a team. As long as there are none, no request needs a key. Requires:
-  // `keys` belong to no other team. Not thread-safe.
+  // Adds a team. Requires: `keys` belong to no other team. Not thread-safe.
   void Add(Team team, const std::vector<std::string>& keys);
 
   // Null if no team holds the key. Thread-safe.
@@ -50,7 +50,6 @@
   // Null if there is no such team. Thread-safe.
   const Team* Find(const std::string& name) const;
   const std::map<std::string, Team>& teams() const { return teams_; }
-  bool is_empty() const { return teams_.empty(); }
 
  private:
   struct KeyOwner {
--- a/tests/node/fleet_fixture.h
+++ b/tests/node/fleet_fixture.h
@@ -79,6 +79,7 @@
     settings.link_mbps = links_mbps_[name];
     settings.policies = policies_;
     settings.seed = seed_;
+    settings.has_teams = has_teams_;
     Host& host = hosts_[name];
     host.node = std::make_unique<Node>(settings);
   }
@@ -264,6 +265,7 @@
   bool engines_check_fences_ = true;
   double retry_slack_ = 50;
   bool follows_earlier_process_ = false;
+  bool has_teams_ = false;                    // The deployment of added hosts.
   std::map<std::string, double> links_mbps_;  // Zero: not reported.
   std::map<std::string, Host> hosts_;
   std::vector<std::pair<std::string, Event>> pending_;
--- a/tests/node/team_test.cc
+++ b/tests/node/team_test.cc
@@ -133,6 +133,39 @@
   EXPECT_EQ(sent[0].priority, 2);
 }
 
+// Guards against a deployment with teams that admits everybody under a
+// configuration without a list of them, also at hosts that start on it.
+TEST_F(TeamTest, DeploymentWithTeamsNeedsKeysWithoutAList) {
+  has_teams_ = true;
+  Add("a");
+  Handle("a", RuleSetRead{3, *ParseJson(kTeamRules)});
+  SendRequest("a", 1, "/once/x", "key-1");
+  SendRequest("a", 2, "/once/x", "");
+  EXPECT_EQ(RefusalReasonFor(1), "unauthorized");
+  EXPECT_EQ(RefusalReasonFor(2), "unauthorized");
+  SendRequest("a", 3, "/open/x", "");
+  const auto sent = ActionsOf<DispatchRequest>("a");
+  ASSERT_EQ(sent.size(), 1u);
+  EXPECT_EQ(sent[0].team, "");
+}
+
+// Guards against a retry that passes a key on because the request was admitted
+// before keys were in use.
+TEST_F(TeamTest, RetryUnderAConfigurationWithKeysPassesNoneOn) {
+  Handle("a", RuleSetRead{3, *ParseJson(kTeamRules)});
+  SendRequest("a", 1, "/again/x", "key-1");
+  auto sent = ActionsOf<DispatchRequest>("a");
+  ASSERT_EQ(sent.size(), 1u);
+  EXPECT_FALSE(sent[0].team.has_value());
+  InstallTeams(4, {{"studs", "key-1"}});
+  Handle("a",
+         MakeAttemptEnd(sent[0], AttemptResult::kNotSent, "no connection"));
+  Run(milliseconds(200));
+  sent = ActionsOf<DispatchRequest>("a");
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_EQ(sent[1].team, "");
+}
+
 // Guards against a quarantined content that reaches servers again with a new
 // key of the same team. Another team that sends the same content is not
 // affected.
--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -120,7 +120,7 @@
   return *ParseJson(R"({"node_name": "edge-1", "zone": "hall",
     "ip_addr": "10.0.0.1", "bootstrap": true, "port_range": [7000, 7015],
     "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
-    "platform": {"address": "10.0.0.2:90"},
+    "platform": {"address": "10.0.0.2:90"}, "contracts": ["base", "drain"],
     "limits": {"cpu_share": 0.25, "memory_mb": 260},
     "bounds": {"drain_ms": 2000, "grace_period_s": 8, "retry_slack": 52,
       "lease_ttl_ms": 3000, "require_fence": true, "seed_lag_s": 3}})");
@@ -168,6 +168,19 @@
             std::chrono::milliseconds(2500));
 }
 
+// Guards against a deployment with teams that needs no keys as long as its
+// configuration names none.
+TEST(EdgeSettings, ContractsTellWhetherTheDeploymentHasTeams) {
+  Json fields = PlatformFields();
+  EXPECT_FALSE(ParseFilledTemplate(fields)->node.has_teams);
+  fields["contracts"] = Json::array({"base", "tenants", "quota"});
+  EXPECT_TRUE(ParseFilledTemplate(fields)->node.has_teams);
+  for (const char* odd : {"{}", "\"tenants\"", "7", "[\"base\", 3]"}) {
+    fields["contracts"] = *ParseJson(odd);
+    EXPECT_FALSE(ParseFilledTemplate(fields).ok()) << odd;
+  }
+}
+
 // Hosts must start with valid values, whatever a single bound contains.
 TEST(EdgeSettings, InvalidBoundDoesNotPreventStart) {
   const Json invalid_values[] = {Json(),        Json(-1),      Json(0),
--- a/tests/platform/operator_config_test.cc
+++ b/tests/platform/operator_config_test.cc
@@ -52,6 +52,19 @@
   RuleRegistry book_;
 };
 
+// Guards against a list of teams that is there but empty or unreadable and is
+// taken for a configuration without one.
+TEST_F(OperatorConfigTest, OnlyAnAbsentListOfTeamsIsNone) {
+  for (const char* list : {"[]", "null", "{}", "\"a\"", "0", "[{}, 1]"}) {
+    Json json = *ParseJson(kConfig);
+    json["tenants"] = *ParseJson(list);
+    const auto config = ReadOperatorConfig(json);
+    ASSERT_TRUE(config.ok()) << list;
+    ASSERT_NE(config->rules.teams, nullptr) << list;
+    EXPECT_TRUE(config->rules.teams->teams().empty()) << list;
+  }
+}
+
 TEST_F(OperatorConfigTest, TeamsKeysAndQuotasAreParsed) {
   EXPECT_EQ(config_.rules.teams, nullptr);
   Json json = *ParseJson(kConfig);
--- a/tests/rules/team_registry_test.cc
+++ b/tests/rules/team_registry_test.cc
@@ -7,7 +7,7 @@
 
 TEST(TeamRegistryTest, FindsTeamsByExactKeyOnly) {
   TeamRegistry registry;
-  EXPECT_TRUE(registry.is_empty());
+  EXPECT_TRUE(registry.teams().empty());
   Team studs;
   studs.name = "studs";
   studs.priority = 1;
@@ -15,7 +15,7 @@
   Team agents;
   agents.name = "agents";
   registry.Add(agents, {"key-3"});
-  EXPECT_FALSE(registry.is_empty());
+  EXPECT_FALSE(registry.teams().empty());
   for (const char* key : {"key-1", "key-2"}) {
     const Team* team = registry.FindByKey(ApiKeyDigest::FromKey(key));
     ASSERT_NE(team, nullptr) << key;
