A team whose limit cannot be read has no keys

By reading, beside the fault of the empty list: a rate that is there but is null, a text or negative was read as 0, and 0 means no limit, so the team was admitted without one. The same for the unit and the charge of requests that declare nothing.

--- a/tests/platform/team_access_test.cc
+++ b/tests/platform/team_access_test.cc
@@ -45,7 +45,11 @@
       Json{{"name", 5}, {"odd", 1}},
       Json(nullptr),
       Json(keys),
-      Json("key-0")};
+      Json("key-0"),
+      Json{{"name", name}, {"api_keys", keys}, {"odd", 1}, {"rate_per_s", "x"}},
+      Json{{"name", name}, {"api_keys", keys}, {"odd", 1}, {"rate_per_s", -1}},
+      Json{{"name", name}, {"api_keys", keys}, {"odd", 1}, {"burst_size", {}}},
+      Json{{"name", name}, {"api_keys", keys}, {"odd", 1}, {"unit", 3}}};
   return teams[*rc::gen::inRange<size_t>(0, teams.size())];
 }
 
@@ -143,6 +147,23 @@
   }
 }
 
+// Guards against a limit that cannot be read and is taken for no limit.
+TEST_F(TeamAccessTest, TeamWhoseLimitCannotBeReadIsNotAdmitted) {
+  Add("a");
+  LogOffset version = 2;
+  for (const char* limit :
+       {R"("rate_per_s": "9")", R"("rate_per_s": null)", R"("rate_per_s": -1)",
+        R"("burst_size": [])", R"("plain_tokens": "1")", R"("unit": 7)"}) {
+    Json config = MakeConfig(version++);
+    config["tenants"] = *ParseJson(
+        std::string(R"([{"name": "t", "api_keys": ["key-0"], )") + limit +
+        R"(}, {"name": "u", "api_keys": ["key-1"], "rate_per_s": 0}])");
+    Install("a", config);
+    EXPECT_FALSE(IsAdmitted("a", "key-0")) << limit;
+    EXPECT_TRUE(IsAdmitted("a", "key-1")) << limit;
+  }
+}
+
 // Guards against lists of teams that admit others than the holders of a key, at
 // hosts that had another version before and at those that start.
 RC_GTEST_FIXTURE_PROP(TeamAccessTest, OnlyHoldersOfAKeyAreAdmitted, ()) {
