--- a/node/messages.h
+++ b/node/messages.h
@@ -313,16 +313,14 @@
   bool is_bound = true;
 };
 
-using Event =
-    std::variant<RequestArrived, CallerDisconnected, AttemptStarted,
-                 AttemptEnded, InventoryReceived, LogBatchRead, LogUnavailable,
-                 AppendEnded, HostListRead, HostListConfirmed, CatalogueRead,
-                 PeerMessageReceived, DrainRequested, Tick, RuleSetRead,
-                 ServerListRead, StoreReached, LeaseRead, LeaseAppendEnded,
-                 OrderAnswered, StoreUpdatesRead, ServerProbed, QuarantineRead,
-                 QuarantineAppendEnded, ServerConnection,
-                 ForwardListenerChanged, LinkListenerChanged,
-                 VersionRecordRead>;
+using Event = std::variant<
+    RequestArrived, CallerDisconnected, AttemptStarted, AttemptEnded,
+    InventoryReceived, LogBatchRead, LogUnavailable, AppendEnded, HostListRead,
+    HostListConfirmed, CatalogueRead, PeerMessageReceived, DrainRequested, Tick,
+    RuleSetRead, ServerListRead, StoreReached, LeaseRead, LeaseAppendEnded,
+    OrderAnswered, StoreUpdatesRead, ServerProbed, QuarantineRead,
+    QuarantineAppendEnded, ServerConnection, ForwardListenerChanged,
+    LinkListenerChanged, VersionRecordRead>;
 
 // ---- Actions: outputs of a node, carried out by its driver. ----
 
--- a/tests/node/fleet_fixture.h
+++ b/tests/node/fleet_fixture.h
@@ -276,7 +276,7 @@
   double retry_slack_ = 50;
   bool follows_earlier_process_ = false;
   bool has_teams_ = false;                    // The deployment of added hosts.
-  bool is_first_start_ = false;  // Of added hosts.
+  bool is_first_start_ = false;               // Of added hosts.
   std::map<std::string, double> links_mbps_;  // Zero: not reported.
   std::map<std::string, Host> hosts_;
   std::vector<std::pair<std::string, Event>> pending_;
@@ -288,7 +288,7 @@
   FencingToken token_ = 0;
   LogOffset end_ = 0;
   std::map<uint64_t, QuarantineRecord> quarantined_;  // The store's records.
-  std::optional<VersionRecord> version_record_;  // The store's.
+  std::optional<VersionRecord> version_record_;       // The store's.
   int quarantine_reads_ = 0;
   int quarantine_appends_ = 0;
   int plans_made_ = 0;  // Encoded plans, whatever their number of receivers.
