Test lists of teams without keys at running hosts

Hosts as processes, each list that is empty or cannot be read put as the next configuration: a key that nobody holds gets 401 at all hosts, and a later configuration without a list serves again.

--- a/tests/processes/odd_entry_test.cc
+++ b/tests/processes/odd_entry_test.cc
@@ -217,6 +217,23 @@
     ExpectSameProcesses();
   }
 
+  // Puts a configuration with this list of teams, under which no host may run
+  // a request.
+  void ExpectNobodyIsAdmitted(const std::string& teams) {
+    SCOPED_TRACE(teams);
+    OnPlatform([&](PlatformStandin& p) {
+      p.PutConfigText(WithMember(p.NextConfigText({}), "tenants", teams));
+    });
+    for (const auto& [host, process] : processes_) {
+      EXPECT_TRUE(Await([&, host = host] {
+        return Request(host, "/again/x", {{"authorization", "Bearer key-1"}})
+                   .status == 401;
+      })) << "host "
+          << host << " admits a key that nobody holds";
+    }
+    ExpectSameProcesses();
+  }
+
   std::string folder_;
   boost::asio::io_context io_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
@@ -332,5 +349,19 @@
   ExpectSameProcesses();
 }
 
+// Guards against hosts that serve everybody after a configuration whose list of
+// teams is empty or cannot be read.
+TEST_F(OddEntryTest, HostsAdmitNobodyByAListOfTeamsWithoutKeys) {
+  for (const char* teams :
+       {"[]", "null", "{}", "7", "\"key-1\"", R"([{"api_keys":["key-1"]}])",
+        R"([{"name":"team","api_keys":"key-1"}])"}) {
+    ExpectNobodyIsAdmitted(teams);
+    OnPlatform([](PlatformStandin& p) { p.PutConfig({}); });
+    for (const auto& [host, process] : processes_) {
+      ExpectServes(host, "/again/x");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace applehall
