--- a/tests/node/stream_loss_test.cc
+++ b/tests/node/stream_loss_test.cc
@@ -85,6 +85,22 @@
   EXPECT_GE(Resumptions().Value(), 0.95) << Describe();
 }
 
+// Guards against streams that are lost with all hosts because the service was
+// changing its version, though the servers of both serve on.
+TEST_F(StreamLossTest, StreamsOfTwoVersionsGoOnAfterAllHostsWereLost) {
+  StartDeployment();
+  StartServers("v2", 4);
+  RunStreams(seconds(5));
+  BeginStreams(24);
+  KillAll();
+  HoldCallers();
+  RestartAll();
+  RunStreams(seconds(8));
+  EXPECT_GT(Resumptions().asked, 12);
+  EXPECT_GE(Resumptions().Value(), 0.5) << Describe();
+  EXPECT_EQ(CountMixed(), 0) << Describe();
+}
+
 // Guards against a second loss before the hosts have a past of their own.
 TEST_F(StreamLossTest, StreamsGoOnAfterTwoLosses) {
   StartDeployment();
