A route whose host or prefix cannot be read selects no request

By reading, the class of the empty list of teams: a route whose path_prefix is absent, empty or no text got the prefix "/" or none and so selected all requests of its host, without a key if it was public. One whose host cannot be read made hosts refuse the whole version, so that keys which that version takes away stayed valid.

RoutesBeyondTheBoundAreCut names a prefix in its routes, which it had left out; its checks are the same.

--- a/tests/platform/operator_config_test.cc
+++ b/tests/platform/operator_config_test.cc
@@ -1,5 +1,6 @@
 #include "platform/operator_config.h"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 #include "rules/rule_explainer.h"
@@ -65,6 +66,30 @@
   }
 }
 
+// Guards against a route whose host or prefix cannot be read and that selects
+// all requests of its host, without a key if it is public.
+TEST_F(OperatorConfigTest, RouteThatCannotBeReadSelectsNoRequest) {
+  Json json = *ParseJson(kConfig);
+  json["routes"][0]["public"] = true;
+  const Json sound = json["routes"];
+  for (const char* field : {"host", "path_prefix"}) {
+    for (const char* value : {"", "null", "\"\"", "7", "[\"/a/\"]", "{}"}) {
+      SCOPED_TRACE(absl::StrCat(field, ": ", value));
+      json["routes"] = sound;
+      json["routes"][0].erase(field);
+      if (*value != '\0') json["routes"][0][field] = *ParseJson(value);
+      json["version"] = json["version"].get<LogOffset>() + 1;
+      const auto config = ReadOperatorConfig(json);
+      ASSERT_TRUE(config.ok());
+      ASSERT_TRUE(
+          book_.Install(config->rules.version, config->rules.document).ok());
+      EXPECT_TRUE(MatchingRule("shop.example", "/a/x").then.refuse.has_value());
+      EXPECT_TRUE(MatchingRule("shop.example", "/x").then.refuse.has_value());
+      EXPECT_EQ(MatchingRule("shop.example", "/c/x").name, "once");
+    }
+  }
+}
+
 TEST_F(OperatorConfigTest, TeamsKeysAndQuotasAreParsed) {
   EXPECT_EQ(config_.rules.teams, nullptr);
   Json json = *ParseJson(kConfig);
@@ -208,8 +233,10 @@
 TEST(OperatorConfig, RoutesBeyondTheBoundAreCut) {
   Json json{{"version", 7}, {"routes", Json::array()}};
   for (int i = 0; i < 100'000; ++i)
-    json["routes"].push_back(
-        {{"name", "r"}, {"host", "h"}, {"service", "app"}});
+    json["routes"].push_back({{"name", "r"},
+                              {"host", "h"},
+                              {"path_prefix", "/a/"},
+                              {"service", "app"}});
   const auto config = ReadOperatorConfig(json);
   ASSERT_TRUE(config.ok());
   EXPECT_EQ(config->rules.document["rules"].size(), 10'001u);
