A new holder of the lease waits for all earlier ones that may still order

Cause: PlacementLease::HandleRead decided on the wait by the record right before its own. A successor that was killed and started anew, or that released the lease during its wait, was followed without a wait, also for the holder before it, which was cut off and trusted its lease for up to another second.

Change: a host keeps the time at which all holders before the newest record have ended their orders. A record that follows directly on a silent holder keeps that time; any other means a wait from its first read. The record says whether its predecessors have ended, and a holder that had to wait notes it in the store after its wait, so that an owner of long standing is still followed at once after a restart, a release or a resignation. The argument for chains is in docs/design/ownership.md.

--- a/main/daemon.h
+++ b/main/daemon.h
@@ -77,6 +77,7 @@
   // No-ops: only fleets have a lease; this platform has engine groups.
   void Execute(const ReadLease&) {}
   void Execute(const AppendLease&) {}
+  void Execute(const AppendPredecessorsEnded&) {}
   void Execute(const SetStorePolling&) {}
   void Execute(const ApplyStoreUpdates&) {}
   void Execute(const ReadQuarantine&) {}
--- a/node/lease_record.h
+++ b/node/lease_record.h
@@ -23,13 +23,17 @@
   Incarnation holder;
   std::string peer_address;  // Address for messages from other hosts.
   bool is_released = false;  // The holder sends no more orders.
+  // The orders of all earlier holders have arrived or expired. False also if
+  // the record does not say so, as those of earlier versions.
+  bool have_predecessors_ended = false;
 
   // Requires: nothing. Thread-safe.
   Json ToJson() const {
     return Json{{"host", holder.host},
                 {"incarnation", holder.number},
                 {"peer", peer_address},
-                {"released", is_released}};
+                {"released", is_released},
+                {"predecessors_ended", have_predecessors_ended}};
   }
   static LeaseRecord FromJson(const Json& json) {
     LeaseRecord record;
@@ -37,6 +41,8 @@
                      FieldOr<uint64_t>(json, "incarnation", 0)};
     record.peer_address = FieldOr<std::string>(json, "peer", "");
     record.is_released = FieldOr<bool>(json, "released", false);
+    record.have_predecessors_ended =
+        FieldOr<bool>(json, "predecessors_ended", false);
     return record;
   }
 };
--- a/node/messages.h
+++ b/node/messages.h
@@ -434,6 +434,13 @@
   LogOffset end = 0;
 };
 
+// Records in the store that the orders of all holders before the lease record
+// `token` have arrived or expired. It is no lease record: the token stays.
+struct AppendPredecessorsEnded {
+  std::string host;  // The holder.
+  FencingToken token = 0;
+};
+
 // Reads the record of versions, and the changes of the listing since.
 struct ReadVersionRecord {};
 
@@ -477,12 +484,11 @@
 // exit.
 struct Drained {};
 
-using Action =
-    std::variant<DispatchRequest, CancelAttempt, RecallUnsent, RefuseRequest,
-                 SendOrder, AppendRecord, SendPeer, SendPeers, Drained,
-                 ReadLease, AppendLease, SetStorePolling, ApplyStoreUpdates,
-                 ProbeServer, ReadQuarantine, AppendQuarantine,
-                 ReadVersionRecord, AppendVersionRecord>;
+using Action = std::variant<
+    DispatchRequest, CancelAttempt, RecallUnsent, RefuseRequest, SendOrder,
+    AppendRecord, SendPeer, SendPeers, Drained, ReadLease, AppendLease,
+    AppendPredecessorsEnded, SetStorePolling, ApplyStoreUpdates, ProbeServer,
+    ReadQuarantine, AppendQuarantine, ReadVersionRecord, AppendVersionRecord>;
 
 }  // namespace applehall
 
--- a/node/placement_lease.cc
+++ b/node/placement_lease.cc
@@ -44,6 +44,9 @@
 // claims: it and its successor do not reach each other.
 constexpr Duration kDepositionMemory = seconds(60);
 constexpr int kMaxPauseDoublings = 3;
+// Longer than a check of the lease, which shows whether the record was
+// appended.
+constexpr Duration kPredecessorsEndedRetryInterval = seconds(2);
 
 }  // namespace
 
@@ -54,7 +57,7 @@
 
 bool PlacementLease::MayOrder() const {
   if (!is_held_ || needs_reread_ || context_.is_draining) return false;
-  if (context_.now < may_order_from_) return false;
+  if (context_.now < predecessors_end_at_) return false;
   const std::optional<TimePoint> arrive_by = OrderArrivalDeadline();
   return !arrive_by || context_.now < *arrive_by;
 }
@@ -150,41 +153,83 @@
   if (event.requested_at >= reread_since_) needs_reread_ = false;
   log_end_ = event.end;
   const bool is_changed = !has_read_ || event.token != token_;
+  if (!is_changed) {
+    const bool have_ended = record_ && event.record->have_predecessors_ended;
+    if (have_ended) {
+      record_->have_predecessors_ended = true;
+      predecessors_end_at_ = std::min(predecessors_end_at_, context_.now);
+    }
+    return Change::kNone;
+  }
+  predecessors_end_at_ = PredecessorsEndAt(event);
   has_read_ = true;
-  if (!is_changed) return Change::kNone;
-  // An earlier incarnation of this host is dead and its connections were reset,
-  // so none of its orders is in flight. After a power cut of all hosts the
-  // former owner claims first; waiting for its own orders would delay the first
-  // loads by 3 s.
-  const bool had_other_holder =
-      record_.has_value() && !record_->is_released &&
-      record_->holder.host != context_.settings.self.host &&
-      resigned_token_ != token_;
   record_ = event.record;
   token_ = event.token;
   record_seen_at_ = context_.now;
   last_contact_at_ = context_.now;
+  const bool have_ended = record_ && record_->have_predecessors_ended;
   LogEvent(LogLevel::kInfo, "lease_read")
       .With("holder", record_ ? record_->holder.host : "")
       .With("token", token_)
-      .With("released", record_ && record_->is_released ? "yes" : "no");
+      .With("released", record_ && record_->is_released ? "yes" : "no")
+      .With("predecessors_ended", have_ended ? "yes" : "no");
   const bool was_held = std::exchange(is_held_, false);
   if (was_held) RecordDeposition();
   if (!IsMine() || context_.is_draining) {
     return was_held ? Change::kLost : Change::kNone;
   }
-  // The previous holder may have orders in flight and may not have detected
-  // yet that it was superseded; one that has resigned has none.
-  may_order_from_ = had_other_holder
-                        ? context_.now + context_.settings.order_lease
-                        : context_.now;
   is_held_ = true;
+  const Duration wait =
+      std::max<Duration>(Duration{0}, predecessors_end_at_ - context_.now);
   LogEvent(LogLevel::kInfo, "lease_held")
       .With("token", token_)
-      .With("orders_in_ms", ToMillis(may_order_from_ - context_.now));
+      .With("orders_in_ms", ToMillis(wait));
   return Change::kGained;
 }
 
+bool PlacementLease::HasHolderEnded(const LeaseRecord& successor) const {
+  if (!record_ || record_->is_released || resigned_token_ == token_) {
+    return true;
+  }
+  // An earlier incarnation of a host is dead and its connections were reset, so
+  // none of its orders is in flight. After a power cut of all hosts the former
+  // owner claims first; waiting for its own orders would delay the first loads
+  // by 3 s.
+  return record_->holder.host == successor.holder.host;
+}
+
+// All holders before a record had their last confirming read answered before
+// the record was appended. A wait from the first read of a record therefore
+// covers all of them, however they followed each other and whatever is known of
+// the last one (docs/design/ownership.md).
+TimePoint PlacementLease::PredecessorsEndAt(const LeaseRead& next) const {
+  const bool was_never_claimed = next.end == 0;
+  if (was_never_claimed) return context_.now;
+  const TimePoint latest = context_.now + context_.settings.order_lease;
+  if (!next.record) return latest;
+  if (next.record->have_predecessors_ended) return context_.now;
+  // This host's own record was appended on condition that the record known here
+  // was the newest.
+  const bool follows_directly =
+      has_read_ && (next.record->holder == context_.settings.self ||
+                    next.token == token_ + 1);
+  if (!follows_directly || !HasHolderEnded(*next.record)) return latest;
+  return predecessors_end_at_;
+}
+
+// Without this record, a process that starts anew cannot tell a holder of long
+// standing from one whose wait had not ended.
+void PlacementLease::RecordPredecessorsEnded() {
+  const bool is_due = is_held_ && !record_->have_predecessors_ended &&
+                      context_.now >= predecessors_end_at_ &&
+                      context_.now - predecessors_ended_sent_at_ >=
+                          kPredecessorsEndedRetryInterval;
+  if (!is_due) return;
+  predecessors_ended_sent_at_ = context_.now;
+  LogEvent(LogLevel::kInfo, "lease_predecessors_ended").With("token", token_);
+  context_.Emit(AppendPredecessorsEnded{context_.settings.self.host, token_});
+}
+
 void PlacementLease::RecordDeposition() {
   const bool is_repeated = deposed_at_ != TimePoint{} &&
                            context_.now - deposed_at_ <= kDepositionMemory;
@@ -227,6 +272,7 @@
 }
 
 void PlacementLease::ReadOrClaim(bool can_place) {
+  RecordPredecessorsEnded();
   if (is_appending_ && context_.now - append_sent_at_ > kAppendTimeout) {
     is_appending_ = false;
     read_sent_at_ = TimePoint{};
@@ -302,9 +348,11 @@
 void PlacementLease::Append(bool is_released) {
   is_appending_ = true;
   append_sent_at_ = context_.now;
-  context_.Emit(AppendLease{
-      {context_.settings.self, context_.settings.peer_address, is_released},
-      log_end_});
+  LeaseRecord record{context_.settings.self, context_.settings.peer_address,
+                     is_released};
+  record.have_predecessors_ended =
+      context_.now >= predecessors_end_at_ && HasHolderEnded(record);
+  context_.Emit(AppendLease{std::move(record), log_end_});
 }
 
 Json PlacementLease::ToJson() const {
--- a/node/placement_lease.h
+++ b/node/placement_lease.h
@@ -85,6 +85,13 @@
 
  private:
   bool IsMine() const;
+  // Whether the holder of the newest record known here sends no more orders
+  // once `successor` follows it.
+  bool HasHolderEnded(const LeaseRecord& successor) const;
+  // When the orders of all holders before `next` have arrived or expired.
+  // Requires: `next` is newer than the newest record known here.
+  TimePoint PredecessorsEndAt(const LeaseRead& next) const;
+  void RecordPredecessorsEnded();
   void TryClaim(bool can_place);
   Duration ClaimStagger() const;
   void RecordDeposition();
@@ -116,7 +123,10 @@
   bool is_held_ = false;
   bool needs_reread_ = false;  // No orders until the lease has been read again.
   TimePoint reread_since_;  // Answers to reads sent before this do not count.
-  TimePoint may_order_from_;
+  // When the orders of all holders before the newest record have arrived or
+  // expired.
+  TimePoint predecessors_end_at_;
+  TimePoint predecessors_ended_sent_at_;  // When that was last recorded.
   TimePoint last_tick_;
 };
 
--- a/standins/deployment.h
+++ b/standins/deployment.h
@@ -199,6 +199,7 @@
   // fleets; these hosts place models by groups.
   void Execute(Host&, const ReadLease&) {}
   void Execute(Host&, const AppendLease&) {}
+  void Execute(Host&, const AppendPredecessorsEnded&) {}
   void Execute(Host&, const SetStorePolling&) {}
   void Execute(Host&, const ApplyStoreUpdates&) {}
   void Execute(Host&, const ReadQuarantine&) {}
--- a/tests/node/fleet_fixture.h
+++ b/tests/node/fleet_fixture.h
@@ -144,6 +144,11 @@
         token_ = ++end_;
       }
       pending_.push_back({name, LeaseAppendEnded{is_granted}});
+    } else if (const auto* note =
+                   std::get_if<AppendPredecessorsEnded>(&action)) {
+      if (host.is_cut_from_store) return;
+      ++end_;
+      if (note->token == token_) lease_->have_predecessors_ended = true;
     } else if (std::holds_alternative<ReadQuarantine>(action)) {
       ++quarantine_reads_;
       if (host.is_cut_from_store) return;
--- a/tests/platform/leaving_server_fixture.h
+++ b/tests/platform/leaving_server_fixture.h
@@ -288,6 +288,9 @@
       At(now_ + milliseconds(6), [this, name, result] {
         if (!hosts_.at(name).is_frozen) Handle(name, result);
       });
+    } else if (const auto* note =
+                   std::get_if<AppendPredecessorsEnded>(&action)) {
+      if (note->token == token_) lease_->have_predecessors_ended = true;
     } else if (const auto* append = std::get_if<AppendLease>(&action)) {
       const bool is_appended = append->end == token_;
       if (is_appended) {
