A new holder of the lease waits for at least as long as the last one trusts it

What callers would see: with `lease_ttl_ms` below 2,500 and engines that check no tokens, the next owner ordered while one that is cut off still did (ONE). All deployments at hand say 3,000, so none showed it.

Cause: the wait is the order lease of the settings, the trust is a constant of 2.5 s, and nothing compared them. Found by reading, on the path of the fault before. Where engines check tokens the shorter wait stays.

--- a/node/placement_lease.cc
+++ b/node/placement_lease.cc
@@ -20,11 +20,11 @@
 // How often the holder reads its lease to detect that it was superseded.
 constexpr Duration kLeaseCheckInterval = seconds(1);
 // Where engines do not check fencing tokens, a lease stays valid for this long
-// after the read that confirmed it was sent. A new holder sends no order until
-// 3 s (the order lease) after it has read its own record, which is later than
-// that read. The remaining half second allows for hosts with late timers. The
-// holder's last order must have arrived by then, not only have been sent.
+// after the read that confirmed it was sent. The holder's last order must have
+// arrived by then, not only have been sent.
 constexpr Duration kLeaseValidity = milliseconds(2500);
+// A new holder waits for longer than that, to allow for hosts with late timers.
+constexpr Duration kMinPredecessorWait = kLeaseValidity + milliseconds(500);
 // A holder hands over if the store has not confirmed its lease for this long:
 // one check and its retry have failed. Shorter than the validity, so that the
 // last orders are answered before it ends.
@@ -198,6 +198,12 @@
   return record_->holder.host == successor.holder.host;
 }
 
+Duration PlacementLease::PredecessorWait() const {
+  const Duration order_lease = context_.settings.order_lease;
+  if (context_.settings.engines_check_fences) return order_lease;
+  return std::max<Duration>(order_lease, kMinPredecessorWait);
+}
+
 // All holders before a record had their last confirming read answered before
 // the record was appended. A wait from the first read of a record therefore
 // covers all of them, however they followed each other and whatever is known of
@@ -205,7 +211,7 @@
 TimePoint PlacementLease::PredecessorsEndAt(const LeaseRead& next) const {
   const bool was_never_claimed = next.end == 0;
   if (was_never_claimed) return context_.now;
-  const TimePoint latest = context_.now + context_.settings.order_lease;
+  const TimePoint latest = context_.now + PredecessorWait();
   if (!next.record) return latest;
   if (next.record->have_predecessors_ended) return context_.now;
   // This host's own record was appended on condition that the record known here
@@ -245,7 +251,7 @@
 // waits longer.
 TimePoint PlacementLease::ClaimableAt() const {
   const Duration pause =
-      std::max(context_.settings.order_lease, context_.settings.contact_time);
+      std::max(PredecessorWait(), context_.settings.contact_time);
   const int doublings = std::clamp(depositions_ - 1, 0, kMaxPauseDoublings);
   TimePoint claimable_at = resigned_at_ + pause;
   if (deposed_at_ != TimePoint{}) {
--- a/node/placement_lease.h
+++ b/node/placement_lease.h
@@ -88,6 +88,8 @@
   // Whether the holder of the newest record known here sends no more orders
   // once `successor` follows it.
   bool HasHolderEnded(const LeaseRecord& successor) const;
+  // How long the orders of a holder that is superseded may still arrive.
+  Duration PredecessorWait() const;
   // When the orders of all holders before `next` have arrived or expired.
   // Requires: `next` is newer than the newest record known here.
   TimePoint PredecessorsEndAt(const LeaseRead& next) const;
--- a/tests/node/fleet_fixture.h
+++ b/tests/node/fleet_fixture.h
@@ -74,6 +74,7 @@
     settings.max_drain = seconds(6);
     settings.log_down_after = seconds(5);
     settings.engines_check_fences = engines_check_fences_;
+    settings.order_lease = order_lease_;
     settings.retry_slack = retry_slack_;
     settings.follows_earlier_process = follows_earlier_process_;
     settings.link_mbps = links_mbps_[name];
@@ -278,6 +279,7 @@
   PolicySet policies_;        // Of added hosts.
   uint64_t seed_ = 1;         // Of added hosts.
   bool engines_check_fences_ = true;
+  Duration order_lease_ = seconds(3);
   double retry_slack_ = 50;
   bool follows_earlier_process_ = false;
   bool has_teams_ = false;                    // The deployment of added hosts.
--- a/tests/node/lease_chain_test.cc
+++ b/tests/node/lease_chain_test.cc
@@ -189,6 +189,17 @@
                                      Way::kFrozen, Way::kOthersKilledToo),
                      testing::Range(0, 3100, 100)));
 
+// Guards against a deployment whose lease is shorter than the time for which a
+// holder that is cut off goes on ordering.
+TEST_F(LeaseChainTest, ShortOrderLeaseCoversTheHolderThatIsCutOff) {
+  order_lease_ = milliseconds(500);
+  for (const char* name : {"a", "b", "c"}) Add(name);
+  CutOffHolder();
+  RunAndCheck(seconds(8));
+  EXPECT_EQ(stale_ticks_, 0);
+  EXPECT_GE(highest_ordering_, 2u);
+}
+
 // Guards against a restarted owner that waits though the holder before it ended
 // its orders long ago.
 TEST_F(LeaseChainTest, RestartedOwnerOfLongStandingOrdersAtOnce) {
