A host takes only a record of its own address for its earlier process

Cause: the name of the host alone made the newest record one of an earlier process of this host, which is dead since its port is free. At another address the port proves nothing. Such a record was also claimed without the silence of its holder.

Evidence: HostOfTheSameNameElsewhereIsWaitedFor ordered after 0.1 s without the comparison of addresses, after 3 s and more with it. Price: a machine that takes over name and lease of a dead one at a new address waits as any other host does.

--- a/node/lease_record.h
+++ b/node/lease_record.h
@@ -27,6 +27,14 @@
   // the record does not say so, as those of earlier versions.
   bool have_predecessors_ended = false;
 
+  // Whether two records are of processes that listen at one address of one
+  // host, so that the earlier process is dead when the later one listens.
+  // Thread-safe.
+  bool SharesAddressWith(const LeaseRecord& other) const {
+    return holder.host == other.holder.host &&
+           peer_address == other.peer_address;
+  }
+
   // Requires: nothing. Thread-safe.
   Json ToJson() const {
     return Json{{"host", holder.host},
--- a/node/placement_lease.cc
+++ b/node/placement_lease.cc
@@ -55,6 +55,15 @@
          record_->holder == context_.settings.self;
 }
 
+bool PlacementLease::IsOfEarlierProcess() const {
+  return record_ && record_->holder != context_.settings.self &&
+         record_->SharesAddressWith(OwnRecord(/*is_released=*/false));
+}
+
+LeaseRecord PlacementLease::OwnRecord(bool is_released) const {
+  return {context_.settings.self, context_.settings.peer_address, is_released};
+}
+
 bool PlacementLease::MayOrder() const {
   if (!is_held_ || needs_reread_ || context_.is_draining) return false;
   if (context_.now < predecessors_end_at_) return false;
@@ -191,11 +200,11 @@
   if (!record_ || record_->is_released || resigned_token_ == token_) {
     return true;
   }
-  // An earlier incarnation of a host is dead and its connections were reset, so
-  // none of its orders is in flight. After a power cut of all hosts the former
-  // owner claims first; waiting for its own orders would delay the first loads
-  // by 3 s.
-  return record_->holder.host == successor.holder.host;
+  // An earlier process of a host is dead, as its port is free, and its
+  // connections were reset, so none of its orders is in flight. After a power
+  // cut of all hosts the former owner claims first; waiting for its own orders
+  // would delay the first loads by 3 s.
+  return record_->SharesAddressWith(successor);
 }
 
 Duration PlacementLease::PredecessorWait() const {
@@ -304,12 +313,9 @@
 
 void PlacementLease::TryClaim(bool can_place) {
   if (context_.now < ClaimableAt()) return;
-  const bool is_previous_incarnation =
-      record_ && record_->holder.host == context_.settings.self.host &&
-      record_->holder != context_.settings.self;
   const bool is_resigned = record_ && resigned_token_ == token_;
-  const bool is_free = !record_ || record_->is_released ||
-                       is_previous_incarnation || is_resigned;
+  const bool is_free =
+      !record_ || record_->is_released || IsOfEarlierProcess() || is_resigned;
   // All hosts receive the first listing at about the same time; without it in
   // this bound, the first host to see one would claim, however small its
   // processor share. A host that was partitioned has had no contact with anyone
@@ -354,8 +360,7 @@
 void PlacementLease::Append(bool is_released) {
   is_appending_ = true;
   append_sent_at_ = context_.now;
-  LeaseRecord record{context_.settings.self, context_.settings.peer_address,
-                     is_released};
+  LeaseRecord record = OwnRecord(is_released);
   record.have_predecessors_ended =
       context_.now >= predecessors_end_at_ && HasHolderEnded(record);
   context_.Emit(AppendLease{std::move(record), log_end_});
--- a/node/placement_lease.h
+++ b/node/placement_lease.h
@@ -85,6 +85,10 @@
 
  private:
   bool IsMine() const;
+  // Whether an earlier process of this host wrote the newest record.
+  bool IsOfEarlierProcess() const;
+  // The record of this process that Append() writes next.
+  LeaseRecord OwnRecord(bool is_released) const;
   // Whether the holder of the newest record known here sends no more orders
   // once `successor` follows it.
   bool HasHolderEnded(const LeaseRecord& successor) const;
--- a/tests/node/placement_lease_test.cc
+++ b/tests/node/placement_lease_test.cc
@@ -40,5 +40,53 @@
   EXPECT_EQ(static_cast<size_t>(reads), actions.size()) << "it claimed";
 }
 
+// Holds the lease after a record of `holder` at `address`. Returns when it may
+// order, from its first read on.
+Duration WaitAfterHolder(const Incarnation& holder,
+                         const std::string& address) {
+  NodeSettings settings;
+  settings.self = {"a", 2};
+  settings.peer_address = "10.0.0.1:7380";
+  settings.placement = PlacementStyle::kFleet;
+  settings.engines_check_fences = false;
+  NodeContext context(settings);
+  std::vector<Action> actions;
+  context.actions = &actions;
+  context.now = TimePoint{std::chrono::hours(500000)};
+  context.accepts_links = true;
+  const TimePoint from = context.now;
+  PlacementLease lease(context);
+  LeaseRead read;
+  read.is_answered = true;
+  read.record = LeaseRecord{holder, address, false};
+  read.record->have_predecessors_ended = true;
+  read.token = 1;
+  read.end = 1;
+  for (int i = 0; i < 400 && !lease.MayOrder(); ++i) {
+    context.now += milliseconds(25);
+    actions.clear();
+    lease.ReadOrClaim(/*can_place=*/true);
+    for (const Action& action : actions) {
+      if (const auto* append = std::get_if<AppendLease>(&action)) {
+        read.record = append->record;
+        read.token = ++read.end;
+        lease.HandleAppendEnded();
+      } else if (const auto* sent = std::get_if<ReadLease>(&action)) {
+        read.requested_at = sent->requested_at;
+        lease.HandleRead(read);
+      }
+    }
+  }
+  return context.now - from;
+}
+
+// Guards against a machine that takes another one of its name, which may still
+// order, for its own earlier process.
+TEST(PlacementLeaseTest, HostOfTheSameNameElsewhereIsWaitedFor) {
+  EXPECT_LT(WaitAfterHolder({"a", 1}, "10.0.0.1:7380"), milliseconds(500));
+  EXPECT_GE(WaitAfterHolder({"a", 1}, "10.0.0.9:7380"),
+            std::chrono::seconds(3));
+}
+
 }  // namespace
 }  // namespace applehall
