--- a/tests/node/placement_lease_test.cc
+++ b/tests/node/placement_lease_test.cc
@@ -80,6 +80,38 @@
   return context.now - from;
 }
 
+// Guards against a host that missed the record of a holder that may still
+// order, and counts what follows as the next record after the last one it read.
+TEST(PlacementLeaseTest, MissedRecordMayBeOfAHolderThatOrders) {
+  NodeSettings settings;
+  settings.self = {"a", 1};
+  settings.placement = PlacementStyle::kFleet;
+  settings.engines_check_fences = false;
+  NodeContext context(settings);
+  std::vector<Action> actions;
+  context.actions = &actions;
+  context.now = TimePoint{std::chrono::hours(500000)};
+  PlacementLease lease(context);
+  const auto read = [&](const std::string& holder, FencingToken token) {
+    context.now += milliseconds(25);
+    LeaseRead one;
+    one.is_answered = true;
+    one.record = LeaseRecord{{holder, 1}, holder, false};
+    one.record->have_predecessors_ended = token == 1;
+    one.token = token;
+    one.end = token;
+    one.requested_at = context.now;
+    lease.HandleRead(one);
+  };
+  read("b", 1);
+  // The record of token 2 is of another host.
+  read("b", 3);
+  lease.HandleResignation(3);
+  read("a", 4);
+  ASSERT_TRUE(lease.is_held());
+  EXPECT_FALSE(lease.MayOrder());
+}
+
 // Guards against a machine that takes another one of its name, which may still
 // order, for its own earlier process.
 TEST(PlacementLeaseTest, HostOfTheSameNameElsewhereIsWaitedFor) {
