--- a/node/placement_lease.cc
+++ b/node/placement_lease.cc
@@ -163,7 +163,8 @@
   log_end_ = event.end;
   const bool is_changed = !has_read_ || event.token != token_;
   if (!is_changed) {
-    const bool have_ended = record_ && event.record->have_predecessors_ended;
+    const bool have_ended =
+        record_ && event.record && event.record->have_predecessors_ended;
     if (have_ended) {
       record_->have_predecessors_ended = true;
       predecessors_end_at_ = std::min(predecessors_end_at_, context_.now);
--- a/tests/platform/lease_topic_test.cc
+++ b/tests/platform/lease_topic_test.cc
@@ -69,5 +69,22 @@
   }
 }
 
+// Guards against a lease that was dropped or cannot be read and counts as one
+// that nobody has ever claimed: the topic has records all the same.
+TEST(LeaseTopicTest, LeaseThatCannotBeReadIsNoFirstClaim) {
+  for (const char* value : {"", "no json", "{", "[1"}) {
+    LeaseRead read;
+    read.end = kOffset + 1;
+    ReadLeaseRecords({{wire::kLeaseKey, value, kOffset}}, /*is_whole=*/true,
+                     read);
+    EXPECT_TRUE(read.is_answered) << value;
+    EXPECT_FALSE(read.record.has_value()) << value;
+    EXPECT_GT(read.end, 0u) << value;
+  }
+  LeaseRead partial;
+  ReadLeaseRecords({}, /*is_whole=*/false, partial);
+  EXPECT_FALSE(partial.is_answered);
+}
+
 }  // namespace
 }  // namespace applehall
